--- /dev/null
+++ b/build.sh
@@ -0,0 +1,109 @@
+#!/usr/bin/env bash
+# The one door to building, testing and trying chivelock. Run without arguments for the list of commands.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+packages=(g++ cmake ninja-build ccache pkg-config python3 libpistache-dev libcurl4-openssl-dev libflatbuffers-dev
+    libboost-dev libboost-test-dev libtclap-dev libeasyloggingpp-dev libexpected-dev nlohmann-json3-dev
+    libvalijson-dev libxxhash-dev libssl-dev prometheus-cpp-dev)
+lint_packages=(clang-format clang-tidy)
+fuzz_packages=(clang libclang-rt-14-dev)
+
+usage() {
+    cat <<'TEXT'
+./build.sh COMMAND
+  install   install the packages that building needs (Debian, as root)
+  build     build everything into build/
+  test      install, build, and run all tests through ctest
+  lint      formatter and linter over our own sources
+  demo      three entries of New England: lookups, a ticket, a killed entry, a killed leaf
+  matrix    every fault at every step, in virtual time: table of cases and violations
+  bench     the decisions under load, in virtual time: table and CSV under out/
+  capacity  measure the slopes and derive the table of docs/CAPACITY.md from them
+  faults    real processes under load: kills, freezes, platform down (depends on the machine's speed; not in CI)
+  sanitize  the tests under address, undefined and thread sanitizers
+  fuzz      libFuzzer on the frame decoder and the catalogue reader, 60 s each
+TEXT
+}
+
+# Installs what is missing only, so that a second run needs no network.
+install_packages() {
+    local missing=() name
+    for name in "$@"; do
+        dpkg-query -W -f='${Status}' "$name" 2>/dev/null | grep -q 'ok installed' || missing+=("$name")
+    done
+    [ ${#missing[@]} -eq 0 ] && return
+    apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
+}
+
+configure_and_build() {
+    local dir=$1
+    shift
+    cmake -S . -B "$dir" -G Ninja "$@" >/dev/null
+    cmake --build "$dir" -- --quiet
+}
+
+sources() {
+    git ls-files '*.h' '*.cpp' | grep -v '_generated\.h$'
+}
+
+lint() {
+    install_packages "${lint_packages[@]}"
+    configure_and_build build
+    sources | xargs clang-format --dry-run --Werror
+    sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet 2>/dev/null
+}
+
+sanitize() {
+    local kind
+    for kind in address,undefined thread; do
+        configure_and_build "build-${kind%%,*}" -DCHIVELOCK_SANITIZE="$kind" -DCMAKE_BUILD_TYPE=RelWithDebInfo
+        ctest --test-dir "build-${kind%%,*}" --output-on-failure -j 4 -E '^matrix|regression'
+    done
+}
+
+case "${1:-}" in
+install) install_packages "${packages[@]}" ;;
+build)
+    install_packages "${packages[@]}"
+    configure_and_build build
+    ;;
+test)
+    install_packages "${packages[@]}"
+    configure_and_build build
+    ctest --test-dir build --output-on-failure -j 4
+    ;;
+lint) lint ;;
+demo)
+    install_packages "${packages[@]}"
+    configure_and_build build
+    exec python3 scripts/demo.py build
+    ;;
+matrix)
+    configure_and_build build
+    exec build/fakes/matrix
+    ;;
+bench)
+    configure_and_build build
+    mkdir -p out
+    exec build/bench/bench "${@:2}"
+    ;;
+capacity)
+    configure_and_build build
+    exec python3 scripts/capacity.py build
+    ;;
+faults)
+    configure_and_build build
+    exec python3 scripts/faults.py build
+    ;;
+sanitize) sanitize ;;
+fuzz)
+    install_packages "${fuzz_packages[@]}"
+    exec scripts/fuzz.sh
+    ;;
+*)
+    usage
+    exit 2
+    ;;
+esac
--- /dev/null
+++ b/libs/entry/include/entry/entry.h
@@ -0,0 +1,228 @@
+#pragma once
+
+/**
+ * @file
+ * All decisions of one process, root and runner at once, without input or output: what arrives goes in with the time,
+ * what must be done comes out. The daemon connects it to sockets; tests and the bench to fakes in virtual time; others
+ * embed it.
+ */
+
+#include <base/base.h>
+#include <catalogue/catalogue.h>
+#include <membership/membership.h>
+#include <policy/policy.h>
+#include <query/query.h>
+#include <topology/topology.h>
+#include <wire/wire.h>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace chivelock {
+
+/** Everything that one process is told at its start. */
+struct entry_settings {
+    vm_id self;
+    std::uint64_t incarnation = 0; ///< rises with each start of this VM's process
+    std::string ticketKey; ///< secret bytes, fresh at each start
+    std::uint64_t seed = 0;
+    membership_settings members;
+    runner_settings runner;
+    root_settings root;
+    root_guards guards; ///< for tests only
+    ticket_settings tickets;
+    millis lameDuck {2000}; ///< from the start of a stop until an idle process may end
+    millis stopLimit {10000}; ///< when a stop ends whatever still runs, with answers
+    millis askPeersFor {1000}; ///< how long a fresh process waits for a peer's revision before it says ready
+};
+
+/** Why a process is or is not ready. */
+enum class readiness : std::uint8_t {
+    ready,
+    noCatalogue,
+    noTopology,
+    noVmList,
+    askingPeers,
+    stopping
+};
+
+[[nodiscard]] std::string_view toString(readiness value);
+
+/** What a process tells of itself. */
+struct entry_status {
+    vm_id self;
+    std::uint64_t incarnation = 0;
+    readiness ready = readiness::ready;
+    std::uint64_t catalogueRevision = 0;
+    std::uint64_t topologyRevision = 0;
+    std::uint64_t vmListRevision = 0;
+    std::string catalogueRefusal; ///< empty if all is well
+    std::string topologyRefusal;
+    std::vector<member_rumour> members;
+    std::size_t lookupsInFlight = 0;
+    std::size_t shardsInHand = 0;
+    std::size_t leafRequests = 0;
+    std::size_t tickets = 0;
+    bool heardPeers = false; ///< false: what is in force here may be older than what peers hold
+};
+
+/** The process may end now. */
+struct stop_finished {
+};
+
+/** A publication was offered: for the log. */
+struct publication_noted {
+    std::string document; ///< catalogue, topology or vm_list
+    std::string verdict;
+    std::string detail;
+};
+
+using entry_action = std::variant<peer_send,
+                                  caller_answer,
+                                  topology_wanted,
+                                  leaf_call,
+                                  leaf_cancel,
+                                  leaf_probe,
+                                  publication_noted,
+                                  stop_finished>;
+
+/** Root, runner, membership, catalogue and tickets of one process. */
+class entry_core
+{
+public:
+    explicit entry_core(entry_settings settings);
+    entry_core(const entry_core &) = delete;
+    entry_core &operator=(const entry_core &) = delete;
+
+    using actions = std::vector<entry_action>;
+
+    void onLookup(lookup_request request, millis now, actions &out);
+    void onPeer(const peer_envelope &envelope, millis now, actions &out);
+    void onPeerUnreachable(vm_id vm, millis now, actions &out);
+    void onLeafReply(const leaf_reply &reply, millis now, actions &out);
+    void onHealth(const health_report &report, millis now, actions &out);
+    void onCatalogueText(std::string_view text, millis now, actions &out);
+    void onTopologyText(std::string_view text, millis now, actions &out);
+    void onVmListText(std::string_view text, millis now, actions &out);
+    void tick(millis now, actions &out);
+
+    /** When @ref tick must be called next, at the latest. */
+    [[nodiscard]] millis nextWake() const;
+
+    /** Begins a planned stop: peers and balancer are told, what runs is finished. */
+    void beginStop(millis now, actions &out);
+
+    [[nodiscard]] entry_status status(millis now) const;
+
+    [[nodiscard]] const catalogue_store &catalogue() const
+    {
+        return m_catalogue;
+    }
+
+    [[nodiscard]] const runner_counters &runnerCounters() const
+    {
+        return m_runner.counters();
+    }
+
+    [[nodiscard]] const root_counters &rootCounters() const
+    {
+        return m_root.counters();
+    }
+
+    /** The list in force, for the connections to peers and the check of who may connect. */
+    [[nodiscard]] const vm_list_document &vmList() const
+    {
+        return m_vmList;
+    }
+
+    [[nodiscard]] const topology_ptr &topology() const
+    {
+        return m_topology;
+    }
+
+    [[nodiscard]] const membership &members() const
+    {
+        return m_members;
+    }
+
+private:
+    /** A ticketed lookup of a caller or peer that runs here. */
+    struct once_run {
+        lookup_request request;
+        std::optional<vm_id> askedBy; ///< nothing: a caller of this process
+        std::uint64_t nonce = 0;
+        millis started;
+        snapshot_id snapshot;
+        map_version version;
+        bool answered = false;
+    };
+
+    /** A ticket that another VM issued, while it is asked. */
+    struct forwarded_use {
+        lookup_request request;
+        vm_id issuer;
+        millis started;
+        millis deadline;
+    };
+
+    struct message_handler;
+
+    void drainRoot(millis now, actions &out);
+    void drainRunner(millis now, actions &out);
+    void settle(millis now, actions &out);
+    void sendPeer(vm_id to, peer_message message, millis now, actions &out);
+    void deliverLocally(const peer_message &message, millis now);
+    void handleHeartbeat(const heartbeat &message, millis now, actions &out);
+    void handlePull(vm_id from, const catalogue_pull &pull, millis now, actions &out);
+    void handlePush(vm_id from, const catalogue_push &push, millis now, actions &out);
+    void pullFrom(vm_id peer, std::uint64_t haveRevision, millis now, actions &out);
+    void afterOffer(offer_verdict verdict, actions &out);
+    void refreshOwned();
+    [[nodiscard]] own_revisions revisions() const;
+
+    void handleOnce(const lookup_request &request, const kind_entry &kind, millis now, actions &out);
+    void issueTicket(const lookup_request &request, millis now, actions &out);
+    void forwardUse(const lookup_request &request, vm_id issuer, millis now, actions &out);
+    void handleTicketUse(vm_id from, const ticket_use &use, millis now, actions &out);
+    void handleTicketAnswer(vm_id from, const ticket_answer &answer, millis now, actions &out);
+    void useTicket(once_run run, millis now, actions &out);
+    void startOnce(once_run run, std::uint64_t number, millis now, actions &out);
+    void finishOnce(const once_result &result, millis now, actions &out);
+    void replyOnce(const once_run &run, lookup_answer answer, millis now, actions &out);
+    void failForwards(std::optional<vm_id> issuer, millis now, actions &out);
+    [[nodiscard]] lookup_answer
+    onceAnswer(const lookup_request &request, lookup_outcome outcome, answer_reason reason, millis retryAfter) const;
+    void advanceStop(millis now, actions &out);
+
+    entry_settings m_settings;
+    membership m_members;
+    catalogue_store m_catalogue;
+    runner_engine m_runner;
+    root_engine m_root;
+    ticket_book m_tickets;
+    topology_ptr m_topology;
+    vm_list_document m_vmList;
+    std::string m_topologyRefusal;
+    std::string m_vmListRefusal;
+    std::uint64_t m_ownedEpoch = 0;
+    std::uint64_t m_ownedTopology = 0;
+    std::optional<millis> m_startedAt;
+    millis m_lastTick;
+    bool m_heardPeer = false;
+    millis m_nextPull;
+    std::optional<millis> m_stopBegan;
+    bool m_stopEnded = false;
+    std::uint64_t m_nextNonce = 1;
+    std::map<std::uint64_t, once_run> m_onceRuns; ///< by ticket number
+    std::map<std::uint64_t, forwarded_use> m_forwards; ///< by nonce
+    root_engine::actions m_rootActions;
+    runner_engine::actions m_runnerActions;
+};
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/entry/src/once.cpp
@@ -0,0 +1,266 @@
+#include <entry/entry.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace chivelock {
+
+namespace {
+
+constexpr millis askAgainSoon {200};
+
+/** A ticket belongs to the first request that uses it; never 0, which stands for "no request yet". */
+std::uint64_t digestOf(const lookup_request &request)
+{
+    const std::string text = request.kind.value + '\n' + request.shardKey + '\n' + request.body;
+    return std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
+std::uint64_t numberOf(const lookup_request &request)
+{
+    const std::optional<ticket_parts> parts = parseTicket(request.ticket);
+    return parts ? parts->number : 0;
+}
+
+} // namespace
+
+void entry_core::handleOnce(const lookup_request &request, const kind_entry & /*kind*/, millis now, actions &out)
+{
+    if (request.ticket.empty()) {
+        issueTicket(request, now, out);
+        return;
+    }
+    const std::optional<ticket_parts> parts = parseTicket(request.ticket);
+    if (!parts) {
+        lookup_answer answer = onceAnswer(request, lookup_outcome::notRun, answer_reason::badRequest, millis());
+        answer.detail = "not a ticket";
+        out.emplace_back(caller_answer {request.caller, std::move(answer)});
+        return;
+    }
+    if (parts->issuer == m_settings.self) {
+        useTicket({request, std::nullopt, 0, now, {}, {}, false}, now, out);
+    } else {
+        forwardUse(request, parts->issuer, now, out);
+    }
+}
+
+void entry_core::issueTicket(const lookup_request &request, millis now, actions &out)
+{
+    const std::optional<std::string> ticket = m_tickets.issue(now);
+    const answer_reason refused = m_stopBegan ? answer_reason::stopping : answer_reason::ticketTableFull;
+    lookup_answer answer = onceAnswer(request,
+                                      lookup_outcome::notRun,
+                                      ticket ? answer_reason::needsTicket : refused,
+                                      ticket ? millis() : askAgainSoon);
+    answer.ticket = ticket.value_or("");
+    out.emplace_back(caller_answer {request.caller, std::move(answer)});
+}
+
+void entry_core::forwardUse(const lookup_request &request, vm_id issuer, millis now, actions &out)
+{
+    const std::optional<member_rumour> member = m_members.find(issuer);
+    const std::optional<ticket_parts> parts = parseTicket(request.ticket);
+    const bool otherIncarnation = member && member->incarnation != 0 && member->incarnation != parts->incarnation;
+    const bool lost = !member || otherIncarnation || member->state == member_state::gone;
+    if (lost) {
+        // The process that could prove that it did not run is gone with its memory.
+        out.emplace_back(caller_answer {
+            request.caller, onceAnswer(request, lookup_outcome::unknown, answer_reason::issuerUnreachable, millis())});
+        return;
+    }
+    const std::uint64_t nonce = m_nextNonce++;
+    m_forwards.emplace(nonce, forwarded_use {request, issuer, now, now + request.remaining});
+    out.emplace_back(peer_send {issuer,
+                                ticket_use {nonce,
+                                            request.ticket,
+                                            request.kind,
+                                            request.requestId,
+                                            request.shardKey,
+                                            request.body,
+                                            request.remaining}});
+}
+
+void entry_core::handleTicketUse(vm_id from, const ticket_use &use, millis now, actions &out)
+{
+    lookup_request request;
+    request.requestId = use.requestId;
+    request.kind = use.kind;
+    request.shardKey = use.shardKey;
+    request.body = use.body;
+    request.remaining = use.remaining;
+    request.ticket = use.ticket;
+    useTicket({std::move(request), from, use.nonce, now, {}, {}, false}, now, out);
+}
+
+void entry_core::handleTicketAnswer(vm_id from, const ticket_answer &message, millis now, actions &out)
+{
+    const auto found = m_forwards.find(message.nonce);
+    if (found == m_forwards.end() || found->second.issuer != from) {
+        return; // Late: the caller was told "unknown"; the issuer keeps the answer for the next question.
+    }
+    lookup_answer answer = message.answer;
+    answer.elapsed = now - found->second.started;
+    answer.priority = onceAnswer(found->second.request, answer.outcome, answer.reason, millis()).priority;
+    out.emplace_back(caller_answer {found->second.request.caller, std::move(answer)});
+    m_forwards.erase(found);
+}
+
+void entry_core::useTicket(once_run run, millis now, actions &out)
+{
+    const std::uint64_t number = numberOf(run.request);
+    const ticket_verdict verdict = m_tickets.use(run.request.ticket, digestOf(run.request), now);
+    switch (verdict) {
+    case ticket_verdict::start:
+        startOnce(std::move(run), number, now, out);
+        return;
+    case ticket_verdict::done:
+        replyOnce(run, *m_tickets.answerOf(number), now, out);
+        return;
+    case ticket_verdict::voided: {
+        lookup_answer stored = *m_tickets.answerOf(number);
+        const bool neverUsed = stored.reason == answer_reason::none; // Made void by a stop, before any use.
+        replyOnce(run,
+                  neverUsed ? onceAnswer(run.request, lookup_outcome::notRun, answer_reason::stopping, askAgainSoon)
+                            : std::move(stored),
+                  now,
+                  out);
+        return;
+    }
+    case ticket_verdict::running:
+        replyOnce(
+            run, onceAnswer(run.request, lookup_outcome::unknown, answer_reason::running, askAgainSoon), now, out);
+        return;
+    case ticket_verdict::unknown:
+        replyOnce(
+            run, onceAnswer(run.request, lookup_outcome::unknown, answer_reason::ticketUnknown, millis()), now, out);
+        return;
+    case ticket_verdict::mismatch:
+        replyOnce(
+            run, onceAnswer(run.request, lookup_outcome::unknown, answer_reason::ticketMismatch, millis()), now, out);
+        return;
+    }
+}
+
+void entry_core::startOnce(once_run run, std::uint64_t number, millis now, actions &out)
+{
+    const auto giveUp = [&](answer_reason reason, millis retryAfter) {
+        lookup_answer answer = onceAnswer(run.request, lookup_outcome::notRun, reason, retryAfter);
+        m_tickets.makeVoid(number, answer);
+        replyOnce(run, std::move(answer), now, out);
+    };
+    const kind_entry *kind = m_catalogue.current()->find(run.request.kind);
+    const service_map *map = kind != nullptr && m_topology ? m_topology->findService(kind->service) : nullptr;
+    if (map == nullptr) {
+        giveUp(kind == nullptr ? answer_reason::unknownKind : answer_reason::noTopology, askAgainSoon);
+        return;
+    }
+    if (const std::optional<millis> wait = m_root.limiter().admit(*kind, m_members.listedCount(), now)) {
+        giveUp(answer_reason::kindLimit, *wait);
+        return;
+    }
+    run.snapshot = map->snapshot;
+    run.version = map->version;
+    once_request request;
+    request.onceId = number;
+    request.requestId = run.request.requestId;
+    request.service = kind->service;
+    request.shard = shardOfKey(run.request.shardKey, map->shards);
+    request.snapshot = map->snapshot;
+    request.version = map->version;
+    request.priority = kind->priority;
+    request.maxRows = kind->maxRows;
+    request.body = std::make_shared<std::string>(run.request.body);
+    request.deadline = now + std::min(run.request.remaining, kind->hardLimit);
+    m_onceRuns.emplace(number, std::move(run));
+    m_runner.onOnce(request, now, m_runnerActions);
+}
+
+void entry_core::finishOnce(const once_result &result, millis now, actions &out)
+{
+    const auto found = m_onceRuns.find(result.onceId);
+    const bool waiting = found != m_onceRuns.end();
+    const lookup_request request = waiting ? found->second.request : lookup_request();
+    lookup_outcome outcome = lookup_outcome::unknown;
+    answer_reason reason = answer_reason::expired;
+    if (result.status == shard_status::ok) {
+        outcome = lookup_outcome::whole;
+        reason = answer_reason::none;
+    } else if (!result.mayHaveRun) {
+        outcome = lookup_outcome::notRun;
+        reason = result.status == shard_status::noLeaf ? answer_reason::noLeaf : answer_reason::overloaded;
+    } else if (result.status == shard_status::leafFailed) {
+        reason = answer_reason::leafsFailed;
+    }
+    lookup_answer answer =
+        onceAnswer(request,
+                   outcome,
+                   reason,
+                   outcome == lookup_outcome::whole ? millis() : std::max(result.reply.retryAfter, askAgainSoon));
+    answer.snapshot = result.reply.snapshot;
+    answer.version = result.reply.version;
+    answer.attempts = result.reply.attempts;
+    if (outcome == lookup_outcome::whole) {
+        answer.covered = {result.reply.shard};
+        answer.rows = result.reply.rows;
+    } else {
+        answer.missing = {{result.reply.shard, reason}};
+    }
+    if (outcome == lookup_outcome::whole) {
+        m_tickets.finish(result.onceId, answer);
+    } else if (outcome == lookup_outcome::notRun) {
+        // Void before the word "not run" leaves this process: no later use of the ticket can start it.
+        m_tickets.makeVoid(result.onceId, answer);
+    }
+    if (waiting) {
+        answer.elapsed = now - found->second.started;
+        m_root.limiter().release(request.kind);
+        replyOnce(found->second, std::move(answer), now, out);
+        m_onceRuns.erase(found);
+    }
+}
+
+void entry_core::replyOnce(const once_run &run, lookup_answer answer, millis /*now*/, actions &out)
+{
+    answer.requestId = run.request.requestId;
+    answer.kind = run.request.kind;
+    if (run.askedBy) {
+        out.emplace_back(peer_send {*run.askedBy, ticket_answer {run.nonce, std::move(answer)}});
+    } else {
+        out.emplace_back(caller_answer {run.request.caller, std::move(answer)});
+    }
+}
+
+void entry_core::failForwards(std::optional<vm_id> issuer, millis now, actions &out)
+{
+    std::erase_if(m_forwards, [&](const auto &item) {
+        const forwarded_use &forward = item.second;
+        const bool lost = issuer && forward.issuer == *issuer;
+        const bool late = now >= forward.deadline;
+        if (lost || late) {
+            const answer_reason reason = lost ? answer_reason::issuerUnreachable : answer_reason::expired;
+            out.emplace_back(caller_answer {
+                forward.request.caller, onceAnswer(forward.request, lookup_outcome::unknown, reason, askAgainSoon)});
+        }
+        return lost || late;
+    });
+}
+
+lookup_answer entry_core::onceAnswer(const lookup_request &request,
+                                     lookup_outcome outcome,
+                                     answer_reason reason,
+                                     millis retryAfter) const
+{
+    lookup_answer answer;
+    answer.requestId = request.requestId;
+    answer.kind = request.kind;
+    const kind_entry *kind = m_catalogue.current()->find(request.kind);
+    answer.priority = kind != nullptr ? kind->priority : urgency::ordinary;
+    answer.outcome = outcome;
+    answer.reason = reason;
+    answer.catalogueRevision = m_catalogue.current()->revision;
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/query/src/answer.cpp
@@ -0,0 +1,88 @@
+#include <query/query.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace chivelock {
+
+namespace {
+
+constexpr std::uint16_t okStatus = 200;
+constexpr std::uint16_t badRequestStatus = 400;
+constexpr std::uint16_t notFoundStatus = 404;
+constexpr std::uint16_t conflictStatus = 409;
+constexpr std::uint16_t needsTicketStatus = 428;
+constexpr std::uint16_t tooManyStatus = 429;
+constexpr std::uint16_t unavailableStatus = 503;
+constexpr std::uint16_t timeoutStatus = 504;
+
+/** Data that a leaf sent as JSON stays JSON; anything else is passed on as text. */
+nlohmann::json dataOf(const std::string &data)
+{
+    nlohmann::json parsed = nlohmann::json::parse(data, nullptr, false);
+    return parsed.is_discarded() ? nlohmann::json(data) : parsed;
+}
+
+} // namespace
+
+std::string writeAnswer(const lookup_answer &answer)
+{
+    nlohmann::json json = {{"request_id", answer.requestId},
+                           {"kind", answer.kind.value},
+                           {"outcome", toString(answer.outcome)},
+                           {"snapshot", answer.snapshot.value},
+                           {"map_version", answer.version.value},
+                           {"catalogue_revision", answer.catalogueRevision},
+                           {"covered", nlohmann::json::array()},
+                           {"missing", nlohmann::json::array()},
+                           {"rows", nlohmann::json::array()},
+                           {"elapsed_ms", answer.elapsed.count()},
+                           {"leaf_requests", answer.attempts}};
+    std::ranges::transform(answer.covered, std::back_inserter(json["covered"]), &shard_id::value);
+    for (const missing_shard &shard : answer.missing) {
+        json["missing"].push_back({{"shard", shard.shard.value}, {"reason", toString(shard.reason)}});
+    }
+    for (const result_row &row : answer.rows) {
+        json["rows"].push_back({{"id", row.id}, {"score", row.score}, {"data", dataOf(row.data)}});
+    }
+    if (answer.reason != answer_reason::none) {
+        json["reason"] = toString(answer.reason);
+    }
+    if (answer.retryAfter > millis()) {
+        json["retry_after_ms"] = answer.retryAfter.ceiled();
+    }
+    if (!answer.ticket.empty()) {
+        json["ticket"] = answer.ticket;
+    }
+    if (!answer.detail.empty()) {
+        json["detail"] = answer.detail;
+    }
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::uint16_t httpStatusOf(const lookup_answer &answer)
+{
+    if (answer.outcome == lookup_outcome::whole || answer.outcome == lookup_outcome::partial) {
+        return okStatus;
+    }
+    switch (answer.reason) {
+    case answer_reason::badRequest:
+        return badRequestStatus;
+    case answer_reason::unknownKind:
+        return notFoundStatus;
+    case answer_reason::needsTicket:
+        return needsTicketStatus;
+    case answer_reason::ticketMismatch:
+    case answer_reason::running:
+        return conflictStatus;
+    case answer_reason::kindLimit:
+        return tooManyStatus;
+    case answer_reason::expired:
+        return timeoutStatus;
+    default:
+        return unavailableStatus;
+    }
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/query/src/root_engine.cpp
@@ -0,0 +1,560 @@
+#include <query/query.h>
+
+#include <algorithm>
+
+namespace chivelock {
+
+namespace {
+
+answer_reason reasonOf(shard_status status)
+{
+    switch (status) {
+    case shard_status::ok:
+        return answer_reason::none;
+    case shard_status::overloaded:
+        return answer_reason::overloaded;
+    case shard_status::snapshotGone:
+        return answer_reason::snapshotGone;
+    case shard_status::leafFailed:
+        return answer_reason::leafsFailed;
+    case shard_status::noLeaf:
+        return answer_reason::noLeaf;
+    case shard_status::expired:
+        return answer_reason::expired;
+    }
+    return answer_reason::leafsFailed;
+}
+
+/** When to come back if nobody gave a time. */
+millis defaultAdvice(answer_reason reason)
+{
+    constexpr millis afterTimeout {250};
+    constexpr millis afterLoss {1000};
+    return reason == answer_reason::expired || reason == answer_reason::overloaded ? afterTimeout : afterLoss;
+}
+
+} // namespace
+
+root_engine::root_engine(
+    vm_id self, std::uint64_t incarnation, root_settings settings, std::uint64_t seed, root_guards guards)
+    : m_self(self)
+    , m_incarnation(incarnation)
+    , m_settings(settings)
+    , m_guards(guards)
+    , m_random(seed)
+{
+}
+
+void root_engine::onTopology(const topology_ptr &document, millis /*now*/, actions & /*out*/)
+{
+    m_topology = document;
+    std::erase_if(m_toldSnapshots, [&document](const auto &item) {
+        const service_map *map = document->findService(item.first);
+        return map == nullptr || map->snapshot >= item.second;
+    });
+}
+
+void root_engine::onCatalogue(std::shared_ptr<const catalogue_document> document)
+{
+    m_catalogue = std::move(document);
+}
+
+void root_engine::submit(const lookup_request &request, const membership &members, millis now, actions &out)
+{
+    ++m_counters.lookups;
+    const kind_entry *kind = m_catalogue->find(request.kind);
+    if (kind == nullptr) {
+        const answer_reason reason =
+            m_catalogue->revision == 0 ? answer_reason::noCatalogue : answer_reason::unknownKind;
+        out.emplace_back(caller_answer {request.caller, refusal(request, reason, defaultAdvice(reason))});
+        return;
+    }
+    if (std::optional<lookup_answer> refused = checkLimits(request, *kind, members, now)) {
+        ++m_counters.refusedHere;
+        out.emplace_back(caller_answer {request.caller, *std::move(refused)});
+        return;
+    }
+    lookup entry;
+    entry.request = request;
+    entry.kind = *kind;
+    entry.started = now;
+    entry.deadline = now + std::min(request.remaining, kind->hardLimit);
+    entry.softDeadline = now + std::min(request.remaining, kind->softLimit);
+    entry.body = std::make_shared<std::string>(request.body);
+    if (std::optional<lookup_answer> refused = pin(entry)) {
+        m_limiter.release(kind->name);
+        out.emplace_back(caller_answer {request.caller, *std::move(refused)});
+        return;
+    }
+    const sequence id = m_next++;
+    m_timers.push({entry.deadline, timer_purpose::hard, id});
+    if (!kind->wholeOnly && entry.softDeadline < entry.deadline) {
+        m_timers.push({entry.softDeadline, timer_purpose::soft, id});
+    }
+    m_timers.push({now + m_settings.ackTimeout, timer_purpose::liveness, id});
+    m_lookups.emplace(id, std::move(entry));
+    start(id, members, now, out);
+}
+
+void root_engine::onAccepted(vm_id from, const run_accepted &accepted, millis now)
+{
+    const auto found = m_lookups.find(accepted.key.sequence);
+    if (found == m_lookups.end() || accepted.key != keyOf(found->first) || accepted.attempt != found->second.attempt) {
+        return;
+    }
+    runner_progress &runner = runnerOf(found->second, from, now);
+    runner.lastHeard = now;
+    runner.awaitingSince.reset();
+}
+
+void root_engine::onReply(vm_id from, const shard_reply &reply, const membership &members, millis now, actions &out)
+{
+    const auto found = m_lookups.find(reply.key.sequence);
+    const bool known = found != m_lookups.end() && reply.key == keyOf(found->first);
+    if (!known || (m_guards.checkAttempt && reply.attempt != found->second.attempt)) {
+        // An earlier attempt ran on another snapshot; its rows in this answer would mix two states of the index.
+        ++m_counters.staleReplies;
+        return;
+    }
+    lookup &entry = found->second;
+    onAccepted(from, {reply.key, reply.attempt}, now);
+    shard_progress *shard = findWaiting(entry, reply);
+    if (shard == nullptr) {
+        ++m_counters.staleReplies;
+        return;
+    }
+    entry.leafAttempts += reply.attempts;
+    if (reply.status != shard_status::ok) {
+        onShardLost(found->first, *shard, reply, members, now, out);
+        return;
+    }
+    const bool pinned = reply.snapshot == entry.snapshot && reply.version == entry.version;
+    if (m_guards.checkSnapshot && !pinned) {
+        ++m_counters.mismatchedReplies;
+        return;
+    }
+    onShardOk(found->first, *shard, reply, now, out);
+}
+
+void root_engine::onUnreachable(vm_id runner, const membership & /*members*/, millis now, actions &out)
+{
+    m_stalledUntil[runner] = now + m_settings.avoidStalled;
+    std::vector<sequence> touched;
+    for (const auto &[id, entry] : m_lookups) {
+        if (std::ranges::find(entry.runners, runner, &runner_progress::vm) != entry.runners.end()) {
+            touched.push_back(id);
+        }
+    }
+    std::ranges::sort(touched);
+    std::ranges::for_each(touched, [&](sequence id) { reroute(id, runner, now, out); });
+}
+
+void root_engine::tick(const membership &members, millis now, actions &out)
+{
+    if (now - m_lastTick > m_settings.ackTimeout) {
+        forgivePause(now);
+    }
+    m_lastTick = now;
+    while (!m_timers.empty() && m_timers.top().at <= now) {
+        const timer due = m_timers.top();
+        m_timers.pop();
+        const auto found = m_lookups.find(due.target);
+        if (found == m_lookups.end()) {
+            continue;
+        }
+        const bool suffices = coverageSuffices(found->second);
+        switch (due.purpose) {
+        case timer_purpose::hard:
+            finish(due.target,
+                   suffices ? lookup_outcome::partial : lookup_outcome::failed,
+                   suffices ? answer_reason::none : answer_reason::expired,
+                   now,
+                   out);
+            break;
+        case timer_purpose::soft:
+            if (suffices) {
+                finish(due.target, lookup_outcome::partial, answer_reason::none, now, out);
+            }
+            break;
+        case timer_purpose::liveness:
+            checkLiveness(due.target, members, now, out);
+            break;
+        }
+    }
+}
+
+void root_engine::stopAll(millis now, actions &out)
+{
+    std::vector<sequence> ids;
+    std::ranges::transform(m_lookups, std::back_inserter(ids), [](const auto &item) { return item.first; });
+    std::ranges::sort(ids);
+    for (const sequence id : ids) {
+        const bool suffices = coverageSuffices(m_lookups.at(id));
+        finish(id, suffices ? lookup_outcome::partial : lookup_outcome::failed, answer_reason::stopping, now, out);
+    }
+}
+
+lookup_answer root_engine::refusal(const lookup_request &request, answer_reason reason, millis retryAfter) const
+{
+    lookup_answer answer;
+    answer.requestId = request.requestId;
+    answer.kind = request.kind;
+    const kind_entry *kind = m_catalogue->find(request.kind);
+    answer.priority = kind != nullptr ? kind->priority : urgency::ordinary;
+    answer.outcome = lookup_outcome::notRun;
+    answer.reason = reason;
+    answer.catalogueRevision = m_catalogue->revision;
+    answer.retryAfter = reason == answer_reason::unknownKind ? millis() : retryAfter;
+    return answer;
+}
+
+std::optional<lookup_answer>
+root_engine::checkLimits(const lookup_request &request, const kind_entry &kind, const membership &members, millis now)
+{
+    if (m_lookups.size() >= m_settings.maxLookups) {
+        return refusal(request, answer_reason::overloaded, defaultAdvice(answer_reason::overloaded));
+    }
+    const refusal_memory &memory = m_refusals[kind.service].at(static_cast<std::size_t>(kind.priority));
+    if (now < memory.until) {
+        return refusal(request, answer_reason::overloaded, std::max(memory.comeBack - now, memory.until - now));
+    }
+    if (const std::optional<millis> wait = m_limiter.admit(kind, members.listedCount(), now)) {
+        return refusal(request, answer_reason::kindLimit, *wait);
+    }
+    return std::nullopt;
+}
+
+std::optional<lookup_answer> root_engine::pin(lookup &entry)
+{
+    const service_map *map = m_topology ? m_topology->findService(entry.kind.service) : nullptr;
+    if (map == nullptr) {
+        return refusal(entry.request, answer_reason::noTopology, defaultAdvice(answer_reason::noTopology));
+    }
+    const auto told = m_toldSnapshots.find(map->name);
+    entry.snapshot = told != m_toldSnapshots.end() ? std::max(map->snapshot, told->second) : map->snapshot;
+    pinShards(entry, *map);
+    return std::nullopt;
+}
+
+void root_engine::pinShards(lookup &entry, const service_map &map)
+{
+    entry.version = map.version;
+    entry.shards.clear();
+    entry.runners.clear();
+    entry.covered = 0;
+    entry.refusedShards = 0;
+    if (entry.kind.shards == fan_out::byKey) {
+        entry.shards.push_back(
+            {shardOfKey(entry.request.shardKey, map.shards), shard_phase::waiting, {}, 0, answer_reason::none, {}});
+    } else {
+        std::ranges::transform(map.shards, std::back_inserter(entry.shards), [](const shard_info &shard) {
+            return shard_progress {shard.id, shard_phase::waiting, {}, 0, answer_reason::none, {}};
+        });
+    }
+    entry.waiting = entry.shards.size();
+}
+
+void root_engine::start(sequence id, const membership &members, millis now, actions &out)
+{
+    lookup &entry = m_lookups.at(id);
+    const service_map &map = *m_topology->findService(entry.kind.service);
+    const std::span<const vm_id> owners = ownersOf(map, members);
+    std::map<vm_id, std::vector<shard_id>> plan;
+    for (const shard_progress &shard : entry.shards) {
+        const auto place = std::ranges::lower_bound(map.shards, shard.id, {}, &shard_info::id) - map.shards.begin();
+        plan[usableRunner(owners[static_cast<std::size_t>(place)], members, now)].push_back(shard.id);
+    }
+    for (const auto &[runner, shards] : plan) {
+        sendRuns(id, shards, runner, now, out);
+    }
+}
+
+std::span<const vm_id> root_engine::ownersOf(const service_map &map, const membership &members)
+{
+    owner_cache &cache = m_owners[map.name];
+    const bool current =
+        cache.version == map.version && cache.epoch == members.epoch() && cache.owners.size() == map.shards.size();
+    if (!current) {
+        cache = {map.version, map.snapshot, members.epoch(), assignShards(map.name, map.shards, members.runners())};
+    }
+    return cache.owners;
+}
+
+vm_id root_engine::usableRunner(vm_id owner, const membership &members, millis now) const
+{
+    const auto stalled = m_stalledUntil.find(owner);
+    const bool avoided = stalled != m_stalledUntil.end() && now < stalled->second;
+    return m_settings.direct || avoided || !members.isRunner(owner) ? m_self : owner;
+}
+
+void root_engine::sendRuns(sequence id, std::span<const shard_id> shards, vm_id runner, millis now, actions &out)
+{
+    lookup &entry = m_lookups.at(id);
+    for (const shard_id shard : shards) {
+        std::ranges::lower_bound(entry.shards, shard, {}, &shard_progress::id)->runner = runner;
+    }
+    runner_progress &progress = runnerOf(entry, runner, now);
+    progress.outstanding += shards.size();
+    progress.awaitingSince = now;
+    run_shards run;
+    run.key = keyOf(id);
+    run.attempt = entry.attempt;
+    run.requestId = entry.request.requestId;
+    run.service = entry.kind.service;
+    run.priority = entry.kind.priority;
+    run.snapshot = entry.snapshot;
+    run.version = entry.version;
+    run.remaining = entry.deadline - now;
+    run.maxRows = entry.kind.maxRows;
+    run.body = entry.body;
+    run.shards.assign(shards.begin(), shards.end());
+    out.emplace_back(peer_send {runner, std::move(run)});
+}
+
+root_engine::shard_progress *root_engine::findWaiting(lookup &entry, const shard_reply &reply)
+{
+    const auto shard = std::ranges::lower_bound(entry.shards, reply.shard, {}, &shard_progress::id);
+    if (shard == entry.shards.end() || shard->id != reply.shard) {
+        return nullptr;
+    }
+    return shard->phase == shard_phase::waiting || !m_guards.dropDoubled ? &*shard : nullptr;
+}
+
+void root_engine::onShardOk(sequence id, shard_progress &shard, const shard_reply &reply, millis now, actions &out)
+{
+    lookup &entry = m_lookups.at(id);
+    shard.phase = shard_phase::covered;
+    shard.rows.insert(shard.rows.end(), reply.rows.begin(), reply.rows.end());
+    entry.waiting -= std::min<std::size_t>(entry.waiting, 1);
+    entry.covered += 1;
+    --runnerOf(entry, shard.runner, now).outstanding;
+    finishIfDone(id, now, out);
+}
+
+void root_engine::onShardLost(
+    sequence id, shard_progress &shard, const shard_reply &reply, const membership &members, millis now, actions &out)
+{
+    lookup &entry = m_lookups.at(id);
+    if (reply.status == shard_status::snapshotGone) {
+        restart(id, reply.heldSnapshot, members, now, out);
+        return;
+    }
+    const bool leafTrouble = reply.status == shard_status::noLeaf || reply.status == shard_status::leafFailed;
+    if (leafTrouble && shard.runner != m_self && shard.reroutes == 0) {
+        // That runner may be cut off from leafs that this process can reach.
+        --runnerOf(entry, shard.runner, now).outstanding;
+        ++shard.reroutes;
+        ++m_counters.reroutes;
+        const shard_id again = shard.id;
+        sendRuns(id, std::span(&again, 1), m_self, now, out);
+        return;
+    }
+    if (reply.status == shard_status::overloaded) {
+        ++entry.refusedShards;
+        entry.retryAfter = std::max(entry.retryAfter, reply.retryAfter);
+        noteRefusal(entry, reply, now);
+    }
+    --runnerOf(entry, shard.runner, now).outstanding;
+    markMissing(entry, shard, reasonOf(reply.status));
+    finishIfDone(id, now, out);
+}
+
+void root_engine::noteRefusal(const lookup &entry, const shard_reply &reply, millis now)
+{
+    refusal_memory &memory = m_refusals[entry.kind.service].at(static_cast<std::size_t>(entry.kind.priority));
+    memory.until = std::max(memory.until, now + std::min(m_settings.admissionMemory, reply.retryAfter));
+    memory.comeBack = std::max(memory.comeBack, now + reply.retryAfter);
+}
+
+void root_engine::markMissing(lookup &entry, shard_progress &shard, answer_reason reason)
+{
+    shard.phase = shard_phase::missing;
+    shard.reason = reason;
+    --entry.waiting;
+}
+
+void root_engine::restart(sequence id, snapshot_id told, const membership &members, millis now, actions &out)
+{
+    lookup &entry = m_lookups.at(id);
+    out.emplace_back(topology_wanted {});
+    const bool triesLeft = entry.attempt <= m_settings.maxRestarts;
+    const lookup before = entry;
+    if (!triesLeft || !repin(entry, told)) {
+        finish(id, lookup_outcome::failed, answer_reason::snapshotGone, now, out);
+        return;
+    }
+    ++m_counters.restarts;
+    cancelRuns(before, id, out);
+    ++entry.attempt;
+    start(id, members, now, out);
+}
+
+bool root_engine::repin(lookup &entry, snapshot_id told)
+{
+    const service_map *map = m_topology->findService(entry.kind.service);
+    if (map == nullptr) {
+        return false;
+    }
+    const bool publishedDiffers = map->snapshot > entry.snapshot || map->version != entry.version;
+    const snapshot_id wanted = publishedDiffers ? std::max(map->snapshot, told) : told;
+    if (wanted.value == 0 || (wanted == entry.snapshot && map->version == entry.version)) {
+        return false;
+    }
+    if (wanted > map->snapshot) {
+        snapshot_id &known = m_toldSnapshots[map->name];
+        known = std::max(known, wanted);
+    }
+    entry.snapshot = wanted;
+    pinShards(entry, *map);
+    return true;
+}
+
+void root_engine::cancelRuns(const lookup &entry, sequence id, actions &out) const
+{
+    for (const runner_progress &runner : entry.runners) {
+        if (runner.outstanding > 0) {
+            out.emplace_back(peer_send {runner.vm, run_cancel {keyOf(id), entry.attempt}});
+        }
+    }
+}
+
+void root_engine::reroute(sequence id, vm_id from, millis now, actions &out)
+{
+    lookup &entry = m_lookups.at(id);
+    std::vector<shard_id> taken;
+    for (shard_progress &shard : entry.shards) {
+        if (shard.phase == shard_phase::waiting && shard.runner == from && from != m_self) {
+            ++shard.reroutes;
+            taken.push_back(shard.id);
+        }
+    }
+    if (taken.empty()) {
+        return;
+    }
+    m_counters.reroutes += taken.size();
+    runner_progress &lost = runnerOf(entry, from, now);
+    lost.outstanding = 0;
+    lost.awaitingSince.reset();
+    // If it only slept, it should not run on wake-up what is being run here.
+    out.emplace_back(peer_send {from, run_cancel {keyOf(id), entry.attempt}});
+    sendRuns(id, taken, m_self, now, out);
+}
+
+void root_engine::checkLiveness(sequence id, const membership & /*members*/, millis now, actions &out)
+{
+    lookup &entry = m_lookups.at(id);
+    std::vector<vm_id> stalled;
+    for (runner_progress &runner : entry.runners) {
+        if (runner.outstanding == 0 || runner.vm == m_self) {
+            continue;
+        }
+        if (runner.awaitingSince && now - *runner.awaitingSince >= m_settings.ackTimeout) {
+            stalled.push_back(runner.vm);
+        } else if (!runner.awaitingSince && now - runner.lastHeard >= m_settings.ackTimeout) {
+            runner.awaitingSince = now;
+            out.emplace_back(peer_send {runner.vm, run_probe {keyOf(id), entry.attempt}});
+        }
+    }
+    for (const vm_id vm : stalled) {
+        m_stalledUntil[vm] = now + m_settings.avoidStalled;
+        reroute(id, vm, now, out);
+    }
+    m_timers.push({now + m_settings.ackTimeout, timer_purpose::liveness, id});
+}
+
+void root_engine::forgivePause(millis now)
+{
+    // While this process slept it could read no ack; blaming the runners would send all their shards out once more.
+    for (auto &[id, entry] : m_lookups) {
+        for (runner_progress &runner : entry.runners) {
+            if (runner.awaitingSince) {
+                runner.awaitingSince = now;
+            }
+        }
+    }
+}
+
+void root_engine::finishIfDone(sequence id, millis now, actions &out)
+{
+    const lookup &entry = m_lookups.at(id);
+    if (entry.covered == entry.shards.size()) {
+        finish(id, lookup_outcome::whole, answer_reason::none, now, out);
+        return;
+    }
+    if (now >= entry.softDeadline && coverageSuffices(entry)) {
+        finish(id, lookup_outcome::partial, answer_reason::none, now, out);
+        return;
+    }
+    const std::size_t lost = entry.shards.size() - entry.covered - entry.waiting;
+    const double bestCoverage = 1.0 - static_cast<double>(lost) / static_cast<double>(entry.shards.size());
+    const bool hopeless = lost > 0 && (entry.kind.wholeOnly || bestCoverage < entry.kind.minCoverage);
+    if (hopeless || entry.waiting == 0) {
+        const bool allRefused = entry.refusedShards == entry.shards.size();
+        const lookup_outcome given = allRefused ? lookup_outcome::notRun : lookup_outcome::failed;
+        const bool partial = !hopeless && coverageSuffices(entry);
+        finish(id,
+               partial ? lookup_outcome::partial : given,
+               partial ? answer_reason::none : commonReason(entry),
+               now,
+               out);
+    }
+}
+
+bool root_engine::coverageSuffices(const lookup &entry)
+{
+    const double coverage = static_cast<double>(entry.covered) / static_cast<double>(entry.shards.size());
+    return !entry.kind.wholeOnly && entry.covered > 0 && coverage >= entry.kind.minCoverage;
+}
+
+answer_reason root_engine::commonReason(const lookup &entry)
+{
+    const auto missing = std::ranges::find(entry.shards, shard_phase::missing, &shard_progress::phase);
+    return missing != entry.shards.end() ? missing->reason : answer_reason::expired;
+}
+
+void root_engine::finish(sequence id, lookup_outcome outcome, answer_reason reason, millis now, actions &out)
+{
+    lookup entry = std::move(m_lookups.at(id));
+    m_lookups.erase(id);
+    m_limiter.release(entry.kind.name);
+    cancelRuns(entry, id, out);
+    lookup_answer answer = refusal(entry.request, reason, std::max(entry.retryAfter, defaultAdvice(reason)));
+    answer.outcome = outcome;
+    answer.snapshot = entry.snapshot;
+    answer.version = entry.version;
+    answer.elapsed = now - entry.started;
+    answer.attempts = entry.leafAttempts;
+    const bool answered = outcome == lookup_outcome::whole || outcome == lookup_outcome::partial;
+    answer.retryAfter = answered ? millis() : answer.retryAfter;
+    std::vector<std::vector<result_row>> parts;
+    for (shard_progress &shard : entry.shards) {
+        if (shard.phase == shard_phase::covered) {
+            answer.covered.push_back(shard.id);
+            parts.push_back(std::move(shard.rows));
+        } else {
+            const answer_reason why = shard.reason == answer_reason::none ? answer_reason::expired : shard.reason;
+            answer.missing.push_back({shard.id, why});
+        }
+    }
+    if (answered) {
+        answer.rows = mergeRows(entry.kind.merge, std::move(parts), entry.kind.maxRows);
+    }
+    out.emplace_back(caller_answer {entry.request.caller, std::move(answer)});
+}
+
+root_engine::runner_progress &root_engine::runnerOf(lookup &entry, vm_id vm, millis now)
+{
+    const auto found = std::ranges::find(entry.runners, vm, &runner_progress::vm);
+    if (found != entry.runners.end()) {
+        return *found;
+    }
+    entry.runners.push_back({vm, now, std::nullopt, 0});
+    return entry.runners.back();
+}
+
+request_key root_engine::keyOf(sequence id) const
+{
+    return {m_self, m_incarnation, id};
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/query/src/tickets.cpp
@@ -0,0 +1,194 @@
+#include <query/query.h>
+
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+
+#include <array>
+#include <charconv>
+
+namespace chivelock {
+
+namespace {
+
+constexpr char separator = '.';
+constexpr std::size_t partCount = 4;
+
+template<typename number>
+bool readNumber(std::string_view text, number &value)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size();
+}
+
+std::string hexOf(std::span<const unsigned char> bytes)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned lowBits = 0xf;
+    constexpr unsigned highShift = 4;
+    std::string text;
+    for (const unsigned char byte : bytes) {
+        text += digits[byte >> highShift];
+        text += digits[byte & lowBits];
+    }
+    return text;
+}
+
+/** The signed part, then the signature. */
+struct split_ticket {
+    std::string_view signedPart;
+    std::string_view signature;
+};
+
+std::optional<split_ticket> split(std::string_view ticket)
+{
+    const std::size_t last = ticket.rfind(separator);
+    if (last == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return split_ticket {ticket.substr(0, last), ticket.substr(last + 1)};
+}
+
+bool equalInConstantTime(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+} // namespace
+
+std::optional<ticket_parts> parseTicket(std::string_view ticket)
+{
+    const std::optional<split_ticket> halves = split(ticket);
+    if (!halves) {
+        return std::nullopt;
+    }
+    std::array<std::string_view, partCount> fields;
+    std::string_view rest = halves->signedPart;
+    for (std::size_t index = 0; index < partCount; ++index) {
+        const std::size_t end = rest.find(separator);
+        const bool isLast = index + 1 == partCount;
+        if (isLast != (end == std::string_view::npos)) {
+            return std::nullopt;
+        }
+        fields.at(index) = rest.substr(0, end);
+        rest = isLast ? std::string_view() : rest.substr(end + 1);
+    }
+    ticket_parts parts;
+    std::int64_t expiresMicros = 0;
+    const bool readable = readNumber(fields[0], parts.issuer.value) && readNumber(fields[1], parts.incarnation)
+        && readNumber(fields[2], parts.number) && readNumber(fields[3], expiresMicros);
+    parts.expires = millis::fromMicros(expiresMicros);
+    return readable ? std::optional(parts) : std::nullopt;
+}
+
+ticket_book::ticket_book(vm_id self, std::uint64_t incarnation, std::string key, ticket_settings settings)
+    : m_self(self)
+    , m_incarnation(incarnation)
+    , m_key(std::move(key))
+    , m_settings(settings)
+{
+    require(!m_key.empty(), "a ticket book needs a secret key");
+}
+
+std::optional<std::string> ticket_book::issue(millis now)
+{
+    forgetExpired(now);
+    if (m_stopped || m_records.size() >= m_settings.capacity) {
+        return std::nullopt;
+    }
+    const std::uint64_t number = m_nextNumber++;
+    const millis expires = now + m_settings.lifetime;
+    m_records[number].expires = expires;
+    const std::string text = std::to_string(m_self.value) + separator + std::to_string(m_incarnation) + separator
+        + std::to_string(number) + separator + std::to_string(expires.micros());
+    return text + separator + sign(text);
+}
+
+ticket_verdict ticket_book::use(std::string_view ticket, std::uint64_t digest, millis now)
+{
+    const std::optional<ticket_parts> parts = parseTicket(ticket);
+    const std::optional<split_ticket> halves = split(ticket);
+    const bool ours = parts && parts->issuer == m_self && parts->incarnation == m_incarnation;
+    if (!ours || !equalInConstantTime(halves->signature, sign(halves->signedPart))) {
+        return ticket_verdict::unknown;
+    }
+    const auto found = m_records.find(parts->number);
+    // Expiry is judged at the moment of use by this clock: a process that slept must not start what was given up.
+    if (found == m_records.end() || now >= found->second.expires) {
+        return ticket_verdict::unknown;
+    }
+    record &entry = found->second;
+    if (entry.state == record_state::unused && m_stopped) {
+        entry.state = record_state::voided;
+    }
+    if (entry.state == record_state::unused) {
+        entry.state = record_state::running;
+        entry.digest = digest;
+        return ticket_verdict::start;
+    }
+    if (entry.digest != 0 && entry.digest != digest) {
+        return ticket_verdict::mismatch;
+    }
+    switch (entry.state) {
+    case record_state::done:
+        return ticket_verdict::done;
+    case record_state::voided:
+        return ticket_verdict::voided;
+    default:
+        return ticket_verdict::running;
+    }
+}
+
+void ticket_book::finish(std::uint64_t number, lookup_answer answer)
+{
+    const auto found = m_records.find(number);
+    if (found != m_records.end() && found->second.state == record_state::running) {
+        found->second.state = record_state::done;
+        found->second.answer = std::move(answer);
+    }
+}
+
+void ticket_book::makeVoid(std::uint64_t number, lookup_answer answer)
+{
+    const auto found = m_records.find(number);
+    if (found != m_records.end() && found->second.state != record_state::done) {
+        found->second.state = record_state::voided;
+        found->second.answer = std::move(answer);
+    }
+}
+
+const lookup_answer *ticket_book::answerOf(std::uint64_t number) const
+{
+    const auto found = m_records.find(number);
+    return found != m_records.end() ? &found->second.answer : nullptr;
+}
+
+void ticket_book::stop()
+{
+    m_stopped = true;
+}
+
+void ticket_book::forgetExpired(millis now)
+{
+    // Numbers rise with time and all live equally long, so the expired ones come first. A running one is kept: its
+    // late result must still find it.
+    while (!m_records.empty() && now >= m_records.begin()->second.expires
+           && m_records.begin()->second.state != record_state::running) {
+        m_records.erase(m_records.begin());
+    }
+}
+
+std::string ticket_book::sign(std::string_view text) const
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes {};
+    unsigned int length = 0;
+    HMAC(EVP_sha256(),
+         m_key.data(),
+         static_cast<int>(m_key.size()),
+         reinterpret_cast<const unsigned char *>(text.data()),
+         text.size(),
+         bytes.data(),
+         &length);
+    return hexOf(std::span(bytes).first(length));
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/settings/include/settings/settings.h
@@ -0,0 +1,53 @@
+#pragma once
+
+/**
+ * @file
+ * The daemon's settings: one JSON document, checked before anything starts.
+ */
+
+#include <base/base.h>
+#include <entry/entry.h>
+#include <schema/schema.h>
+
+#include <tl/expected.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivelock {
+
+/** Where the process listens. */
+struct listen_settings {
+    std::string address; ///< IP number, the same as in the VM list
+    std::uint16_t httpPort = 0;
+    std::uint16_t peerPort = 0;
+    std::uint32_t httpThreads = 2;
+    std::size_t maxRequestBytes = 65536;
+};
+
+/** Where the platform's documents are read. */
+struct platform_settings {
+    std::string url; ///< such as http://10.0.0.2:8500
+    millis watchFor {10000}; ///< how long one watch waits
+    millis retryAfter {500}; ///< after a failed read, with jitter
+};
+
+/** Everything that one process is told. */
+struct daemon_settings {
+    vm_id vm;
+    zone_name zone;
+    listen_settings listen;
+    platform_settings platform;
+    std::vector<std::string> extraPeerAddresses; ///< may connect besides the VM list
+    log_level log = log_level::info;
+    bool logAnswers = true; ///< one line for each lookup
+    std::size_t ringCapacity = 16384; ///< messages between two threads
+    entry_settings entry;
+};
+
+/** Reads and checks the text; gives each problem with path, value and what is allowed. */
+[[nodiscard]] tl::expected<daemon_settings, document_error> readSettings(std::string_view text);
+
+} // namespace chivelock
--- /dev/null
+++ b/programs/chivelockd/caller_http.cpp
@@ -0,0 +1,263 @@
+#include "caller_http.h"
+
+#include "decision_service.h"
+
+#include <schema/schema.h>
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+namespace chivelock {
+
+namespace {
+
+namespace http = Pistache::Http;
+
+constexpr std::string_view lookupPrefix = "/v1/lookups/";
+constexpr millis fullAdvice {100};
+
+constexpr std::string_view lookupSchema = R"({
+  "type": "object", "additionalProperties": false,
+  "properties": {
+    "query": {},
+    "key": {"type": "string", "minLength": 1, "maxLength": 256},
+    "time_limit_ms": {"type": "integer", "minimum": 1, "maximum": 60000},
+    "request_id": {"type": "string", "pattern": "^[A-Za-z0-9._:-]{1,128}$"},
+    "ticket": {"type": "string", "minLength": 1, "maxLength": 256}
+  }
+})";
+
+/** Names a lookup whose caller gave no id; unique within this process. */
+std::string madeUpRequestId(const daemon_settings &settings)
+{
+    static std::atomic<std::uint64_t> count = 0;
+    return "vm" + std::to_string(settings.vm.value) + "-" + std::to_string(settings.entry.incarnation) + "-"
+        + std::to_string(++count);
+}
+
+class request_handler : public http::Handler
+{
+public:
+    HTTP_PROTOTYPE(request_handler)
+
+    explicit request_handler(caller_http *service)
+        : m_service(service)
+    {
+    }
+
+    void onRequest(const http::Request &request, http::ResponseWriter response) override
+    {
+        m_service->handle(request, std::move(response));
+    }
+
+private:
+    caller_http *m_service;
+};
+
+void sendError(const waiting_caller &caller, http::Code code, std::string_view detail)
+{
+    const nlohmann::json body = {{"outcome", "not_run"}, {"reason", "bad_request"}, {"detail", detail}};
+    caller_http::send(caller, {static_cast<std::uint16_t>(code), "application/json", body.dump(), millis(), false});
+}
+
+} // namespace
+
+caller_http::caller_http(const daemon_settings &settings)
+    : m_settings(settings)
+{
+}
+
+void caller_http::connect(kernel &services)
+{
+    m_decision = &services.find<decision_service>(decision_service::serviceName);
+}
+
+tl::expected<void, kernel_error> caller_http::start()
+{
+    try {
+        const Pistache::Address address(m_settings.listen.address, Pistache::Port(m_settings.listen.httpPort));
+        m_endpoint = std::make_unique<http::Endpoint>(address);
+        auto options = http::Endpoint::options();
+        options.threads(static_cast<int>(m_settings.listen.httpThreads));
+        options.flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay);
+        options.maxRequestSize(m_settings.listen.maxRequestBytes);
+        m_endpoint->init(options);
+        m_endpoint->setHandler(http::make_handler<request_handler>(this));
+        m_endpoint->serveThreaded();
+    } catch (const std::exception &problem) {
+        return tl::unexpected(kernel_error {std::string(serviceName), problem.what()});
+    }
+    return {};
+}
+
+void caller_http::stop()
+{
+    m_endpoint->shutdown();
+}
+
+void caller_http::refuseNew()
+{
+    constexpr int rounds = 100;
+    constexpr std::chrono::milliseconds round(10);
+    m_refusing = true;
+    for (int done = 0; done < rounds; ++done) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_waiting.empty()) {
+                break;
+            }
+        }
+        std::this_thread::sleep_for(round);
+    }
+    // The replies written last are still in the HTTP threads' queues.
+    constexpr std::chrono::milliseconds writeOut(100);
+    std::this_thread::sleep_for(writeOut);
+}
+
+std::optional<waiting_caller> caller_http::take(caller_id caller)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_waiting.find(caller);
+    if (found == m_waiting.end()) {
+        return std::nullopt;
+    }
+    waiting_caller taken = std::move(found->second);
+    m_waiting.erase(found);
+    return taken;
+}
+
+void caller_http::send(const waiting_caller &caller, const http_reply &reply)
+{
+    constexpr double millisPerSecond = 1000;
+    try {
+        http::ResponseWriter &response = *caller.response;
+        if (reply.retryAfter > millis()) {
+            // The header counts whole seconds; the body and the second header say it exactly.
+            const auto seconds =
+                static_cast<std::int64_t>((reply.retryAfter.count() + millisPerSecond - 1) / millisPerSecond);
+            response.headers().addRaw(
+                http::Header::Raw("Retry-After", std::to_string(std::max<std::int64_t>(1, seconds))));
+            response.headers().addRaw(http::Header::Raw("X-Retry-After-Ms", std::to_string(reply.retryAfter.ceiled())));
+        }
+        if (reply.lastOnConnection) {
+            response.headers().addRaw(http::Header::Raw("Connection", "close"));
+        }
+        response.headers().addRaw(http::Header::Raw("Content-Type", reply.contentType));
+        response.send(static_cast<http::Code>(reply.status), reply.body);
+    } catch (const std::exception &problem) {
+        logEvent(log_level::debug, "caller_gone", {{"problem", std::string(problem.what())}});
+    }
+}
+
+void caller_http::handle(const http::Request &request, http::ResponseWriter response)
+{
+    const waiting_caller caller {std::make_shared<http::ResponseWriter>(std::move(response))};
+    const std::string &resource = request.resource();
+    const bool isGet = request.method() == http::Method::Get;
+    if (resource.starts_with(lookupPrefix)) {
+        if (request.method() != http::Method::Post) {
+            sendError(caller, http::Code::Method_Not_Allowed, "use POST");
+            return;
+        }
+        handleLookup(request, resource.substr(lookupPrefix.size()), caller);
+    } else if (isGet && resource == "/v1/health") {
+        send(caller,
+             {static_cast<std::uint16_t>(http::Code::Ok),
+              "application/json",
+              R"({"alive":true})",
+              millis(),
+              m_decision->isStopping()});
+    } else if (isGet && resource == "/v1/ready") {
+        handleReport(report_kind::ready, caller);
+    } else if (isGet && resource == "/v1/status") {
+        handleReport(report_kind::status, caller);
+    } else if (isGet && resource == "/v1/audit") {
+        handleReport(report_kind::audit, caller);
+    } else if (isGet && resource == "/metrics") {
+        handleReport(report_kind::metrics, caller);
+    } else {
+        sendError(caller, http::Code::Not_Found, "no such resource");
+    }
+}
+
+void caller_http::handleLookup(const http::Request &request, const std::string &kind, const waiting_caller &caller)
+{
+    const millis arrived = m_clock.now();
+    const std::string &text = request.body();
+    const auto document = parseChecked(text.empty() ? "{}" : text, lookupSchema);
+    if (!document) {
+        sendError(caller, http::Code::Bad_Request, toString(document.error()));
+        return;
+    }
+    constexpr double longestLimitMs = 60000;
+    lookup_request lookup;
+    lookup.kind = {kind};
+    lookup.requestId =
+        document->contains("request_id") ? document->at("request_id").get<std::string>() : madeUpRequestId(m_settings);
+    lookup.shardKey = document->value("key", "");
+    lookup.ticket = document->value("ticket", "");
+    lookup.remaining = millis(document->value("time_limit_ms", longestLimitMs));
+    lookup.body = document->value("query", nlohmann::json()).dump();
+    const std::string requestId = lookup.requestId;
+    if (m_refusing) {
+        refuse(caller, requestId, kind, answer_reason::stopping);
+        return;
+    }
+    const std::optional<caller_id> id = keep(caller);
+    if (!id) {
+        refuse(caller, requestId, kind, answer_reason::ringFull);
+        return;
+    }
+    lookup.caller = *id;
+    if (!m_decision->offer(lookup_arrived {std::move(lookup), arrived})) {
+        if (take(*id)) {
+            refuse(caller, requestId, kind, answer_reason::ringFull);
+        }
+    }
+}
+
+void caller_http::handleReport(report_kind kind, const waiting_caller &caller)
+{
+    const std::optional<caller_id> id = keep(caller);
+    if (!id || !m_decision->offer(report_wanted {*id, kind})) {
+        if (!id || take(*id)) {
+            send(caller,
+                 {static_cast<std::uint16_t>(http::Code::Service_Unavailable),
+                  "application/json",
+                  R"({"reason":"ring_full"})",
+                  fullAdvice,
+                  false});
+        }
+    }
+}
+
+std::optional<caller_id> caller_http::keep(const waiting_caller &caller)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_waiting.size() >= maxWaiting) {
+        return std::nullopt;
+    }
+    const caller_id id = m_next++;
+    m_waiting.emplace(id, caller);
+    return id;
+}
+
+void caller_http::refuse(const waiting_caller &caller,
+                         const std::string &requestId,
+                         const std::string &kind,
+                         answer_reason reason) const
+{
+    // Nothing was handed on, so "not run" is true.
+    lookup_answer answer;
+    answer.requestId = requestId;
+    answer.kind = {kind};
+    answer.outcome = lookup_outcome::notRun;
+    answer.reason = reason;
+    answer.retryAfter = fullAdvice;
+    send(caller, {httpStatusOf(answer), "application/json", writeAnswer(answer), fullAdvice, m_decision->isStopping()});
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/programs/chivelockd/leaf_protocol.cpp
@@ -0,0 +1,121 @@
+#include "leaf_protocol.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace chivelock::leaf_protocol {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr long okStatus = 200;
+constexpr long conflictStatus = 409; ///< the snapshot or map version is not held
+constexpr long goneStatus = 410; ///< the leaf leaves
+constexpr long tooManyStatus = 429;
+constexpr long cancelledStatus = 499;
+constexpr long unavailableStatus = 503; ///< refused before it was started
+
+call_status statusFrom(long status)
+{
+    switch (status) {
+    case okStatus:
+        return call_status::ok;
+    case conflictStatus:
+        return call_status::snapshotGone;
+    case goneStatus:
+        return call_status::leaving;
+    case tooManyStatus:
+    case unavailableStatus:
+        return call_status::shed;
+    case cancelledStatus:
+        return call_status::cancelled;
+    default:
+        return call_status::failed;
+    }
+}
+
+result_row rowFrom(const json &row)
+{
+    return {row.at("id").get<std::string>(),
+            row.at("score").get<double>(),
+            row.contains("data") ? row.at("data").dump() : "null"};
+}
+
+std::uint32_t numberOf(const json &document, const char *key)
+{
+    return document.value(key, std::uint32_t {0});
+}
+
+void readFields(const json &document, leaf_reply &reply)
+{
+    reply.shard = {numberOf(document, "shard")};
+    reply.snapshot = {numberOf(document, "snapshot")};
+    reply.version = {numberOf(document, "map_version")};
+    reply.heldSnapshot = {numberOf(document, "held_snapshot")};
+    reply.incarnation = document.value("incarnation", std::uint64_t {0});
+    reply.saysLeaving = document.value("leaving", false);
+    reply.retryAfter = millis(document.value("retry_after_ms", 0.0));
+    if (reply.status == call_status::ok) {
+        std::ranges::transform(document.at("rows"), std::back_inserter(reply.rows), rowFrom);
+    }
+}
+
+} // namespace
+
+std::string searchBody(const leaf_call &call, std::string_view name, millis remaining)
+{
+    // The query is JSON text already checked at the door; it is put in as it is rather than parsed once more.
+    std::string body = R"({"request":")";
+    body.append(name);
+    body += R"(","request_id":")" + call.requestId + R"(","service":")" + call.service.value;
+    body += R"(","shard":)" + std::to_string(call.shard.value);
+    body += R"(,"snapshot":)" + std::to_string(call.snapshot.value);
+    body += R"(,"map_version":)" + std::to_string(call.version.value);
+    body += R"(,"class":")" + std::string(toString(call.priority));
+    body += R"(","deadline_ms":)" + std::to_string(remaining.ceiled());
+    body += R"(,"max_rows":)" + std::to_string(call.maxRows);
+    body += R"(,"query":)" + (call.body && !call.body->empty() ? *call.body : std::string("null")) + "}";
+    return body;
+}
+
+leaf_reply readSearchReply(const leaf_call &call, long status, std::string_view body)
+{
+    leaf_reply reply;
+    reply.id = call.id;
+    reply.shard = call.shard;
+    reply.status = statusFrom(status);
+    try {
+        const json document = json::parse(body, nullptr, false);
+        if (document.is_object()) {
+            readFields(document, reply);
+        } else if (reply.status == call_status::ok) {
+            reply.status = call_status::failed;
+        }
+    } catch (const json::exception &) {
+        reply.status = reply.status == call_status::ok ? call_status::failed : reply.status;
+        reply.rows.clear();
+    }
+    return reply;
+}
+
+health_report readHealth(leaf_id leaf, long status, std::string_view body)
+{
+    health_report report;
+    report.leaf = leaf;
+    const json document = json::parse(body, nullptr, false);
+    if (status != okStatus || !document.is_object()) {
+        return report;
+    }
+    const json state = document.value("state", json());
+    report.reachable = true;
+    report.serving = state == "serving";
+    report.cold = state == "cold";
+    report.leaving = state == "leaving";
+    const json incarnation = document.value("incarnation", json());
+    report.incarnation = incarnation.is_number_unsigned() ? incarnation.get<std::uint64_t>() : 0;
+    return report;
+}
+
+} // namespace chivelock::leaf_protocol
--- /dev/null
+++ b/programs/chivelockd/peer_link.cpp
@@ -0,0 +1,367 @@
+#include "peer_link.h"
+
+#include "decision_service.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+namespace chivelock {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readBytes = 65536;
+constexpr std::size_t maxUnsentBytes = 8U << 20U;
+constexpr millis connectLimit {500};
+constexpr millis redialPause {100};
+
+} // namespace
+
+/** One connection of another process to this one. */
+class peer_link::incoming : public std::enable_shared_from_this<incoming>
+{
+public:
+    incoming(peer_link &link, tcp::socket socket, const asio::ip::address &from)
+        : m_link(link)
+        , m_socket(std::move(socket))
+        , m_from(from)
+    {
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_bytes),
+                                 [self = shared_from_this()](error_code error, std::size_t count) {
+                                     if (!error && self->take(count)) {
+                                         self->read();
+                                     }
+                                 });
+    }
+
+private:
+    /** @return false if the connection must be dropped. */
+    bool take(std::size_t count)
+    {
+        m_reader.append(std::span(m_bytes).first(count));
+        while (true) {
+            const auto payload = m_reader.next();
+            if (!payload) {
+                return refuse(payload.error());
+            }
+            if (!*payload) {
+                return true;
+            }
+            auto envelope = decodePayload(**payload);
+            if (!envelope) {
+                return refuse(envelope.error());
+            }
+            m_link.onFrame(m_from, *std::move(envelope));
+        }
+    }
+
+    bool refuse(wire_error error)
+    {
+        logEvent(log_level::warning,
+                 "peer_frame_refused",
+                 {{"from", m_from.to_string()}, {"problem", std::string(toString(error))}});
+        return false;
+    }
+
+    peer_link &m_link;
+    tcp::socket m_socket;
+    asio::ip::address m_from;
+    std::array<std::uint8_t, readBytes> m_bytes {};
+    frame_reader m_reader;
+};
+
+/** The connection of this process to one peer. */
+class peer_link::outgoing : public std::enable_shared_from_this<outgoing>
+{
+public:
+    outgoing(peer_link &link, vm_info peer)
+        : m_link(link)
+        , m_peer(std::move(peer))
+        , m_socket(link.m_context)
+        , m_limit(link.m_context)
+    {
+    }
+
+    [[nodiscard]] bool leadsTo(const vm_info &peer) const
+    {
+        return m_peer.address == peer.address && m_peer.peerPort == peer.peerPort;
+    }
+
+    void send(const peer_message &message)
+    {
+        if (m_state == state::idle && m_link.m_clock.now() < m_redialAt) {
+            m_link.onUnreachable(m_peer.id);
+            return;
+        }
+        m_waiting += encodeFrame(m_link.m_settings.vm, message);
+        if (m_waiting.size() > maxUnsentBytes) {
+            drop(); // A peer that does not read would hold ever more memory.
+            return;
+        }
+        if (m_state == state::idle) {
+            dial();
+        } else if (m_state == state::open && m_inFlight.empty()) {
+            write();
+        }
+    }
+
+    void close()
+    {
+        error_code ignored;
+        m_limit.cancel(ignored);
+        m_socket.close(ignored);
+    }
+
+private:
+    enum class state : std::uint8_t {
+        idle,
+        dialling,
+        open
+    };
+
+    void dial()
+    {
+        error_code error;
+        m_socket = tcp::socket(m_link.m_context);
+        m_socket.open(tcp::v4(), error);
+        // The peer takes frames by address, so the connection must come from the listed one.
+        m_socket.bind({asio::ip::make_address(m_link.m_settings.listen.address, error), 0}, error);
+        m_state = state::dialling;
+        m_limit.expires_after(std::chrono::milliseconds(connectLimit.ceiled()));
+        m_limit.async_wait([self = shared_from_this()](error_code ended) {
+            if (!ended && self->m_state == state::dialling) {
+                self->drop();
+            }
+        });
+        const tcp::endpoint target(asio::ip::make_address(m_peer.address, error), m_peer.peerPort);
+        m_socket.async_connect(target, [self = shared_from_this()](error_code failed) { self->onConnected(failed); });
+    }
+
+    void onConnected(error_code failed)
+    {
+        if (m_state != state::dialling) {
+            return;
+        }
+        m_limit.cancel();
+        if (failed) {
+            drop();
+            return;
+        }
+        error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        m_state = state::open;
+        watchForEnd();
+        write();
+    }
+
+    /** The peer never writes here; a read that ends tells at once that it is gone. */
+    void watchForEnd()
+    {
+        m_socket.async_read_some(asio::buffer(m_end), [self = shared_from_this()](error_code error, std::size_t) {
+            if (error != asio::error::operation_aborted && self->m_state == state::open) {
+                self->drop();
+            }
+        });
+    }
+
+    void write()
+    {
+        m_inFlight.swap(m_waiting);
+        m_waiting.clear();
+        asio::async_write(m_socket,
+                          asio::buffer(m_inFlight),
+                          [self = shared_from_this()](error_code error, std::size_t) { self->onWritten(error); });
+    }
+
+    void onWritten(error_code error)
+    {
+        if (m_state != state::open) {
+            return;
+        }
+        m_inFlight.clear();
+        if (error) {
+            drop();
+        } else if (!m_waiting.empty()) {
+            write();
+        }
+    }
+
+    void drop()
+    {
+        close();
+        m_state = state::idle;
+        m_waiting.clear();
+        m_inFlight.clear();
+        m_redialAt = m_link.m_clock.now() + redialPause;
+        m_link.onUnreachable(m_peer.id);
+    }
+
+    peer_link &m_link;
+    vm_info m_peer;
+    tcp::socket m_socket;
+    asio::steady_timer m_limit;
+    state m_state = state::idle;
+    std::string m_waiting;
+    std::string m_inFlight;
+    std::array<char, 1> m_end {};
+    millis m_redialAt;
+};
+
+peer_link::peer_link(const daemon_settings &settings)
+    : m_settings(settings)
+    , m_ring(settings.ringCapacity)
+{
+}
+
+peer_link::~peer_link()
+{
+    if (m_wake.is_open()) {
+        m_wake.release();
+    }
+}
+
+void peer_link::connect(kernel &services)
+{
+    m_decision = &services.find<decision_service>(decision_service::serviceName);
+}
+
+tl::expected<void, kernel_error> peer_link::start()
+{
+    try {
+        const tcp::endpoint own(asio::ip::make_address(m_settings.listen.address), m_settings.listen.peerPort);
+        m_acceptor.open(own.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(own);
+        m_acceptor.listen();
+        m_wake.assign(m_ring.wakeFd());
+    } catch (const boost::system::system_error &problem) {
+        return tl::unexpected(kernel_error {std::string(serviceName), problem.what()});
+    }
+    for (const std::string &address : m_settings.extraPeerAddresses) {
+        m_allowed.insert(asio::ip::make_address(address));
+    }
+    accept();
+    awaitCommands();
+    m_thread = std::thread([this] { m_context.run(); });
+    return {};
+}
+
+void peer_link::stop()
+{
+    m_context.stop();
+    m_thread.join();
+}
+
+void peer_link::awaitCommands()
+{
+    m_wake.async_wait(asio::posix::stream_descriptor::wait_read, [this](error_code error) {
+        if (error) {
+            return;
+        }
+        m_ring.drain([this](peer_command &&command) { carryOut(std::move(command)); });
+        awaitCommands();
+    });
+}
+
+void peer_link::carryOut(peer_command &&command)
+{
+    if (const auto *changed = std::get_if<peers_changed>(&command)) {
+        takePeers(changed->vms);
+        return;
+    }
+    const auto &send = std::get<peer_send>(command);
+    const auto peer = m_outgoing.find(send.to);
+    if (peer == m_outgoing.end()) {
+        onUnreachable(send.to);
+        return;
+    }
+    peer->second->send(send.message);
+}
+
+void peer_link::takePeers(const std::vector<vm_info> &vms)
+{
+    m_peers.clear();
+    m_allowed.clear();
+    for (const std::string &address : m_settings.extraPeerAddresses) {
+        m_allowed.insert(asio::ip::make_address(address));
+    }
+    for (const vm_info &vm : vms) {
+        error_code error;
+        const asio::ip::address address = asio::ip::make_address(vm.address, error);
+        if (error || vm.id == m_settings.vm) {
+            continue;
+        }
+        m_peers.emplace(vm.id, vm);
+        m_allowed.insert(address);
+        const auto known = m_outgoing.find(vm.id);
+        if (known == m_outgoing.end() || !known->second->leadsTo(vm)) {
+            m_outgoing.insert_or_assign(vm.id, std::make_shared<outgoing>(*this, vm));
+        }
+    }
+    std::erase_if(m_outgoing, [this](const auto &item) {
+        const bool gone = !m_peers.contains(item.first);
+        if (gone) {
+            item.second->close();
+        }
+        return gone;
+    });
+}
+
+void peer_link::accept()
+{
+    m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+        if (!error) {
+            error_code failed;
+            const asio::ip::address from = socket.remote_endpoint(failed).address();
+            if (!failed && mayConnect(from)) {
+                std::make_shared<incoming>(*this, std::move(socket), from)->read();
+            } else if (m_refusedLog.allow(m_clock.now())) {
+                logEvent(log_level::warning,
+                         "peer_refused",
+                         {{"from", from.to_string()}, {"lines_left_out", m_refusedLog.takeSuppressed()}});
+            }
+        }
+        accept();
+    });
+}
+
+bool peer_link::mayConnect(const asio::ip::address &address) const
+{
+    return m_allowed.contains(address);
+}
+
+bool peer_link::mayClaim(vm_id vm, const asio::ip::address &address) const
+{
+    const auto peer = m_peers.find(vm);
+    error_code error;
+    return peer != m_peers.end() && asio::ip::make_address(peer->second.address, error) == address;
+}
+
+void peer_link::onFrame(const asio::ip::address &from, peer_envelope &&envelope)
+{
+    if (!mayClaim(envelope.from, from)) {
+        if (m_refusedLog.allow(m_clock.now())) {
+            logEvent(log_level::warning,
+                     "peer_claim_refused",
+                     {{"from", from.to_string()}, {"claimed_vm", std::uint64_t {envelope.from.value}}});
+        }
+        return;
+    }
+    // A full ring drops the frame: the sender's timers treat it as a lost message, and this thread never waits.
+    (void)m_decision->offer(peer_arrived {std::move(envelope)});
+}
+
+void peer_link::onUnreachable(vm_id vm)
+{
+    (void)m_decision->offer(peer_lost {vm});
+}
+
+} // namespace chivelock
