--- /dev/null
+++ b/fakes/fake_fleet.cpp
@@ -0,0 +1,415 @@
+#include "fake_fleet.h"
+
+#include <algorithm>
+
+namespace chivelock::fakes {
+
+namespace {
+
+constexpr millis platformPoll {500};
+constexpr millis platformDelay {2};
+constexpr millis silentEnd {100}; ///< after its deadline a silent leaf counts as failed, as in the daemon
+
+vm_id vmOf(std::size_t entry)
+{
+    return {static_cast<std::uint32_t>(entry + 1)};
+}
+
+std::size_t entryOf(vm_id vm)
+{
+    return vm.value - 1;
+}
+
+} // namespace
+
+fake_fleet::fake_fleet(fleet_options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_documents {{platform_name::VmList, m_options.vms},
+                   {platform_name::Topology, m_options.topology},
+                   {platform_name::Catalogue, m_options.catalogue}}
+{
+    const auto topology = readTopology(m_options.topology);
+    require(topology.has_value(), "the fake fleet needs a valid topology");
+    for (const leaf_info &info : topology->leafs) {
+        m_leafs.emplace(
+            info.id,
+            std::make_unique<fake_leaf>(m_time, info, m_ledger, m_options.draw, m_options.seed + info.id.value));
+    }
+    for (const service_map &service : topology->services) {
+        for (const shard_info &shard : service.shards) {
+            std::ranges::for_each(shard.leafs, [&](leaf_id id) { leaf(id).hold(service.snapshot, service.version); });
+        }
+    }
+    m_nodes.resize(m_options.entries);
+    for (std::size_t entry = 0; entry < m_options.entries; ++entry) {
+        startEntry(entry);
+    }
+}
+
+std::size_t fake_fleet::ask(std::size_t entry, lookup_request request)
+{
+    const std::size_t caller = m_callers.size();
+    request.caller = caller;
+    m_callers.push_back({entry, m_nodes.at(entry).start, request, m_time.now(), std::nullopt, {}, false});
+    if (!isUp(entry)) {
+        m_callers.back().connectionLost = true;
+        return caller;
+    }
+    const millis arrived = m_time.now();
+    deliver(entry,
+            m_nodes.at(entry).start,
+            [request, arrived](entry_core &core, millis now, entry_core::actions &out) mutable {
+                request.remaining = request.remaining - (now - arrived);
+                core.onLookup(request, now, out);
+            });
+    return caller;
+}
+
+void fake_fleet::killEntry(std::size_t entry)
+{
+    node &killed = m_nodes.at(entry);
+    if (killed.core == nullptr) {
+        return;
+    }
+    killed.core.reset();
+    killed.frozen = false;
+    killed.unread.clear();
+    killed.unsent.clear();
+    killed.openCalls.clear();
+    for (caller_record &caller : m_callers) {
+        caller.connectionLost = caller.connectionLost
+            || (caller.entry == entry && caller.entryStart == killed.start && caller.answers.empty());
+    }
+    for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+        // The system resets its connections, so the others hear of it at once unless the network is cut.
+        if (other != entry && isUp(other) && !m_cuts.contains({entry, other})) {
+            m_time.after(m_options.hop, [this, other, entry, start = m_nodes[other].start] {
+                deliver(other, start, [entry](entry_core &core, millis now, entry_core::actions &out) {
+                    core.onPeerUnreachable(vmOf(entry), now, out);
+                });
+            });
+        }
+    }
+}
+
+void fake_fleet::startEntry(std::size_t entry)
+{
+    node &started = m_nodes.at(entry);
+    const std::uint64_t start = started.start + 1;
+    started = node();
+    started.start = start;
+    entry_settings settings = m_options.entry;
+    settings.self = vmOf(entry);
+    settings.incarnation = start;
+    settings.seed = m_options.seed * 1000 + entry * 10 + start;
+    settings.ticketKey = "secret-" + std::to_string(settings.seed);
+    started.core = std::make_unique<entry_core>(settings);
+    readPlatform(entry);
+    scheduleTick(entry);
+}
+
+void fake_fleet::freezeEntry(std::size_t entry)
+{
+    m_nodes.at(entry).frozen = isUp(entry);
+}
+
+void fake_fleet::wakeEntry(std::size_t entry)
+{
+    node &woken = m_nodes.at(entry);
+    if (!woken.frozen) {
+        return;
+    }
+    woken.frozen = false;
+    // First what was decided before the sleep and not yet sent, then what arrived meanwhile: the order that tempts
+    // most.
+    carryOut(entry, std::exchange(woken.unsent, {}));
+    const std::vector<input> unread = std::exchange(woken.unread, {});
+    std::ranges::for_each(unread, [&](const input &event) { deliver(entry, woken.start, event); });
+    scheduleTick(entry);
+}
+
+void fake_fleet::stopEntry(std::size_t entry)
+{
+    if (isUp(entry)) {
+        deliver(entry, m_nodes.at(entry).start, [](entry_core &core, millis now, entry_core::actions &out) {
+            core.beginStop(now, out);
+        });
+    }
+}
+
+void fake_fleet::cut(std::size_t from, std::size_t to, bool isCut)
+{
+    if (isCut) {
+        m_cuts.insert({from, to});
+    } else {
+        m_cuts.erase({from, to});
+    }
+}
+
+void fake_fleet::publish(platform_name name, const std::string &text)
+{
+    m_documents[name] = text;
+    if (m_platformUp) {
+        for (std::size_t entry = 0; entry < m_nodes.size(); ++entry) {
+            // Watches end at different times; the first readers are ahead of the others.
+            const millis delay = platformDelay * static_cast<double>(entry + 1);
+            m_time.after(delay, [this, entry] {
+                if (m_platformUp && isUp(entry)) {
+                    readPlatform(entry);
+                }
+            });
+        }
+    }
+}
+
+void fake_fleet::setPlatformUp(bool up)
+{
+    m_platformUp = up;
+    for (std::size_t entry = 0; up && entry < m_nodes.size(); ++entry) {
+        m_time.after(platformPoll, [this, entry] {
+            if (m_platformUp && isUp(entry)) {
+                readPlatform(entry);
+            }
+        });
+    }
+}
+
+void fake_fleet::readPlatform(std::size_t entry)
+{
+    if (!m_platformUp) {
+        m_time.after(platformPoll, [this, entry, start = m_nodes.at(entry).start] {
+            if (isUp(entry) && m_nodes.at(entry).start == start) {
+                readPlatform(entry);
+            }
+        });
+        return;
+    }
+    deliver(entry,
+            m_nodes.at(entry).start,
+            [documents = m_documents](entry_core &core, millis now, entry_core::actions &out) {
+                core.onVmListText(documents.at(platform_name::VmList), now, out);
+                core.onTopologyText(documents.at(platform_name::Topology), now, out);
+                core.onCatalogueText(documents.at(platform_name::Catalogue), now, out);
+            });
+}
+
+void fake_fleet::deliver(std::size_t entry, std::uint64_t start, input event)
+{
+    node &target = m_nodes.at(entry);
+    if (target.core == nullptr || target.start != start) {
+        return;
+    }
+    if (target.frozen) {
+        target.unread.push_back(std::move(event));
+        return;
+    }
+    entry_core::actions actions;
+    event(*target.core, m_time.now(), actions);
+    const std::uint64_t revision = target.core->catalogue().current()->revision;
+    m_fallenRevisions += revision < target.highestRevision ? 1 : 0;
+    target.highestRevision = std::max(target.highestRevision, revision);
+    ++m_steps;
+    if (onStep) {
+        onStep(); // May freeze this entry now: its actions are then held back until it wakes.
+    }
+    node &after = m_nodes.at(entry);
+    if (after.core == nullptr || after.start != start) {
+        return;
+    }
+    if (after.frozen) {
+        std::ranges::move(actions, std::back_inserter(after.unsent));
+        return;
+    }
+    carryOut(entry, std::move(actions));
+    scheduleTick(entry);
+}
+
+void fake_fleet::scheduleTick(std::size_t entry)
+{
+    node &target = m_nodes.at(entry);
+    if (target.core == nullptr || target.frozen) {
+        return;
+    }
+    const millis wanted = std::max(target.core->nextWake(), m_time.now());
+    if (target.tickAt <= wanted) {
+        return;
+    }
+    target.tickAt = wanted;
+    const std::uint64_t serial = ++target.tickSerial;
+    m_time.at(wanted, [this, entry, serial, start = target.start] {
+        node &due = m_nodes.at(entry);
+        if (due.start != start || due.tickSerial != serial) {
+            return;
+        }
+        due.tickAt = millis::never();
+        if (!due.frozen) {
+            deliver(entry, start, [](entry_core &core, millis now, entry_core::actions &out) { core.tick(now, out); });
+        }
+    });
+}
+
+/** Carries out each action on the fakes. */
+struct fake_fleet::action_handler {
+    fake_fleet &fleet;
+    std::size_t entry;
+
+    void operator()(const peer_send &action) const
+    {
+        fleet.sendPeer(entry, action);
+    }
+
+    void operator()(const caller_answer &action) const
+    {
+        fleet.takeAnswer(entry, action);
+    }
+
+    void operator()(const leaf_call &action) const
+    {
+        fleet.sendCall(entry, action);
+    }
+
+    void operator()(const leaf_cancel &action) const
+    {
+        fleet.sendCancel(entry, action);
+    }
+
+    void operator()(const leaf_probe &action) const
+    {
+        fleet.sendProbe(entry, action);
+    }
+
+    void operator()(const topology_wanted & /*action*/) const
+    {
+    }
+    void operator()(const publication_noted & /*action*/) const
+    {
+    }
+
+    void operator()(const stop_finished & /*action*/) const
+    {
+        fleet.m_nodes.at(entry).ended = true;
+        fleet.killEntry(entry);
+    }
+};
+
+void fake_fleet::carryOut(std::size_t entry, entry_core::actions actions)
+{
+    for (const entry_action &action : actions) {
+        std::visit(action_handler {*this, entry}, action);
+    }
+}
+
+void fake_fleet::sendPeer(std::size_t from, const peer_send &send)
+{
+    ++m_peerMessages;
+    const std::size_t to = entryOf(send.to);
+    if (to >= m_nodes.size() || m_cuts.contains({from, to})) {
+        return; // Lost without a word, as in a cut network.
+    }
+    if (!isUp(to)) {
+        const std::uint64_t start = m_nodes.at(from).start;
+        m_time.after(m_options.hop * 2, [this, from, to, start] {
+            deliver(from, start, [to](entry_core &core, millis now, entry_core::actions &out) {
+                core.onPeerUnreachable(vmOf(to), now, out);
+            });
+        });
+        return;
+    }
+    peer_envelope envelope {vmOf(from), send.message};
+    if (m_options.throughCodec) {
+        const std::string frame = encodeFrame(envelope.from, envelope.message);
+        m_peerBytes += frame.size();
+        const std::span bytes(reinterpret_cast<const std::uint8_t *>(frame.data()), frame.size());
+        envelope = *decodePayload(bytes.subspan(framePrefixBytes));
+    }
+    const auto shared = std::make_shared<const peer_envelope>(std::move(envelope));
+    const auto arrive = [this, to, start = m_nodes.at(to).start, shared] {
+        deliver(to, start, [shared](entry_core &core, millis now, entry_core::actions &out) {
+            core.onPeer(*shared, now, out);
+        });
+    };
+    constexpr millis doubledAfter {3};
+    constexpr double longestExtraMs = 5;
+    const millis extra(disorder.late ? m_random.uniform() * longestExtraMs : 0);
+    m_time.after(m_options.hop + extra, arrive);
+    if (disorder.doubled) {
+        m_time.after(m_options.hop + doubledAfter, arrive);
+    }
+}
+
+void fake_fleet::sendCall(std::size_t entry, const leaf_call &call)
+{
+    const std::uint64_t start = m_nodes.at(entry).start;
+    if (m_options.checkNotAfter && m_time.now() > call.notAfter) {
+        leaf_reply unsent;
+        unsent.id = call.id;
+        unsent.shard = call.shard;
+        unsent.status = call_status::NotSent;
+        m_time.after(millis(), [this, entry, start, unsent] {
+            deliver(entry, start, [unsent](entry_core &core, millis now, entry_core::actions &out) {
+                core.onLeafReply(unsent, now, out);
+            });
+        });
+        return;
+    }
+    const std::uint64_t serial = m_nextSerial++;
+    m_nodes.at(entry).openCalls[call.id] = serial;
+    m_time.after(m_options.hop, [this, entry, start, call, serial] {
+        leaf(call.leaf).receive({serial, call, [this, entry, start](leaf_reply reply) {
+                                     m_time.after(m_options.hop, [this, entry, start, reply = std::move(reply)] {
+                                         endCall(entry, start, reply);
+                                     });
+                                 }});
+    });
+    leaf_reply silent;
+    silent.id = call.id;
+    silent.shard = call.shard;
+    silent.status = call_status::Failed;
+    m_time.at(call.deadline + silentEnd, [this, entry, start, silent] { endCall(entry, start, silent); });
+}
+
+void fake_fleet::endCall(std::size_t entry, std::uint64_t start, leaf_reply reply)
+{
+    node &target = m_nodes.at(entry);
+    if (target.core == nullptr || target.start != start || target.openCalls.erase(reply.id) == 0) {
+        return;
+    }
+    deliver(entry, start, [reply = std::move(reply)](entry_core &core, millis now, entry_core::actions &out) {
+        core.onLeafReply(reply, now, out);
+    });
+}
+
+void fake_fleet::sendCancel(std::size_t entry, const leaf_cancel &cancel)
+{
+    const auto open = m_nodes.at(entry).openCalls.find(cancel.id);
+    if (open != m_nodes.at(entry).openCalls.end()) {
+        m_time.after(m_options.hop, [this, id = cancel.leaf, serial = open->second] { leaf(id).cancel(serial); });
+    }
+}
+
+void fake_fleet::sendProbe(std::size_t entry, const leaf_probe &probe)
+{
+    const std::uint64_t start = m_nodes.at(entry).start;
+    m_time.after(m_options.hop, [this, entry, start, id = probe.leaf] {
+        const health_report report = leaf(id).health();
+        m_time.after(m_options.hop, [this, entry, start, report] {
+            deliver(entry, start, [report](entry_core &core, millis now, entry_core::actions &out) {
+                core.onHealth(report, now, out);
+            });
+        });
+    });
+}
+
+void fake_fleet::takeAnswer(std::size_t entry, const caller_answer &answer)
+{
+    caller_record &caller = m_callers.at(answer.caller);
+    require(caller.entry == entry, "an answer goes to the caller of its own entry");
+    caller.answers.push_back(answer.answer);
+    caller.answeredAt = m_time.now();
+    if (onAnswer) {
+        onAnswer(caller);
+    }
+}
+
+} // namespace chivelock::fakes
--- /dev/null
+++ b/fakes/fake_leaf.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "virtual_time.h"
+
+#include <policy/policy.h>
+#include <topology/topology.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chivelock::fakes {
+
+/** One run of a request at a leaf, as the leaf saw it. */
+struct execution {
+    leaf_id leaf;
+    shard_id shard;
+    snapshot_id snapshot;
+    millis at;
+};
+
+/** What all leafs saw, by the request's body: the truth that answers are checked against. */
+using execution_ledger = std::map<std::string, std::vector<execution>>;
+
+/** Time that one request takes. */
+using service_draw = std::function<millis(seeded_random &)>;
+
+/** A request as it reaches a leaf, and the way back. */
+struct leaf_request {
+    std::uint64_t serial = 0; ///< unique over all processes
+    leaf_call call;
+    std::function<void(leaf_reply)> reply;
+};
+
+/** A target in virtual time: slots, a short queue, snapshots, and faults that tests switch. */
+class fake_leaf
+{
+public:
+    struct faults {
+        bool dead = false; ///< refuses connections
+        bool frozen = false; ///< takes bytes, does nothing
+        bool shed = false;
+        bool cold = false;
+        bool refusesLeaving = false; ///< answers new work with "leaving"
+        bool healthSilent = false; ///< its health never says that it leaves
+        bool answersOther = false; ///< answers from its newest snapshot whatever was asked
+        double slowFactor = 1;
+    };
+
+    fake_leaf(virtual_time &time, leaf_info info, execution_ledger &ledger, service_draw draw, std::uint64_t seed)
+        : m_time(time)
+        , m_info(std::move(info))
+        , m_ledger(ledger)
+        , m_draw(std::move(draw))
+        , m_random(seed)
+    {
+    }
+
+    void hold(snapshot_id snapshot, map_version version)
+    {
+        m_held.push_back(snapshot);
+        m_version = version;
+    }
+
+    void drop(snapshot_id snapshot)
+    {
+        std::erase(m_held, snapshot);
+    }
+
+    void receive(leaf_request request);
+    void cancel(std::uint64_t serial);
+    [[nodiscard]] health_report health() const;
+    void setFaults(const faults &wanted);
+    void startLeaving();
+
+    /** Ends everything in hand as a killed process does: its connections break. */
+    void kill();
+
+    [[nodiscard]] const faults &current() const
+    {
+        return m_faults;
+    }
+
+    /** Time from the start of leaving to the last new work that was sent here; zero if none. */
+    [[nodiscard]] millis newWorkAfterLeaving() const
+    {
+        return m_newWorkAfterLeaving;
+    }
+
+    [[nodiscard]] millis busy() const
+    {
+        return m_busy;
+    }
+
+    [[nodiscard]] const leaf_info &info() const
+    {
+        return m_info;
+    }
+
+private:
+    struct running_request {
+        leaf_request request;
+        millis started;
+        millis planned;
+    };
+
+    void startNext();
+    void finish(std::uint64_t serial);
+    void refuse(const leaf_request &request, call_status status) const;
+    [[nodiscard]] leaf_reply baseReply(const leaf_request &request, call_status status) const;
+
+    virtual_time &m_time;
+    leaf_info m_info;
+    execution_ledger &m_ledger;
+    service_draw m_draw;
+    seeded_random m_random;
+    faults m_faults;
+    std::vector<snapshot_id> m_held;
+    map_version m_version;
+    std::deque<leaf_request> m_queue;
+    std::deque<leaf_request> m_unread; ///< arrived while frozen
+    std::map<std::uint64_t, running_request> m_running;
+    bool m_leaving = false;
+    millis m_leavingSince;
+    millis m_newWorkAfterLeaving;
+    millis m_busy;
+};
+
+} // namespace chivelock::fakes
--- a/libs/base/include/base/base.h
+++ b/libs/base/include/base/base.h
@@ -126,8 +126,8 @@
 
 /** Whether a lookup goes before others at a full target. */
 enum class urgency : std::uint8_t {
-    urgent,
-    ordinary
+    Urgent,
+    Ordinary
 };
 
 [[nodiscard]] std::string_view toString(urgency value);
@@ -213,13 +213,13 @@
 };
 
 enum class log_level : std::uint8_t {
-    debug,
-    info,
-    warning,
-    error
+    Debug,
+    Info,
+    Warning,
+    Error
 };
 
-/** Prepares logging to standard error for the process; nothing is written to files. Call it once, first. */
+/** Prepares logging to standard output for the process; nothing is written to files. Call it once, first. */
 void startLogging(log_level least);
 
 /** Writes one line: level, event and the fields as key=value pairs; values with blanks are quoted. */
--- a/libs/base/src/base.cpp
+++ b/libs/base/src/base.cpp
@@ -17,7 +17,7 @@
 
 std::string_view toString(urgency value)
 {
-    return value == urgency::urgent ? "urgent" : "ordinary";
+    return value == urgency::Urgent ? "urgent" : "ordinary";
 }
 
 std::uint64_t seeded_random::next()
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -54,13 +54,13 @@
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
     settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     settings.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
-    if (least > log_level::debug) {
+    if (least > log_level::Debug) {
         settings.set(el::Level::Debug, el::ConfigurationType::Enabled, "false");
     }
-    if (least > log_level::info) {
+    if (least > log_level::Info) {
         settings.set(el::Level::Info, el::ConfigurationType::Enabled, "false");
     }
-    if (least > log_level::warning) {
+    if (least > log_level::Warning) {
         settings.set(el::Level::Warning, el::ConfigurationType::Enabled, "false");
     }
     el::Loggers::reconfigureAllLoggers(settings);
@@ -76,16 +76,16 @@
         pairs += std::visit(value_writer(), field.value);
     }
     switch (level) {
-    case log_level::debug:
+    case log_level::Debug:
         LOG(DEBUG) << "level=debug" << pairs;
         break;
-    case log_level::info:
+    case log_level::Info:
         LOG(INFO) << "level=info" << pairs;
         break;
-    case log_level::warning:
+    case log_level::Warning:
         LOG(WARNING) << "level=warning" << pairs;
         break;
-    case log_level::error:
+    case log_level::Error:
         LOG(ERROR) << "level=error" << pairs;
         break;
     }
--- a/libs/catalogue/include/catalogue/catalogue.h
+++ b/libs/catalogue/include/catalogue/catalogue.h
@@ -22,23 +22,23 @@
 
 /** Which shards a lookup of a kind touches. */
 enum class fan_out : std::uint8_t {
-    allShards,
-    byKey
+    AllShards,
+    ByKey
 };
 
 /** How the rows of the shards become one list. */
 enum class merge_rule : std::uint8_t {
-    topScore,
-    concatenate
+    TopScore,
+    Concatenate
 };
 
 /** One catalogue entry. */
 struct kind_entry {
     kind_name name;
     std::string owner;
-    urgency priority = urgency::ordinary;
+    urgency priority = urgency::Ordinary;
     service_name service;
-    fan_out shards = fan_out::allShards;
+    fan_out shards = fan_out::AllShards;
     bool repeatable = true; ///< false: runs at most once, needs a ticket
     bool wholeOnly = true; ///< false: may answer partially at the soft limit
     double minCoverage = 1.0; ///< least covered share of shards of a partial answer
@@ -47,7 +47,7 @@
     std::uint32_t maxInFlight = 0; ///< over the whole fleet
     std::uint32_t maxPerSecond = 0; ///< over the whole fleet
     std::uint32_t maxRows = 0;
-    merge_rule merge = merge_rule::topScore;
+    merge_rule merge = merge_rule::TopScore;
 
     bool operator==(const kind_entry &) const = default;
 };
@@ -71,12 +71,12 @@
 
 /** What became of an offered publication. */
 enum class offer_verdict : std::uint8_t {
-    accepted,
-    alreadyInForce,
-    refusedInvalid,
-    refusedOlder, ///< a lower revision: a process never goes back
-    refusedConflict, ///< the same revision with other content: an operators' race or a fault
-    refusedDelta ///< a delta that does not fit what is held; the whole document is needed
+    Accepted,
+    AlreadyInForce,
+    RefusedInvalid,
+    RefusedOlder, ///< a lower revision: a process never goes back
+    RefusedConflict, ///< the same revision with other content: an operators' race or a fault
+    RefusedDelta ///< a delta that does not fit what is held; the whole document is needed
 };
 
 [[nodiscard]] std::string_view toString(offer_verdict verdict);
@@ -85,7 +85,7 @@
 struct audit_entry {
     millis at;
     std::uint64_t revision = 0;
-    offer_verdict verdict = offer_verdict::accepted;
+    offer_verdict verdict = offer_verdict::Accepted;
     std::string source; ///< "platform" or the VM that told it
     std::string kind; ///< the entry changed, empty for the publication as a whole
     std::string owner;
@@ -114,6 +114,12 @@
     static constexpr std::size_t auditCapacity = 1000;
     static constexpr std::size_t historyCapacity = 256;
 
+    /** @param neverBack false only in tests that show what refusing lower revisions prevents. */
+    explicit catalogue_store(bool neverBack = true)
+        : m_neverBack(neverBack)
+    {
+    }
+
     /** Offers a whole publication as text. */
     offer_verdict offer(std::string_view text, std::string_view source, millis now);
 
@@ -158,6 +164,7 @@
     std::uint64_t m_historyFrom = 0; ///< deltas from this revision on can be given
     std::deque<audit_entry> m_audit;
     std::string m_standingRefusal;
+    bool m_neverBack;
 };
 
 } // namespace chivelock
--- a/libs/catalogue/src/document.cpp
+++ b/libs/catalogue/src/document.cpp
@@ -64,9 +64,9 @@
     kind_entry entry;
     entry.name = {json.at("name").get<std::string>()};
     entry.owner = json.at("owner").get<std::string>();
-    entry.priority = json.at("class") == "urgent" ? urgency::urgent : urgency::ordinary;
+    entry.priority = json.at("class") == "urgent" ? urgency::Urgent : urgency::Ordinary;
     entry.service = {json.at("service").get<std::string>()};
-    entry.shards = json.at("fan_out") == "all" ? fan_out::allShards : fan_out::byKey;
+    entry.shards = json.at("fan_out") == "all" ? fan_out::AllShards : fan_out::ByKey;
     entry.repeatable = json.at("repeatable").get<bool>();
     entry.wholeOnly = json.value("whole_only", true);
     entry.minCoverage = json.value("min_coverage", 1.0);
@@ -75,7 +75,7 @@
     entry.maxInFlight = json.at("max_in_flight").get<std::uint32_t>();
     entry.maxPerSecond = json.at("max_per_second").get<std::uint32_t>();
     entry.maxRows = json.value("max_rows", defaultRows);
-    entry.merge = json.value("merge", "top_score") == "concatenate" ? merge_rule::concatenate : merge_rule::topScore;
+    entry.merge = json.value("merge", "top_score") == "concatenate" ? merge_rule::Concatenate : merge_rule::TopScore;
     return entry;
 }
 
@@ -85,7 +85,7 @@
             {"owner", entry.owner},
             {"class", toString(entry.priority)},
             {"service", entry.service.value},
-            {"fan_out", entry.shards == fan_out::allShards ? "all" : "by_key"},
+            {"fan_out", entry.shards == fan_out::AllShards ? "all" : "by_key"},
             {"repeatable", entry.repeatable},
             {"whole_only", entry.wholeOnly},
             {"min_coverage", entry.minCoverage},
@@ -94,7 +94,7 @@
             {"max_in_flight", entry.maxInFlight},
             {"max_per_second", entry.maxPerSecond},
             {"max_rows", entry.maxRows},
-            {"merge", entry.merge == merge_rule::concatenate ? "concatenate" : "top_score"}};
+            {"merge", entry.merge == merge_rule::Concatenate ? "concatenate" : "top_score"}};
 }
 
 /** Rules that span fields, which a schema can't say. */
@@ -113,7 +113,7 @@
                                 std::to_string(entry.softLimit.ceiled()),
                                 "must not be above hard_limit_ms, " + std::to_string(entry.hardLimit.ceiled())});
         }
-        if (!entry.repeatable && entry.shards != fan_out::byKey) {
+        if (!entry.repeatable && entry.shards != fan_out::ByKey) {
             problems.push_back({path + "/fan_out", "all", "an unrepeatable kind goes to one shard: by_key"});
         }
         if (entry.wholeOnly && entry.minCoverage < 1.0) {
--- a/libs/catalogue/src/store.cpp
+++ b/libs/catalogue/src/store.cpp
@@ -22,17 +22,17 @@
 std::string_view toString(offer_verdict verdict)
 {
     switch (verdict) {
-    case offer_verdict::accepted:
+    case offer_verdict::Accepted:
         return "accepted";
-    case offer_verdict::alreadyInForce:
+    case offer_verdict::AlreadyInForce:
         return "already_in_force";
-    case offer_verdict::refusedInvalid:
+    case offer_verdict::RefusedInvalid:
         return "refused_invalid";
-    case offer_verdict::refusedOlder:
+    case offer_verdict::RefusedOlder:
         return "refused_older";
-    case offer_verdict::refusedConflict:
+    case offer_verdict::RefusedConflict:
         return "refused_conflict";
-    case offer_verdict::refusedDelta:
+    case offer_verdict::RefusedDelta:
         return "refused_delta";
     }
     return "unknown";
@@ -42,7 +42,7 @@
 {
     auto document = readCatalogue(text);
     if (!document) {
-        return refuse(offer_verdict::refusedInvalid, 0, source, toString(document.error()), now);
+        return refuse(offer_verdict::RefusedInvalid, 0, source, toString(document.error()), now);
     }
     return judge(*std::move(document), source, now);
 }
@@ -50,10 +50,10 @@
 offer_verdict catalogue_store::offerDelta(const catalogue_delta &delta, std::string_view source, millis now)
 {
     if (delta.revision <= m_current->revision) {
-        return offer_verdict::alreadyInForce;
+        return offer_verdict::AlreadyInForce;
     }
     if (m_current->revision < delta.fromRevision) {
-        return offer_verdict::refusedDelta;
+        return offer_verdict::RefusedDelta;
     }
     catalogue_document next = *m_current;
     next.revision = delta.revision;
@@ -64,15 +64,15 @@
     next.kinds.insert(next.kinds.end(), delta.changed.begin(), delta.changed.end());
     std::ranges::sort(next.kinds, {}, &kind_entry::name);
     if (contentDigest(next) != delta.digest) {
-        return offer_verdict::refusedDelta;
+        return offer_verdict::RefusedDelta;
     }
     return judge(std::move(next), source, now);
 }
 
 offer_verdict catalogue_store::judge(catalogue_document document, std::string_view source, millis now)
 {
-    if (document.revision < m_current->revision) {
-        return refuse(offer_verdict::refusedOlder,
+    if (m_neverBack && document.revision < m_current->revision) {
+        return refuse(offer_verdict::RefusedOlder,
                       document.revision,
                       source,
                       "in force: " + std::to_string(m_current->revision),
@@ -81,13 +81,13 @@
     if (document.revision == m_current->revision) {
         const bool same = contentDigest(document) == contentDigest(*m_current);
         return same
-            ? offer_verdict::alreadyInForce
-            : refuse(offer_verdict::refusedConflict, document.revision, source, "same revision, other content", now);
+            ? offer_verdict::AlreadyInForce
+            : refuse(offer_verdict::RefusedConflict, document.revision, source, "same revision, other content", now);
     }
     recordChanges(document, source, now);
     m_current = std::make_shared<catalogue_document>(std::move(document));
     m_standingRefusal.clear();
-    return offer_verdict::accepted;
+    return offer_verdict::Accepted;
 }
 
 offer_verdict catalogue_store::refuse(
@@ -109,7 +109,7 @@
     std::ranges::transform(next.kinds, std::inserter(names, names.end()), &kind_entry::name);
     append({now,
             next.revision,
-            offer_verdict::accepted,
+            offer_verdict::Accepted,
             std::string(source),
             {},
             {},
@@ -126,7 +126,7 @@
         const std::string &owner = after != nullptr ? after->owner : before->owner;
         append({now,
                 next.revision,
-                offer_verdict::accepted,
+                offer_verdict::Accepted,
                 std::string(source),
                 name.value,
                 owner,
--- a/libs/entry/include/entry/entry.h
+++ b/libs/entry/include/entry/entry.h
@@ -36,6 +36,7 @@
     runner_settings runner;
     root_settings root;
     root_guards guards; ///< for tests only
+    bool catalogueNeverBack = true; ///< for tests only
     ticket_settings tickets;
     millis lameDuck {2000}; ///< from the start of a stop until an idle process may end
     millis stopLimit {10000}; ///< when a stop ends whatever still runs, with answers
@@ -44,12 +45,12 @@
 
 /** Why a process is or is not ready. */
 enum class readiness : std::uint8_t {
-    ready,
-    noCatalogue,
-    noTopology,
-    noVmList,
-    askingPeers,
-    stopping
+    Ready,
+    NoCatalogue,
+    NoTopology,
+    NoVmList,
+    AskingPeers,
+    Stopping
 };
 
 [[nodiscard]] std::string_view toString(readiness value);
@@ -58,7 +59,7 @@
 struct entry_status {
     vm_id self;
     std::uint64_t incarnation = 0;
-    readiness ready = readiness::ready;
+    readiness ready = readiness::Ready;
     std::uint64_t catalogueRevision = 0;
     std::uint64_t topologyRevision = 0;
     std::uint64_t vmListRevision = 0;
@@ -102,7 +103,7 @@
 
     using actions = std::vector<entry_action>;
 
-    void onLookup(lookup_request request, millis now, actions &out);
+    void onLookup(const lookup_request &request, millis now, actions &out);
     void onPeer(const peer_envelope &envelope, millis now, actions &out);
     void onPeerUnreachable(vm_id vm, millis now, actions &out);
     void onLeafReply(const leaf_reply &reply, millis now, actions &out);
--- a/libs/entry/src/entry_core.cpp
+++ b/libs/entry/src/entry_core.cpp
@@ -14,17 +14,17 @@
 std::string_view toString(readiness value)
 {
     switch (value) {
-    case readiness::ready:
+    case readiness::Ready:
         return "ready";
-    case readiness::noCatalogue:
+    case readiness::NoCatalogue:
         return "no_catalogue";
-    case readiness::noTopology:
+    case readiness::NoTopology:
         return "no_topology";
-    case readiness::noVmList:
+    case readiness::NoVmList:
         return "no_vm_list";
-    case readiness::askingPeers:
+    case readiness::AskingPeers:
         return "asking_peers";
-    case readiness::stopping:
+    case readiness::Stopping:
         return "stopping";
     }
     return "unknown";
@@ -33,23 +33,26 @@
 entry_core::entry_core(entry_settings settings)
     : m_settings(std::move(settings))
     , m_members(m_settings.self, m_settings.incarnation, m_settings.members, m_settings.seed)
+    , m_catalogue(m_settings.catalogueNeverBack)
     , m_runner(m_settings.runner, m_settings.seed + 1)
     , m_root(m_settings.self, m_settings.incarnation, m_settings.root, m_settings.seed + 2, m_settings.guards)
     , m_tickets(m_settings.self, m_settings.incarnation, m_settings.ticketKey, m_settings.tickets)
 {
 }
 
-void entry_core::onLookup(lookup_request request, millis now, actions &out)
+void entry_core::onLookup(const lookup_request &request, millis now, actions &out)
 {
     if (request.remaining <= millis()) {
         // It waited in a queue, or this process slept, past the caller's time: nothing is sent any more.
         out.emplace_back(caller_answer {
-            request.caller, onceAnswer(request, lookup_outcome::notRun, answer_reason::expired, expiredAdvice)});
+            request.caller,
+            onceAnswer(request, outcomeOfRefusal(!request.ticket.empty()), answer_reason::Expired, expiredAdvice)});
         return;
     }
     const kind_entry *kind = m_catalogue.current()->find(request.kind);
-    if (kind != nullptr && kind->shards == fan_out::byKey && request.shardKey.empty()) {
-        lookup_answer answer = onceAnswer(request, lookup_outcome::notRun, answer_reason::badRequest, millis());
+    if (kind != nullptr && kind->shards == fan_out::ByKey && request.shardKey.empty()) {
+        lookup_answer answer =
+            onceAnswer(request, outcomeOfRefusal(!request.ticket.empty()), answer_reason::BadRequest, millis());
         answer.detail = "this kind needs a key";
         out.emplace_back(caller_answer {request.caller, std::move(answer)});
         return;
@@ -227,7 +230,7 @@
     m_tickets.stop();
     m_members.startLeaving();
     for (const member_rumour &member : m_members.members()) {
-        if (member.vm != m_settings.self && member.state != member_state::gone) {
+        if (member.vm != m_settings.self && member.state != member_state::Gone) {
             heartbeat message;
             message.self = m_members.members().front();
             message.catalogueRevision = revisions().catalogue;
@@ -256,15 +259,15 @@
     const bool alone = status.members.size() == 1;
     const bool askedLongEnough = m_startedAt && now - *m_startedAt >= m_settings.askPeersFor;
     if (m_stopBegan) {
-        status.ready = readiness::stopping;
+        status.ready = readiness::Stopping;
     } else if (m_vmList.revision == 0) {
-        status.ready = readiness::noVmList;
+        status.ready = readiness::NoVmList;
     } else if (!m_topology) {
-        status.ready = readiness::noTopology;
+        status.ready = readiness::NoTopology;
     } else if (!m_heardPeer && !alone && !askedLongEnough) {
-        status.ready = readiness::askingPeers;
+        status.ready = readiness::AskingPeers;
     } else if (status.catalogueRevision == 0) {
-        status.ready = readiness::noCatalogue;
+        status.ready = readiness::NoCatalogue;
     }
     return status;
 }
@@ -367,9 +370,9 @@
         return;
     }
     const auto delta = readDelta(push.document);
-    const offer_verdict verdict = delta ? m_catalogue.offerDelta(*delta, source, now) : offer_verdict::refusedDelta;
+    const offer_verdict verdict = delta ? m_catalogue.offerDelta(*delta, source, now) : offer_verdict::RefusedDelta;
     afterOffer(verdict, out);
-    if (verdict == offer_verdict::refusedDelta) {
+    if (verdict == offer_verdict::RefusedDelta) {
         // This store came to its revision by other steps than the peer; the whole document settles it.
         out.emplace_back(peer_send {from, catalogue_pull {0}});
     }
@@ -377,10 +380,10 @@
 
 void entry_core::afterOffer(offer_verdict verdict, actions &out)
 {
-    if (verdict == offer_verdict::alreadyInForce) {
+    if (verdict == offer_verdict::AlreadyInForce) {
         return;
     }
-    const bool accepted = verdict == offer_verdict::accepted;
+    const bool accepted = verdict == offer_verdict::Accepted;
     const std::string detail =
         accepted ? std::to_string(m_catalogue.current()->revision) : m_catalogue.standingRefusal();
     out.emplace_back(publication_noted {"catalogue", std::string(toString(verdict)), detail});
@@ -426,7 +429,7 @@
         m_root.stopAll(now, m_rootActions);
         for (auto &[number, run] : m_onceRuns) {
             replyOnce(
-                run, onceAnswer(run.request, lookup_outcome::unknown, answer_reason::stopping, millis()), now, out);
+                run, onceAnswer(run.request, lookup_outcome::Unknown, answer_reason::Stopping, millis()), now, out);
         }
         m_onceRuns.clear();
         settle(now, out);
--- a/libs/entry/src/once.cpp
+++ b/libs/entry/src/once.cpp
@@ -33,12 +33,12 @@
     }
     const std::optional<ticket_parts> parts = parseTicket(request.ticket);
     if (!parts) {
-        lookup_answer answer = onceAnswer(request, lookup_outcome::notRun, answer_reason::badRequest, millis());
+        lookup_answer answer = onceAnswer(request, lookup_outcome::NotRun, answer_reason::BadRequest, millis());
         answer.detail = "not a ticket";
         out.emplace_back(caller_answer {request.caller, std::move(answer)});
         return;
     }
-    if (parts->issuer == m_settings.self) {
+    if (parts->issuer == m_settings.self || !m_settings.tickets.onlyIssuer) {
         useTicket({request, std::nullopt, 0, now, {}, {}, false}, now, out);
     } else {
         forwardUse(request, parts->issuer, now, out);
@@ -48,10 +48,10 @@
 void entry_core::issueTicket(const lookup_request &request, millis now, actions &out)
 {
     const std::optional<std::string> ticket = m_tickets.issue(now);
-    const answer_reason refused = m_stopBegan ? answer_reason::stopping : answer_reason::ticketTableFull;
+    const answer_reason refused = m_stopBegan ? answer_reason::Stopping : answer_reason::TicketTableFull;
     lookup_answer answer = onceAnswer(request,
-                                      lookup_outcome::notRun,
-                                      ticket ? answer_reason::needsTicket : refused,
+                                      lookup_outcome::NotRun,
+                                      ticket ? answer_reason::NeedsTicket : refused,
                                       ticket ? millis() : askAgainSoon);
     answer.ticket = ticket.value_or("");
     out.emplace_back(caller_answer {request.caller, std::move(answer)});
@@ -62,11 +62,11 @@
     const std::optional<member_rumour> member = m_members.find(issuer);
     const std::optional<ticket_parts> parts = parseTicket(request.ticket);
     const bool otherIncarnation = member && member->incarnation != 0 && member->incarnation != parts->incarnation;
-    const bool lost = !member || otherIncarnation || member->state == member_state::gone;
+    const bool lost = !member || otherIncarnation || member->state == member_state::Gone;
     if (lost) {
         // The process that could prove that it did not run is gone with its memory.
         out.emplace_back(caller_answer {
-            request.caller, onceAnswer(request, lookup_outcome::unknown, answer_reason::issuerUnreachable, millis())});
+            request.caller, onceAnswer(request, lookup_outcome::Unknown, answer_reason::IssuerUnreachable, millis())});
         return;
     }
     const std::uint64_t nonce = m_nextNonce++;
@@ -111,33 +111,33 @@
     const std::uint64_t number = numberOf(run.request);
     const ticket_verdict verdict = m_tickets.use(run.request.ticket, digestOf(run.request), now);
     switch (verdict) {
-    case ticket_verdict::start:
+    case ticket_verdict::Start:
         startOnce(std::move(run), number, now, out);
         return;
-    case ticket_verdict::done:
+    case ticket_verdict::Done:
         replyOnce(run, *m_tickets.answerOf(number), now, out);
         return;
-    case ticket_verdict::voided: {
+    case ticket_verdict::Voided: {
         lookup_answer stored = *m_tickets.answerOf(number);
-        const bool neverUsed = stored.reason == answer_reason::none; // Made void by a stop, before any use.
+        const bool neverUsed = stored.reason == answer_reason::None; // Made void by a stop, before any use.
         replyOnce(run,
-                  neverUsed ? onceAnswer(run.request, lookup_outcome::notRun, answer_reason::stopping, askAgainSoon)
+                  neverUsed ? onceAnswer(run.request, lookup_outcome::NotRun, answer_reason::Stopping, askAgainSoon)
                             : std::move(stored),
                   now,
                   out);
         return;
     }
-    case ticket_verdict::running:
+    case ticket_verdict::Running:
         replyOnce(
-            run, onceAnswer(run.request, lookup_outcome::unknown, answer_reason::running, askAgainSoon), now, out);
+            run, onceAnswer(run.request, lookup_outcome::Unknown, answer_reason::Running, askAgainSoon), now, out);
         return;
-    case ticket_verdict::unknown:
+    case ticket_verdict::Unknown:
         replyOnce(
-            run, onceAnswer(run.request, lookup_outcome::unknown, answer_reason::ticketUnknown, millis()), now, out);
+            run, onceAnswer(run.request, lookup_outcome::Unknown, answer_reason::TicketUnknown, millis()), now, out);
         return;
-    case ticket_verdict::mismatch:
+    case ticket_verdict::Mismatch:
         replyOnce(
-            run, onceAnswer(run.request, lookup_outcome::unknown, answer_reason::ticketMismatch, millis()), now, out);
+            run, onceAnswer(run.request, lookup_outcome::Unknown, answer_reason::TicketMismatch, millis()), now, out);
         return;
     }
 }
@@ -145,18 +145,18 @@
 void entry_core::startOnce(once_run run, std::uint64_t number, millis now, actions &out)
 {
     const auto giveUp = [&](answer_reason reason, millis retryAfter) {
-        lookup_answer answer = onceAnswer(run.request, lookup_outcome::notRun, reason, retryAfter);
+        lookup_answer answer = onceAnswer(run.request, lookup_outcome::NotRun, reason, retryAfter);
         m_tickets.makeVoid(number, answer);
         replyOnce(run, std::move(answer), now, out);
     };
     const kind_entry *kind = m_catalogue.current()->find(run.request.kind);
     const service_map *map = kind != nullptr && m_topology ? m_topology->findService(kind->service) : nullptr;
     if (map == nullptr) {
-        giveUp(kind == nullptr ? answer_reason::unknownKind : answer_reason::noTopology, askAgainSoon);
+        giveUp(kind == nullptr ? answer_reason::UnknownKind : answer_reason::NoTopology, askAgainSoon);
         return;
     }
     if (const std::optional<millis> wait = m_root.limiter().admit(*kind, m_members.listedCount(), now)) {
-        giveUp(answer_reason::kindLimit, *wait);
+        giveUp(answer_reason::KindLimit, *wait);
         return;
     }
     run.snapshot = map->snapshot;
@@ -181,34 +181,34 @@
     const auto found = m_onceRuns.find(result.onceId);
     const bool waiting = found != m_onceRuns.end();
     const lookup_request request = waiting ? found->second.request : lookup_request();
-    lookup_outcome outcome = lookup_outcome::unknown;
-    answer_reason reason = answer_reason::expired;
-    if (result.status == shard_status::ok) {
-        outcome = lookup_outcome::whole;
-        reason = answer_reason::none;
+    lookup_outcome outcome = lookup_outcome::Unknown;
+    answer_reason reason = answer_reason::Expired;
+    if (result.status == shard_status::Ok) {
+        outcome = lookup_outcome::Whole;
+        reason = answer_reason::None;
     } else if (!result.mayHaveRun) {
-        outcome = lookup_outcome::notRun;
-        reason = result.status == shard_status::noLeaf ? answer_reason::noLeaf : answer_reason::overloaded;
-    } else if (result.status == shard_status::leafFailed) {
-        reason = answer_reason::leafsFailed;
+        outcome = lookup_outcome::NotRun;
+        reason = result.status == shard_status::NoLeaf ? answer_reason::NoLeaf : answer_reason::Overloaded;
+    } else if (result.status == shard_status::LeafFailed) {
+        reason = answer_reason::LeafsFailed;
     }
     lookup_answer answer =
         onceAnswer(request,
                    outcome,
                    reason,
-                   outcome == lookup_outcome::whole ? millis() : std::max(result.reply.retryAfter, askAgainSoon));
+                   outcome == lookup_outcome::Whole ? millis() : std::max(result.reply.retryAfter, askAgainSoon));
     answer.snapshot = result.reply.snapshot;
     answer.version = result.reply.version;
     answer.attempts = result.reply.attempts;
-    if (outcome == lookup_outcome::whole) {
+    if (outcome == lookup_outcome::Whole) {
         answer.covered = {result.reply.shard};
         answer.rows = result.reply.rows;
     } else {
         answer.missing = {{result.reply.shard, reason}};
     }
-    if (outcome == lookup_outcome::whole) {
+    if (outcome == lookup_outcome::Whole) {
         m_tickets.finish(result.onceId, answer);
-    } else if (outcome == lookup_outcome::notRun) {
+    } else if (outcome == lookup_outcome::NotRun) {
         // Void before the word "not run" leaves this process: no later use of the ticket can start it.
         m_tickets.makeVoid(result.onceId, answer);
     }
@@ -238,9 +238,9 @@
         const bool lost = issuer && forward.issuer == *issuer;
         const bool late = now >= forward.deadline;
         if (lost || late) {
-            const answer_reason reason = lost ? answer_reason::issuerUnreachable : answer_reason::expired;
+            const answer_reason reason = lost ? answer_reason::IssuerUnreachable : answer_reason::Expired;
             out.emplace_back(caller_answer {
-                forward.request.caller, onceAnswer(forward.request, lookup_outcome::unknown, reason, askAgainSoon)});
+                forward.request.caller, onceAnswer(forward.request, lookup_outcome::Unknown, reason, askAgainSoon)});
         }
         return lost || late;
     });
@@ -255,7 +255,7 @@
     answer.requestId = request.requestId;
     answer.kind = request.kind;
     const kind_entry *kind = m_catalogue.current()->find(request.kind);
-    answer.priority = kind != nullptr ? kind->priority : urgency::ordinary;
+    answer.priority = kind != nullptr ? kind->priority : urgency::Ordinary;
     answer.outcome = outcome;
     answer.reason = reason;
     answer.catalogueRevision = m_catalogue.current()->revision;
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -22,7 +22,7 @@
 membership::membership(vm_id self, std::uint64_t incarnation, membership_settings settings, std::uint64_t seed)
     : m_settings(settings)
     , m_random(seed)
-    , m_self {self, incarnation, 0, member_state::alive}
+    , m_self {self, incarnation, 0, member_state::Alive}
 {
     refreshRunners();
 }
@@ -71,8 +71,8 @@
 void membership::onUnreachable(vm_id vm, millis now)
 {
     const auto found = m_members.find(vm);
-    if (found != m_members.end() && found->second.known.state == member_state::alive) {
-        setState(found->second, member_state::suspect, now);
+    if (found != m_members.end() && found->second.known.state == member_state::Alive) {
+        setState(found->second, member_state::Suspect, now);
     }
 }
 
@@ -106,7 +106,7 @@
 
 void membership::startLeaving()
 {
-    m_self.state = member_state::leaving;
+    m_self.state = member_state::Leaving;
     ++m_self.version;
     refreshRunners();
 }
@@ -172,7 +172,7 @@
 {
     target.known.state = state;
     target.toldTimes = 0;
-    if (state == member_state::suspect) {
+    if (state == member_state::Suspect) {
         target.suspectSince = now;
     }
     refreshRunners();
@@ -182,11 +182,11 @@
 {
     std::vector<vm_id> runners;
     for (const auto &[id, entry] : m_members) {
-        if (entry.listed && !entry.listLeaving && entry.known.state == member_state::alive) {
+        if (entry.listed && !entry.listLeaving && entry.known.state == member_state::Alive) {
             runners.push_back(id);
         }
     }
-    if (m_self.state == member_state::alive || runners.empty()) {
+    if (m_self.state == member_state::Alive || runners.empty()) {
         runners.push_back(m_self.vm);
     }
     std::ranges::sort(runners);
@@ -210,7 +210,7 @@
 void membership::addRumours(heartbeat &message, vm_id to)
 {
     const auto receiver = m_members.find(to);
-    if (receiver != m_members.end() && receiver->second.known.state != member_state::alive) {
+    if (receiver != m_members.end() && receiver->second.known.state != member_state::Alive) {
         message.rumours.push_back(receiver->second.known); // So that it can refute.
     }
     std::vector<member *> untold;
@@ -246,7 +246,7 @@
         }
         const vm_id candidate = m_pingOrder[m_pingNext++];
         member &entry = m_members.at(candidate);
-        const bool rest = entry.known.state == member_state::gone && ++entry.skippedPings % gonePingEvery != 0;
+        const bool rest = entry.known.state == member_state::Gone && ++entry.skippedPings % gonePingEvery != 0;
         if (!rest && !entry.awaitedNonce) {
             return candidate;
         }
@@ -278,8 +278,8 @@
 void membership::ageSuspects(millis now)
 {
     for (auto &[id, entry] : m_members) {
-        if (entry.known.state == member_state::suspect && now - entry.suspectSince >= m_settings.suspectFor) {
-            setState(entry, member_state::gone, now);
+        if (entry.known.state == member_state::Suspect && now - entry.suspectSince >= m_settings.suspectFor) {
+            setState(entry, member_state::Gone, now);
         }
     }
 }
--- a/libs/policy/include/policy/policy.h
+++ b/libs/policy/include/policy/policy.h
@@ -85,6 +85,7 @@
     millis freshBound {2000}; ///< no new work to a leaf without a sign of staying for so long
     millis probeInterval {500}; ///< a leaf in use is probed so often
     millis firstServiceGuess {10}; ///< before anything was measured
+    bool checkReplies = true; ///< false only in tests that show what the check of snapshot, map and shard prevents
 };
 
 /** Names one request to a leaf within this process. */
@@ -99,7 +100,7 @@
     shard_id shard;
     snapshot_id snapshot;
     map_version version;
-    urgency priority = urgency::ordinary;
+    urgency priority = urgency::Ordinary;
     std::uint32_t maxRows = 0;
     std::shared_ptr<const std::string> body;
     millis deadline; ///< instant; the leaf is told what remains at the send
@@ -138,7 +139,7 @@
 /** An unrepeatable request ended. */
 struct once_result {
     std::uint64_t onceId = 0;
-    shard_status status = shard_status::ok;
+    shard_status status = shard_status::Ok;
     bool mayHaveRun = false; ///< false only on proof: never sent, or refused by the leaf itself
     shard_reply reply;
 };
@@ -148,23 +149,23 @@
 
 /** How one request to a leaf ended. */
 enum class call_status : std::uint8_t {
-    ok,
-    notSent, ///< proof that the leaf never saw it
-    shed, ///< the leaf refused: busy
-    leaving, ///< the leaf refused: it leaves
-    snapshotGone, ///< the leaf refused: it does not hold the snapshot or map version
-    cancelled, ///< the leaf dropped it on our word
-    failed ///< anything else; it may have run
+    Ok,
+    NotSent, ///< proof that the leaf never saw it
+    Shed, ///< the leaf refused: busy
+    Leaving, ///< the leaf refused: it leaves
+    SnapshotGone, ///< the leaf refused: it does not hold the snapshot or map version
+    Cancelled, ///< the leaf dropped it on our word
+    Failed ///< anything else; it may have run
 };
 
 /** What a leaf answered. */
 struct leaf_reply {
     call_id id = 0;
-    call_status status = call_status::failed;
+    call_status status = call_status::Failed;
     shard_id shard;
     snapshot_id snapshot;
     map_version version;
-    snapshot_id heldSnapshot; ///< newest one held, with @ref call_status::snapshotGone
+    snapshot_id heldSnapshot; ///< newest one held, with @ref call_status::SnapshotGone
     bool saysLeaving = false; ///< it answers but announces that it leaves
     std::uint64_t incarnation = 0;
     millis retryAfter;
@@ -189,7 +190,7 @@
     shard_id shard;
     snapshot_id snapshot;
     map_version version;
-    urgency priority = urgency::ordinary;
+    urgency priority = urgency::Ordinary;
     std::uint32_t maxRows = 0;
     std::shared_ptr<const std::string> body;
     millis deadline; ///< instant
@@ -408,7 +409,7 @@
         std::string requestId;
         shard_place place;
         snapshot_id snapshot;
-        urgency priority = urgency::ordinary;
+        urgency priority = urgency::Ordinary;
         std::uint32_t maxRows = 0;
         std::shared_ptr<const std::string> body;
         millis deadline;
@@ -435,8 +436,8 @@
     };
 
     enum class timer_purpose : std::uint8_t {
-        expire,
-        hedge
+        Expire,
+        Hedge
     };
 
     struct timer {
@@ -462,6 +463,7 @@
         }
     };
 
+    [[nodiscard]] bool isInHand(const attempt_key &attempt, shard_id shard) const;
     shard_state *findShard(const shard_place &place);
     service_state &serviceOf(const service_name &name);
     void admit(task_id id, task &&entry, millis now, actions &out);
--- a/libs/policy/src/runner_engine.cpp
+++ b/libs/policy/src/runner_engine.cpp
@@ -76,11 +76,19 @@
         entry.deadline = now + run.remaining;
         entry.arrived = now;
         const task_id id = m_nextId++;
-        tasks.push_back(id);
+        // Looked up for each shard: a refusal at once ends the task, and with the last one the attempt's record.
+        m_attempts[{run.key, run.attempt}].push_back(id);
         admit(id, std::move(entry), now, out);
     }
 }
 
+bool runner_engine::isInHand(const attempt_key &attempt, shard_id shard) const
+{
+    const auto found = m_attempts.find(attempt);
+    return found != m_attempts.end()
+        && std::ranges::any_of(found->second, [&](task_id id) { return m_tasks.at(id).place.shard == shard; });
+}
+
 void runner_engine::onOnce(const once_request &request, millis now, actions &out)
 {
     task entry;
@@ -137,7 +145,7 @@
     noteLeafEvidence(reply, ended, now, out);
     const auto owner = m_tasks.find(ended.owner);
     if (owner == m_tasks.end()) {
-        m_counters.staleReplies += reply.status == call_status::ok ? 1 : 0;
+        m_counters.staleReplies += reply.status == call_status::Ok ? 1 : 0;
         if (ended.onceId) {
             tellLateOnce(ended, reply, out);
         }
@@ -146,14 +154,15 @@
     }
     task &entry = owner->second;
     std::erase(entry.calls, reply.id);
-    const bool rightOne =
-        reply.shard == entry.place.shard && reply.snapshot == entry.snapshot && reply.version == entry.place.version;
-    if (reply.status == call_status::ok && rightOne) {
+    const bool rightOne = !m_settings.checkReplies
+        || (reply.shard == entry.place.shard && reply.snapshot == entry.snapshot
+            && reply.version == entry.place.version);
+    if (reply.status == call_status::Ok && rightOne) {
         m_counters.hedgeWins += ended.isHedge ? 1 : 0;
         serviceOf(ended.service).times.add(now - ended.sentAt);
         onValidAnswer(owner->first, reply.id, reply, now, out);
     } else {
-        m_counters.mismatchedReplies += reply.status == call_status::ok ? 1 : 0;
+        m_counters.mismatchedReplies += reply.status == call_status::Ok ? 1 : 0;
         onFailedTry(owner->first, ended.leaf, reply, now, out);
     }
     redispatchShardsOf(ended.leaf, now, out);
@@ -162,14 +171,14 @@
 void runner_engine::tellLateOnce(const call &ended, const leaf_reply &reply, actions &out)
 {
     // The caller was told that the outcome is unknown; the ticket can now tell the outcome to whoever asks again.
-    const bool refused = reply.status == call_status::shed || reply.status == call_status::leaving
-        || reply.status == call_status::notSent;
-    if (reply.status != call_status::ok && !refused) {
+    const bool refused = reply.status == call_status::Shed || reply.status == call_status::Leaving
+        || reply.status == call_status::NotSent;
+    if (reply.status != call_status::Ok && !refused) {
         return;
     }
     shard_reply late;
     late.shard = reply.shard;
-    late.status = refused ? shard_status::overloaded : shard_status::ok;
+    late.status = refused ? shard_status::Overloaded : shard_status::Ok;
     late.snapshot = reply.snapshot;
     late.version = reply.version;
     late.rows = reply.rows;
@@ -206,7 +215,7 @@
     while (!m_timers.empty() && m_timers.top().at <= now) {
         const timer due = m_timers.top();
         m_timers.pop();
-        if (due.purpose == timer_purpose::expire) {
+        if (due.purpose == timer_purpose::Expire) {
             expire(due.target, now, out);
         } else {
             onHedgeDue(due.target, now, out);
@@ -240,7 +249,7 @@
     task &stored = m_tasks.emplace(id, std::move(entry)).first->second;
     shard_state *shard = findShard(place);
     if (shard == nullptr) {
-        endTask(id, replyFor(stored, shard_status::noLeaf), now, out);
+        endTask(id, replyFor(stored, shard_status::NoLeaf), now, out);
         return;
     }
     const millis wait = predictedWait(*shard, stored, now);
@@ -250,7 +259,7 @@
         refuse(id, *shard, wait - acceptable, now, out);
         return;
     }
-    m_timers.push({deadline, timer_purpose::expire, id});
+    m_timers.push({deadline, timer_purpose::Expire, id});
     enqueue(id, false);
     dispatch(place, now, out);
 }
@@ -266,7 +275,7 @@
         }
     }
     // Urgent work passes the ordinary queue, so only what goes before it counts.
-    const bool passes = m_settings.urgentFirst && entry.priority == urgency::urgent;
+    const bool passes = m_settings.urgentFirst && entry.priority == urgency::Urgent;
     const std::size_t ahead = shard.urgentWaiting + (passes ? 0 : shard.ordinaryWaiting);
     if (slots == 0 || busy + ahead < slots) {
         return millis();
@@ -289,7 +298,7 @@
     const millis spacing = service * (1.0 / static_cast<double>(std::max<std::size_t>(slots, 1)));
     shard.nextReturn = std::max(shard.nextReturn, now) + spacing;
     const millis drained = std::max(excess, millis()) + (shard.nextReturn - now);
-    shard_reply reply = replyFor(entry, shard_status::overloaded);
+    shard_reply reply = replyFor(entry, shard_status::Overloaded);
     reply.retryAfter = std::min(longestAdvice, drained * (1 + jitterShare * m_random.uniform()));
     endTask(id, std::move(reply), now, out);
 }
@@ -299,7 +308,7 @@
     task &entry = m_tasks.at(id);
     shard_state *shard = findShard(entry.place);
     require(shard != nullptr, "a queued task has a shard");
-    const bool urgent = m_settings.urgentFirst && entry.priority == urgency::urgent;
+    const bool urgent = m_settings.urgentFirst && entry.priority == urgency::Urgent;
     std::deque<task_id> &queue = urgent ? shard->urgentQueue : shard->ordinaryQueue;
     entry.queued = true;
     ++waitingOf(*shard, entry);
@@ -324,7 +333,7 @@
         task &entry = m_tasks.at(*id);
         if (m_settings.dropExpired && cannotFinish(entry, now)) {
             ++m_counters.droppedExpired;
-            endTask(*id, replyFor(entry, shard_status::expired), now, out);
+            endTask(*id, replyFor(entry, shard_status::Expired), now, out);
             continue;
         }
         const std::optional<leaf_id> leaf = chooseLeaf(*shard, entry, false, now);
@@ -360,7 +369,7 @@
 
 std::size_t &runner_engine::waitingOf(shard_state &shard, const task &entry) const
 {
-    const bool urgent = m_settings.urgentFirst && entry.priority == urgency::urgent;
+    const bool urgent = m_settings.urgentFirst && entry.priority == urgency::Urgent;
     return urgent ? shard.urgentWaiting : shard.ordinaryWaiting;
 }
 
@@ -441,7 +450,7 @@
     entry.tries += isHedge ? 0 : 1;
     shard_state *shard = findShard(entry.place);
     if (shard != nullptr && !isHedge) {
-        shard->sendsSinceOrdinary = entry.priority == urgency::ordinary ? 0 : shard->sendsSinceOrdinary + 1;
+        shard->sendsSinceOrdinary = entry.priority == urgency::Ordinary ? 0 : shard->sendsSinceOrdinary + 1;
     }
     const millis notAfter = std::min(entry.deadline, m_leafs.freshUntil(leaf));
     out.emplace_back(leaf_call {callId,
@@ -459,7 +468,7 @@
                                 entry.onceId.has_value()});
     if (m_settings.hedging && !entry.onceId && entry.hedges < m_settings.maxHedges) {
         const millis guess = m_settings.firstServiceGuess * 3;
-        m_timers.push({now + service.times.quantile(m_settings.hedgeQuantile, guess), timer_purpose::hedge, callId});
+        m_timers.push({now + service.times.quantile(m_settings.hedgeQuantile, guess), timer_purpose::Hedge, callId});
     }
 }
 
@@ -480,7 +489,7 @@
     const std::optional<leaf_id> leaf = requestsWait ? std::nullopt : chooseLeaf(*shard, entry, onlyIdle, now);
     if (!leaf) {
         constexpr millis askAgain {2};
-        m_timers.push({now + askAgain, timer_purpose::hedge, id});
+        m_timers.push({now + askAgain, timer_purpose::Hedge, id});
         return;
     }
     if (!serviceOf(entry.place.service).hedges.spend()) {
@@ -494,7 +503,7 @@
 void runner_engine::onValidAnswer(task_id id, call_id /*winner*/, const leaf_reply &reply, millis now, actions &out)
 {
     const task &entry = m_tasks.at(id);
-    shard_reply answer = replyFor(entry, shard_status::ok);
+    shard_reply answer = replyFor(entry, shard_status::Ok);
     answer.snapshot = reply.snapshot;
     answer.version = reply.version;
     answer.rows = reply.rows;
@@ -504,11 +513,11 @@
 void runner_engine::onFailedTry(task_id id, leaf_id leaf, const leaf_reply &reply, millis now, actions &out)
 {
     task &entry = m_tasks.at(id);
-    const bool provenNotRun = reply.status == call_status::notSent || reply.status == call_status::shed
-        || reply.status == call_status::leaving || reply.status == call_status::snapshotGone;
+    const bool provenNotRun = reply.status == call_status::NotSent || reply.status == call_status::Shed
+        || reply.status == call_status::Leaving || reply.status == call_status::SnapshotGone;
     entry.mayHaveRun = entry.mayHaveRun || !provenNotRun;
     entry.failedAt.push_back(leaf);
-    if (reply.status == call_status::snapshotGone) {
+    if (reply.status == call_status::SnapshotGone) {
         entry.sawSnapshotGone = true;
         entry.heldSnapshot = std::max(entry.heldSnapshot, reply.heldSnapshot);
     }
@@ -534,7 +543,7 @@
     const bool untriedLeft = std::ranges::any_of(shard->leafs, [&](leaf_id leaf) {
         return std::ranges::find(entry.failedAt, leaf) == entry.failedAt.end() && !m_leafs.isLeaving(leaf);
     });
-    if (reply.status == call_status::snapshotGone && !untriedLeft) {
+    if (reply.status == call_status::SnapshotGone && !untriedLeft) {
         return false;
     }
     return serviceOf(entry.place.service).retries.spend();
@@ -543,12 +552,12 @@
 shard_status runner_engine::statusOfFailure(const task &entry, call_status last)
 {
     if (entry.sawSnapshotGone) {
-        return shard_status::snapshotGone;
+        return shard_status::SnapshotGone;
     }
-    if (last == call_status::shed && !entry.mayHaveRun) {
-        return shard_status::overloaded;
+    if (last == call_status::Shed && !entry.mayHaveRun) {
+        return shard_status::Overloaded;
     }
-    return last == call_status::leaving ? shard_status::noLeaf : shard_status::leafFailed;
+    return last == call_status::Leaving ? shard_status::NoLeaf : shard_status::LeafFailed;
 }
 
 shard_reply runner_engine::replyFor(const task &entry, shard_status status) const
@@ -581,7 +590,7 @@
         }
     }
     if (entry.onceId) {
-        const bool sent = !entry.calls.empty() || entry.mayHaveRun || reply.status == shard_status::ok;
+        const bool sent = !entry.calls.empty() || entry.mayHaveRun || reply.status == shard_status::Ok;
         out.emplace_back(once_result {*entry.onceId, reply.status, sent, std::move(reply)});
     } else {
         const auto attempt = m_attempts.find({entry.key, entry.attempt});
@@ -608,32 +617,32 @@
     const bool neverSent = entry.tries == 0;
     const bool noneUsable = shard == nullptr
         || std::ranges::none_of(shard->leafs, [&](leaf_id leaf) { return m_leafs.mayReceive(leaf, now); });
-    endTask(id, replyFor(entry, neverSent && noneUsable ? shard_status::noLeaf : shard_status::expired), now, out);
+    endTask(id, replyFor(entry, neverSent && noneUsable ? shard_status::NoLeaf : shard_status::Expired), now, out);
 }
 
 void runner_engine::noteLeafEvidence(const leaf_reply &reply, const call &ended, millis now, actions &out)
 {
     const leaving_leaf leaving {ended.leaf, reply.incarnation};
-    if ((reply.saysLeaving || reply.status == call_status::leaving) && m_leafs.onLeaving(leaving)) {
+    if ((reply.saysLeaving || reply.status == call_status::Leaving) && m_leafs.onLeaving(leaving)) {
         out.emplace_back(leaf_left {leaving});
     }
     switch (reply.status) {
-    case call_status::ok:
+    case call_status::Ok:
         m_leafs.onSuccess(ended.leaf, now - ended.sentAt);
         m_leafs.onSign(ended.leaf, reply.incarnation, now);
         break;
-    case call_status::shed:
+    case call_status::Shed:
         ++m_counters.leafSheds;
         m_leafs.onShed(ended.leaf);
         break;
-    case call_status::failed:
+    case call_status::Failed:
         ++m_counters.leafFailures;
         m_leafs.onFailure(ended.leaf, now);
         break;
-    case call_status::notSent:
-    case call_status::leaving:
-    case call_status::snapshotGone:
-    case call_status::cancelled:
+    case call_status::NotSent:
+    case call_status::Leaving:
+    case call_status::SnapshotGone:
+    case call_status::Cancelled:
         break;
     }
 }
--- a/libs/query/include/query/query.h
+++ b/libs/query/include/query/query.h
@@ -166,17 +166,17 @@
     using sequence = std::uint64_t;
 
     enum class shard_phase : std::uint8_t {
-        waiting,
-        covered,
-        missing
+        Waiting,
+        Covered,
+        Missing
     };
 
     struct shard_progress {
         shard_id id;
-        shard_phase phase = shard_phase::waiting;
+        shard_phase phase = shard_phase::Waiting;
         vm_id runner;
         std::uint32_t reroutes = 0;
-        answer_reason reason = answer_reason::none;
+        answer_reason reason = answer_reason::None;
         std::vector<result_row> rows;
     };
 
@@ -207,9 +207,9 @@
     };
 
     enum class timer_purpose : std::uint8_t {
-        soft,
-        hard,
-        liveness
+        Soft,
+        Hard,
+        Liveness
     };
 
     struct timer {
@@ -301,16 +301,17 @@
 struct ticket_settings {
     std::size_t capacity = 50000; ///< tickets kept at once; beyond, none is issued
     millis lifetime {600000};
+    bool onlyIssuer = true; ///< false only in tests that show what binding a ticket to its issuer prevents
 };
 
 /** What the holder of a ticket may do now. */
 enum class ticket_verdict : std::uint8_t {
-    start, ///< unused: this request may run, now and only now
-    running,
-    done, ///< the stored answer stands
-    voided, ///< never ran and never will
-    unknown, ///< not this incarnation's, expired or forged
-    mismatch ///< used for another request
+    Start, ///< unused: this request may run, now and only now
+    Running,
+    Done, ///< the stored answer stands
+    Voided, ///< never ran and never will
+    Unknown, ///< not this incarnation's, expired or forged
+    Mismatch ///< used for another request
 };
 
 /** Tickets of one incarnation of one process. A ticket starts at most one run, ever. */
@@ -323,7 +324,7 @@
     /** @return a new ticket, nothing if the table is full or issuing has stopped. */
     std::optional<std::string> issue(millis now);
 
-    /** Marks the ticket as running if the verdict is @ref ticket_verdict::start.
+    /** Marks the ticket as running if the verdict is @ref ticket_verdict::Start.
      *  @param digest of kind, key and body: a ticket belongs to the first request that uses it. */
     ticket_verdict use(std::string_view ticket, std::uint64_t digest, millis now);
 
@@ -348,14 +349,14 @@
 
 private:
     enum class record_state : std::uint8_t {
-        unused,
-        running,
-        done,
-        voided
+        Unused,
+        Running,
+        Done,
+        Voided
     };
 
     struct record {
-        record_state state = record_state::unused;
+        record_state state = record_state::Unused;
         millis expires;
         std::uint64_t digest = 0;
         lookup_answer answer;
--- a/libs/query/src/answer.cpp
+++ b/libs/query/src/answer.cpp
@@ -46,7 +46,7 @@
     for (const result_row &row : answer.rows) {
         json["rows"].push_back({{"id", row.id}, {"score", row.score}, {"data", dataOf(row.data)}});
     }
-    if (answer.reason != answer_reason::none) {
+    if (answer.reason != answer_reason::None) {
         json["reason"] = toString(answer.reason);
     }
     if (answer.retryAfter > millis()) {
@@ -63,22 +63,22 @@
 
 std::uint16_t httpStatusOf(const lookup_answer &answer)
 {
-    if (answer.outcome == lookup_outcome::whole || answer.outcome == lookup_outcome::partial) {
+    if (answer.outcome == lookup_outcome::Whole || answer.outcome == lookup_outcome::Partial) {
         return okStatus;
     }
     switch (answer.reason) {
-    case answer_reason::badRequest:
+    case answer_reason::BadRequest:
         return badRequestStatus;
-    case answer_reason::unknownKind:
+    case answer_reason::UnknownKind:
         return notFoundStatus;
-    case answer_reason::needsTicket:
+    case answer_reason::NeedsTicket:
         return needsTicketStatus;
-    case answer_reason::ticketMismatch:
-    case answer_reason::running:
+    case answer_reason::TicketMismatch:
+    case answer_reason::Running:
         return conflictStatus;
-    case answer_reason::kindLimit:
+    case answer_reason::KindLimit:
         return tooManyStatus;
-    case answer_reason::expired:
+    case answer_reason::Expired:
         return timeoutStatus;
     default:
         return unavailableStatus;
--- a/libs/query/src/merge.cpp
+++ b/libs/query/src/merge.cpp
@@ -14,7 +14,7 @@
         std::ranges::move(part, std::back_inserter(merged));
     }
     const std::size_t kept = std::min<std::size_t>(merged.size(), maxRows);
-    if (rule == merge_rule::topScore) {
+    if (rule == merge_rule::TopScore) {
         const auto better = [](const result_row &left, const result_row &right) {
             return left.score != right.score ? left.score > right.score : left.id < right.id;
         };
--- a/libs/query/src/root_engine.cpp
+++ b/libs/query/src/root_engine.cpp
@@ -9,20 +9,20 @@
 answer_reason reasonOf(shard_status status)
 {
     switch (status) {
-    case shard_status::ok:
-        return answer_reason::none;
-    case shard_status::overloaded:
-        return answer_reason::overloaded;
-    case shard_status::snapshotGone:
-        return answer_reason::snapshotGone;
-    case shard_status::leafFailed:
-        return answer_reason::leafsFailed;
-    case shard_status::noLeaf:
-        return answer_reason::noLeaf;
-    case shard_status::expired:
-        return answer_reason::expired;
-    }
-    return answer_reason::leafsFailed;
+    case shard_status::Ok:
+        return answer_reason::None;
+    case shard_status::Overloaded:
+        return answer_reason::Overloaded;
+    case shard_status::SnapshotGone:
+        return answer_reason::SnapshotGone;
+    case shard_status::LeafFailed:
+        return answer_reason::LeafsFailed;
+    case shard_status::NoLeaf:
+        return answer_reason::NoLeaf;
+    case shard_status::Expired:
+        return answer_reason::Expired;
+    }
+    return answer_reason::LeafsFailed;
 }
 
 /** When to come back if nobody gave a time. */
@@ -30,7 +30,7 @@
 {
     constexpr millis afterTimeout {250};
     constexpr millis afterLoss {1000};
-    return reason == answer_reason::expired || reason == answer_reason::overloaded ? afterTimeout : afterLoss;
+    return reason == answer_reason::Expired || reason == answer_reason::Overloaded ? afterTimeout : afterLoss;
 }
 
 } // namespace
@@ -65,7 +65,7 @@
     const kind_entry *kind = m_catalogue->find(request.kind);
     if (kind == nullptr) {
         const answer_reason reason =
-            m_catalogue->revision == 0 ? answer_reason::noCatalogue : answer_reason::unknownKind;
+            m_catalogue->revision == 0 ? answer_reason::NoCatalogue : answer_reason::UnknownKind;
         out.emplace_back(caller_answer {request.caller, refusal(request, reason, defaultAdvice(reason))});
         return;
     }
@@ -87,11 +87,11 @@
         return;
     }
     const sequence id = m_next++;
-    m_timers.push({entry.deadline, timer_purpose::hard, id});
+    m_timers.push({entry.deadline, timer_purpose::Hard, id});
     if (!kind->wholeOnly && entry.softDeadline < entry.deadline) {
-        m_timers.push({entry.softDeadline, timer_purpose::soft, id});
+        m_timers.push({entry.softDeadline, timer_purpose::Soft, id});
     }
-    m_timers.push({now + m_settings.ackTimeout, timer_purpose::liveness, id});
+    m_timers.push({now + m_settings.ackTimeout, timer_purpose::Liveness, id});
     m_lookups.emplace(id, std::move(entry));
     start(id, members, now, out);
 }
@@ -124,7 +124,7 @@
         return;
     }
     entry.leafAttempts += reply.attempts;
-    if (reply.status != shard_status::ok) {
+    if (reply.status != shard_status::Ok) {
         onShardLost(found->first, *shard, reply, members, now, out);
         return;
     }
@@ -164,19 +164,19 @@
         }
         const bool suffices = coverageSuffices(found->second);
         switch (due.purpose) {
-        case timer_purpose::hard:
+        case timer_purpose::Hard:
             finish(due.target,
-                   suffices ? lookup_outcome::partial : lookup_outcome::failed,
-                   suffices ? answer_reason::none : answer_reason::expired,
+                   suffices ? lookup_outcome::Partial : lookup_outcome::Failed,
+                   suffices ? answer_reason::None : answer_reason::Expired,
                    now,
                    out);
             break;
-        case timer_purpose::soft:
+        case timer_purpose::Soft:
             if (suffices) {
-                finish(due.target, lookup_outcome::partial, answer_reason::none, now, out);
+                finish(due.target, lookup_outcome::Partial, answer_reason::None, now, out);
             }
             break;
-        case timer_purpose::liveness:
+        case timer_purpose::Liveness:
             checkLiveness(due.target, members, now, out);
             break;
         }
@@ -190,7 +190,7 @@
     std::ranges::sort(ids);
     for (const sequence id : ids) {
         const bool suffices = coverageSuffices(m_lookups.at(id));
-        finish(id, suffices ? lookup_outcome::partial : lookup_outcome::failed, answer_reason::stopping, now, out);
+        finish(id, suffices ? lookup_outcome::Partial : lookup_outcome::Failed, answer_reason::Stopping, now, out);
     }
 }
 
@@ -200,11 +200,11 @@
     answer.requestId = request.requestId;
     answer.kind = request.kind;
     const kind_entry *kind = m_catalogue->find(request.kind);
-    answer.priority = kind != nullptr ? kind->priority : urgency::ordinary;
-    answer.outcome = lookup_outcome::notRun;
+    answer.priority = kind != nullptr ? kind->priority : urgency::Ordinary;
+    answer.outcome = outcomeOfRefusal(!request.ticket.empty());
     answer.reason = reason;
     answer.catalogueRevision = m_catalogue->revision;
-    answer.retryAfter = reason == answer_reason::unknownKind ? millis() : retryAfter;
+    answer.retryAfter = reason == answer_reason::UnknownKind ? millis() : retryAfter;
     return answer;
 }
 
@@ -212,14 +212,14 @@
 root_engine::checkLimits(const lookup_request &request, const kind_entry &kind, const membership &members, millis now)
 {
     if (m_lookups.size() >= m_settings.maxLookups) {
-        return refusal(request, answer_reason::overloaded, defaultAdvice(answer_reason::overloaded));
+        return refusal(request, answer_reason::Overloaded, defaultAdvice(answer_reason::Overloaded));
     }
     const refusal_memory &memory = m_refusals[kind.service].at(static_cast<std::size_t>(kind.priority));
     if (now < memory.until) {
-        return refusal(request, answer_reason::overloaded, std::max(memory.comeBack - now, memory.until - now));
+        return refusal(request, answer_reason::Overloaded, std::max(memory.comeBack - now, memory.until - now));
     }
     if (const std::optional<millis> wait = m_limiter.admit(kind, members.listedCount(), now)) {
-        return refusal(request, answer_reason::kindLimit, *wait);
+        return refusal(request, answer_reason::KindLimit, *wait);
     }
     return std::nullopt;
 }
@@ -228,7 +228,7 @@
 {
     const service_map *map = m_topology ? m_topology->findService(entry.kind.service) : nullptr;
     if (map == nullptr) {
-        return refusal(entry.request, answer_reason::noTopology, defaultAdvice(answer_reason::noTopology));
+        return refusal(entry.request, answer_reason::NoTopology, defaultAdvice(answer_reason::NoTopology));
     }
     const auto told = m_toldSnapshots.find(map->name);
     entry.snapshot = told != m_toldSnapshots.end() ? std::max(map->snapshot, told->second) : map->snapshot;
@@ -243,12 +243,12 @@
     entry.runners.clear();
     entry.covered = 0;
     entry.refusedShards = 0;
-    if (entry.kind.shards == fan_out::byKey) {
+    if (entry.kind.shards == fan_out::ByKey) {
         entry.shards.push_back(
-            {shardOfKey(entry.request.shardKey, map.shards), shard_phase::waiting, {}, 0, answer_reason::none, {}});
+            {shardOfKey(entry.request.shardKey, map.shards), shard_phase::Waiting, {}, 0, answer_reason::None, {}});
     } else {
         std::ranges::transform(map.shards, std::back_inserter(entry.shards), [](const shard_info &shard) {
-            return shard_progress {shard.id, shard_phase::waiting, {}, 0, answer_reason::none, {}};
+            return shard_progress {shard.id, shard_phase::Waiting, {}, 0, answer_reason::None, {}};
         });
     }
     entry.waiting = entry.shards.size();
@@ -317,13 +317,13 @@
     if (shard == entry.shards.end() || shard->id != reply.shard) {
         return nullptr;
     }
-    return shard->phase == shard_phase::waiting || !m_guards.dropDoubled ? &*shard : nullptr;
+    return shard->phase == shard_phase::Waiting || !m_guards.dropDoubled ? &*shard : nullptr;
 }
 
 void root_engine::onShardOk(sequence id, shard_progress &shard, const shard_reply &reply, millis now, actions &out)
 {
     lookup &entry = m_lookups.at(id);
-    shard.phase = shard_phase::covered;
+    shard.phase = shard_phase::Covered;
     shard.rows.insert(shard.rows.end(), reply.rows.begin(), reply.rows.end());
     entry.waiting -= std::min<std::size_t>(entry.waiting, 1);
     entry.covered += 1;
@@ -335,11 +335,11 @@
     sequence id, shard_progress &shard, const shard_reply &reply, const membership &members, millis now, actions &out)
 {
     lookup &entry = m_lookups.at(id);
-    if (reply.status == shard_status::snapshotGone) {
+    if (reply.status == shard_status::SnapshotGone) {
         restart(id, reply.heldSnapshot, members, now, out);
         return;
     }
-    const bool leafTrouble = reply.status == shard_status::noLeaf || reply.status == shard_status::leafFailed;
+    const bool leafTrouble = reply.status == shard_status::NoLeaf || reply.status == shard_status::LeafFailed;
     if (leafTrouble && shard.runner != m_self && shard.reroutes == 0) {
         // That runner may be cut off from leafs that this process can reach.
         --runnerOf(entry, shard.runner, now).outstanding;
@@ -349,7 +349,7 @@
         sendRuns(id, std::span(&again, 1), m_self, now, out);
         return;
     }
-    if (reply.status == shard_status::overloaded) {
+    if (reply.status == shard_status::Overloaded) {
         ++entry.refusedShards;
         entry.retryAfter = std::max(entry.retryAfter, reply.retryAfter);
         noteRefusal(entry, reply, now);
@@ -368,7 +368,7 @@
 
 void root_engine::markMissing(lookup &entry, shard_progress &shard, answer_reason reason)
 {
-    shard.phase = shard_phase::missing;
+    shard.phase = shard_phase::Missing;
     shard.reason = reason;
     --entry.waiting;
 }
@@ -380,7 +380,7 @@
     const bool triesLeft = entry.attempt <= m_settings.maxRestarts;
     const lookup before = entry;
     if (!triesLeft || !repin(entry, told)) {
-        finish(id, lookup_outcome::failed, answer_reason::snapshotGone, now, out);
+        finish(id, lookup_outcome::Failed, answer_reason::SnapshotGone, now, out);
         return;
     }
     ++m_counters.restarts;
@@ -423,7 +423,7 @@
     lookup &entry = m_lookups.at(id);
     std::vector<shard_id> taken;
     for (shard_progress &shard : entry.shards) {
-        if (shard.phase == shard_phase::waiting && shard.runner == from && from != m_self) {
+        if (shard.phase == shard_phase::Waiting && shard.runner == from && from != m_self) {
             ++shard.reroutes;
             taken.push_back(shard.id);
         }
@@ -459,7 +459,7 @@
         m_stalledUntil[vm] = now + m_settings.avoidStalled;
         reroute(id, vm, now, out);
     }
-    m_timers.push({now + m_settings.ackTimeout, timer_purpose::liveness, id});
+    m_timers.push({now + m_settings.ackTimeout, timer_purpose::Liveness, id});
 }
 
 void root_engine::forgivePause(millis now)
@@ -478,11 +478,11 @@
 {
     const lookup &entry = m_lookups.at(id);
     if (entry.covered == entry.shards.size()) {
-        finish(id, lookup_outcome::whole, answer_reason::none, now, out);
+        finish(id, lookup_outcome::Whole, answer_reason::None, now, out);
         return;
     }
     if (now >= entry.softDeadline && coverageSuffices(entry)) {
-        finish(id, lookup_outcome::partial, answer_reason::none, now, out);
+        finish(id, lookup_outcome::Partial, answer_reason::None, now, out);
         return;
     }
     const std::size_t lost = entry.shards.size() - entry.covered - entry.waiting;
@@ -490,11 +490,11 @@
     const bool hopeless = lost > 0 && (entry.kind.wholeOnly || bestCoverage < entry.kind.minCoverage);
     if (hopeless || entry.waiting == 0) {
         const bool allRefused = entry.refusedShards == entry.shards.size();
-        const lookup_outcome given = allRefused ? lookup_outcome::notRun : lookup_outcome::failed;
+        const lookup_outcome given = allRefused ? lookup_outcome::NotRun : lookup_outcome::Failed;
         const bool partial = !hopeless && coverageSuffices(entry);
         finish(id,
-               partial ? lookup_outcome::partial : given,
-               partial ? answer_reason::none : commonReason(entry),
+               partial ? lookup_outcome::Partial : given,
+               partial ? answer_reason::None : commonReason(entry),
                now,
                out);
     }
@@ -508,8 +508,8 @@
 
 answer_reason root_engine::commonReason(const lookup &entry)
 {
-    const auto missing = std::ranges::find(entry.shards, shard_phase::missing, &shard_progress::phase);
-    return missing != entry.shards.end() ? missing->reason : answer_reason::expired;
+    const auto missing = std::ranges::find(entry.shards, shard_phase::Missing, &shard_progress::phase);
+    return missing != entry.shards.end() ? missing->reason : answer_reason::Expired;
 }
 
 void root_engine::finish(sequence id, lookup_outcome outcome, answer_reason reason, millis now, actions &out)
@@ -524,15 +524,15 @@
     answer.version = entry.version;
     answer.elapsed = now - entry.started;
     answer.attempts = entry.leafAttempts;
-    const bool answered = outcome == lookup_outcome::whole || outcome == lookup_outcome::partial;
+    const bool answered = outcome == lookup_outcome::Whole || outcome == lookup_outcome::Partial;
     answer.retryAfter = answered ? millis() : answer.retryAfter;
     std::vector<std::vector<result_row>> parts;
     for (shard_progress &shard : entry.shards) {
-        if (shard.phase == shard_phase::covered) {
+        if (shard.phase == shard_phase::Covered) {
             answer.covered.push_back(shard.id);
             parts.push_back(std::move(shard.rows));
         } else {
-            const answer_reason why = shard.reason == answer_reason::none ? answer_reason::expired : shard.reason;
+            const answer_reason why = shard.reason == answer_reason::None ? answer_reason::Expired : shard.reason;
             answer.missing.push_back({shard.id, why});
         }
     }
--- a/libs/query/src/tickets.cpp
+++ b/libs/query/src/tickets.cpp
@@ -108,41 +108,47 @@
     const std::optional<ticket_parts> parts = parseTicket(ticket);
     const std::optional<split_ticket> halves = split(ticket);
     const bool ours = parts && parts->issuer == m_self && parts->incarnation == m_incarnation;
+    if (!m_settings.onlyIssuer && parts && !ours) {
+        const auto [copied, isNew] = m_records.try_emplace(parts->number);
+        copied->second.expires = now + m_settings.lifetime;
+        copied->second.state = record_state::Running;
+        return isNew ? ticket_verdict::Start : ticket_verdict::Running;
+    }
     if (!ours || !equalInConstantTime(halves->signature, sign(halves->signedPart))) {
-        return ticket_verdict::unknown;
+        return ticket_verdict::Unknown;
     }
     const auto found = m_records.find(parts->number);
     // Expiry is judged at the moment of use by this clock: a process that slept must not start what was given up.
     if (found == m_records.end() || now >= found->second.expires) {
-        return ticket_verdict::unknown;
+        return ticket_verdict::Unknown;
     }
     record &entry = found->second;
-    if (entry.state == record_state::unused && m_stopped) {
-        entry.state = record_state::voided;
+    if (entry.state == record_state::Unused && m_stopped) {
+        entry.state = record_state::Voided;
     }
-    if (entry.state == record_state::unused) {
-        entry.state = record_state::running;
+    if (entry.state == record_state::Unused) {
+        entry.state = record_state::Running;
         entry.digest = digest;
-        return ticket_verdict::start;
+        return ticket_verdict::Start;
     }
     if (entry.digest != 0 && entry.digest != digest) {
-        return ticket_verdict::mismatch;
+        return ticket_verdict::Mismatch;
     }
     switch (entry.state) {
-    case record_state::done:
-        return ticket_verdict::done;
-    case record_state::voided:
-        return ticket_verdict::voided;
+    case record_state::Done:
+        return ticket_verdict::Done;
+    case record_state::Voided:
+        return ticket_verdict::Voided;
     default:
-        return ticket_verdict::running;
+        return ticket_verdict::Running;
     }
 }
 
 void ticket_book::finish(std::uint64_t number, lookup_answer answer)
 {
     const auto found = m_records.find(number);
-    if (found != m_records.end() && found->second.state == record_state::running) {
-        found->second.state = record_state::done;
+    if (found != m_records.end() && found->second.state == record_state::Running) {
+        found->second.state = record_state::Done;
         found->second.answer = std::move(answer);
     }
 }
@@ -150,8 +156,8 @@
 void ticket_book::makeVoid(std::uint64_t number, lookup_answer answer)
 {
     const auto found = m_records.find(number);
-    if (found != m_records.end() && found->second.state != record_state::done) {
-        found->second.state = record_state::voided;
+    if (found != m_records.end() && found->second.state != record_state::Done) {
+        found->second.state = record_state::Voided;
         found->second.answer = std::move(answer);
     }
 }
@@ -172,7 +178,7 @@
     // Numbers rise with time and all live equally long, so the expired ones come first. A running one is kept: its
     // late result must still find it.
     while (!m_records.empty() && now >= m_records.begin()->second.expires
-           && m_records.begin()->second.state != record_state::running) {
+           && m_records.begin()->second.state != record_state::Running) {
         m_records.erase(m_records.begin());
     }
 }
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -41,7 +41,7 @@
     listen_settings listen;
     platform_settings platform;
     std::vector<std::string> extraPeerAddresses; ///< may connect besides the VM list
-    log_level log = log_level::info;
+    log_level log = log_level::Info;
     bool logAnswers = true; ///< one line for each lookup
     std::size_t ringCapacity = 16384; ///< messages between two threads
     entry_settings entry;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -92,12 +92,12 @@
 log_level levelFrom(const std::string &name)
 {
     if (name == "debug") {
-        return log_level::debug;
+        return log_level::Debug;
     }
     if (name == "warning") {
-        return log_level::warning;
+        return log_level::Warning;
     }
-    return name == "error" ? log_level::error : log_level::info;
+    return name == "error" ? log_level::Error : log_level::Info;
 }
 
 void readListen(const json &from, listen_settings &listen)
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -37,10 +37,10 @@
 
 /** What one VM is believed to be. */
 enum class member_state : std::uint8_t {
-    alive,
-    suspect,
-    leaving,
-    gone
+    Alive,
+    Suspect,
+    Leaving,
+    Gone
 };
 
 [[nodiscard]] std::string_view toString(member_state state);
@@ -50,7 +50,7 @@
     vm_id vm;
     std::uint64_t incarnation = 0;
     std::uint32_t version = 0;
-    member_state state = member_state::alive;
+    member_state state = member_state::Alive;
     bool operator==(const member_rumour &) const = default;
 };
 
@@ -78,7 +78,7 @@
     std::uint32_t attempt = 0;
     std::string requestId;
     service_name service;
-    urgency priority = urgency::ordinary;
+    urgency priority = urgency::Ordinary;
     snapshot_id snapshot;
     map_version version;
     millis remaining;
@@ -107,12 +107,12 @@
 
 /** How one shard of one attempt ended at its runner. */
 enum class shard_status : std::uint8_t {
-    ok,
-    overloaded, ///< refused before any leaf saw it: the queue is too long for the time that is left
-    snapshotGone, ///< no leaf of the shard holds the snapshot
-    leafFailed, ///< tried, and every try failed
-    noLeaf, ///< no leaf may be used: all leave, or none shows signs of life
-    expired ///< the time was up
+    Ok,
+    Overloaded, ///< refused before any leaf saw it: the queue is too long for the time that is left
+    SnapshotGone, ///< no leaf of the shard holds the snapshot
+    LeafFailed, ///< tried, and every try failed
+    NoLeaf, ///< no leaf may be used: all leave, or none shows signs of life
+    Expired ///< the time was up
 };
 
 [[nodiscard]] std::string_view toString(shard_status status);
@@ -122,10 +122,10 @@
     request_key key;
     std::uint32_t attempt = 0;
     shard_id shard;
-    shard_status status = shard_status::ok;
+    shard_status status = shard_status::Ok;
     snapshot_id snapshot; ///< that the rows come from
     map_version version;
-    snapshot_id heldSnapshot; ///< newest one that a leaf named, with @ref shard_status::snapshotGone
+    snapshot_id heldSnapshot; ///< newest one that a leaf named, with @ref shard_status::SnapshotGone
     millis retryAfter;
     std::uint32_t attempts = 0; ///< leaf requests spent on it
     millis queued; ///< from the runner's receipt to the send of the try that won
@@ -135,36 +135,43 @@
 
 /** How a lookup ended. */
 enum class lookup_outcome : std::uint8_t {
-    whole, ///< every shard of the pinned map, from one snapshot
-    partial, ///< the named shards; the kind allows it
-    notRun, ///< nothing was started and nothing will be
-    failed, ///< tried in vain; repeatable, so harmless
-    unknown ///< unrepeatable: may have run once, will not run again
+    Whole, ///< every shard of the pinned map, from one snapshot
+    Partial, ///< the named shards; the kind allows it
+    NotRun, ///< nothing was started and nothing will be
+    Failed, ///< tried in vain; repeatable, so harmless
+    Unknown ///< unrepeatable: may have run once, will not run again
 };
 
 [[nodiscard]] std::string_view toString(lookup_outcome outcome);
 
+/** How a request ends that is refused before anything was started for it. Without a ticket nothing can have run. With
+ *  one, an earlier request may have used it, and only the ticket's issuer can say "not run". */
+[[nodiscard]] constexpr lookup_outcome outcomeOfRefusal(bool hasTicket)
+{
+    return hasTicket ? lookup_outcome::Unknown : lookup_outcome::NotRun;
+}
+
 /** Why a lookup ended as it did. */
 enum class answer_reason : std::uint8_t {
-    none,
-    badRequest,
-    unknownKind,
-    needsTicket,
-    ticketMismatch, ///< the ticket was used for another request
-    kindLimit, ///< the fleet-wide limit of the kind
-    overloaded,
-    noTopology,
-    noCatalogue,
-    snapshotGone,
-    leafsFailed,
-    noLeaf,
-    expired,
-    issuerUnreachable, ///< the process that issued the ticket can't be asked
-    ticketUnknown, ///< the issuer knows nothing of the ticket any more
-    ticketTableFull,
-    running, ///< the ticketed lookup still runs; ask again
-    stopping,
-    ringFull ///< a queue inside this process was full
+    None,
+    BadRequest,
+    UnknownKind,
+    NeedsTicket,
+    TicketMismatch, ///< the ticket was used for another request
+    KindLimit, ///< the fleet-wide limit of the kind
+    Overloaded,
+    NoTopology,
+    NoCatalogue,
+    SnapshotGone,
+    LeafsFailed,
+    NoLeaf,
+    Expired,
+    IssuerUnreachable, ///< the process that issued the ticket can't be asked
+    TicketUnknown, ///< the issuer knows nothing of the ticket any more
+    TicketTableFull,
+    Running, ///< the ticketed lookup still runs; ask again
+    Stopping,
+    RingFull ///< a queue inside this process was full
 };
 
 [[nodiscard]] std::string_view toString(answer_reason reason);
@@ -172,7 +179,7 @@
 /** A shard that an answer does not cover. */
 struct missing_shard {
     shard_id shard;
-    answer_reason reason = answer_reason::none;
+    answer_reason reason = answer_reason::None;
     bool operator==(const missing_shard &) const = default;
 };
 
@@ -180,9 +187,9 @@
 struct lookup_answer {
     std::string requestId;
     kind_name kind;
-    urgency priority = urgency::ordinary; ///< of the kind; each process reads it from its own catalogue
-    lookup_outcome outcome = lookup_outcome::notRun;
-    answer_reason reason = answer_reason::none;
+    urgency priority = urgency::Ordinary; ///< of the kind; each process reads it from its own catalogue
+    lookup_outcome outcome = lookup_outcome::NotRun;
+    answer_reason reason = answer_reason::None;
     snapshot_id snapshot;
     map_version version;
     std::uint64_t catalogueRevision = 0;
@@ -243,9 +250,9 @@
 
 /** Why bytes are not a message. */
 enum class wire_error : std::uint8_t {
-    tooLong, ///< the length prefix is above @ref maxFrameBytes
-    malformed, ///< the FlatBuffers verifier refused it
-    unknownMessage ///< no message, or a value that this version does not know
+    TooLong, ///< the length prefix is above @ref maxFrameBytes
+    Malformed, ///< the FlatBuffers verifier refused it
+    UnknownMessage ///< no message, or a value that this version does not know
 };
 
 [[nodiscard]] std::string_view toString(wire_error error);
--- a/libs/wire/src/decode.cpp
+++ b/libs/wire/src/decode.cpp
@@ -1,6 +1,6 @@
 #include <wire/wire.h>
 
-#include "peer_generated.h"
+#include <peer_generated.h>
 
 #include <algorithm>
 
@@ -52,8 +52,8 @@
 
 decoded decodeHeartbeat(const wire::Heartbeat &from)
 {
-    if (!isKnown(from.state(), member_state::gone)) {
-        return tl::unexpected(wire_error::unknownMessage);
+    if (!isKnown(from.state(), member_state::Gone)) {
+        return tl::unexpected(wire_error::UnknownMessage);
     }
     heartbeat message;
     message.self = {{from.vm()}, from.incarnation(), from.version(), static_cast<member_state>(from.state())};
@@ -63,8 +63,8 @@
     message.topologyRevision = from.topology_revision();
     if (from.rumours() != nullptr) {
         for (const wire::Rumour *heard : *from.rumours()) {
-            if (!isKnown(heard->state(), member_state::gone)) {
-                return tl::unexpected(wire_error::unknownMessage);
+            if (!isKnown(heard->state(), member_state::Gone)) {
+                return tl::unexpected(wire_error::UnknownMessage);
             }
             message.rumours.push_back(
                 {{heard->vm()}, heard->incarnation(), heard->version(), static_cast<member_state>(heard->state())});
@@ -80,8 +80,8 @@
 
 decoded decodeRunShards(const wire::RunShards &from)
 {
-    if (!isKnown(from.priority(), urgency::ordinary)) {
-        return tl::unexpected(wire_error::unknownMessage);
+    if (!isKnown(from.priority(), urgency::Ordinary)) {
+        return tl::unexpected(wire_error::UnknownMessage);
     }
     run_shards message;
     message.key = keyOf(from.key());
@@ -100,8 +100,8 @@
 
 decoded decodeShardReply(const wire::ShardReply &from)
 {
-    if (!isKnown(from.status(), shard_status::expired)) {
-        return tl::unexpected(wire_error::unknownMessage);
+    if (!isKnown(from.status(), shard_status::Expired)) {
+        return tl::unexpected(wire_error::UnknownMessage);
     }
     shard_reply message;
     message.key = keyOf(from.key());
@@ -121,8 +121,8 @@
 
 tl::expected<lookup_answer, wire_error> answerOf(const wire::Answer &from)
 {
-    if (!isKnown(from.outcome(), lookup_outcome::unknown) || !isKnown(from.reason(), answer_reason::ringFull)) {
-        return tl::unexpected(wire_error::unknownMessage);
+    if (!isKnown(from.outcome(), lookup_outcome::Unknown) || !isKnown(from.reason(), answer_reason::RingFull)) {
+        return tl::unexpected(wire_error::UnknownMessage);
     }
     lookup_answer answer;
     answer.requestId = textOf(from.request_id());
@@ -135,8 +135,8 @@
     answer.covered = idsOf<shard_id>(from.covered());
     if (from.missing() != nullptr) {
         for (const wire::MissingShard *shard : *from.missing()) {
-            if (!isKnown(shard->reason(), answer_reason::ringFull)) {
-                return tl::unexpected(wire_error::unknownMessage);
+            if (!isKnown(shard->reason(), answer_reason::RingFull)) {
+                return tl::unexpected(wire_error::UnknownMessage);
             }
             answer.missing.push_back({{shard->shard()}, static_cast<answer_reason>(shard->reason())});
         }
@@ -164,7 +164,7 @@
 decoded decodeTicketAnswer(const wire::TicketAnswer &from)
 {
     if (from.answer() == nullptr) {
-        return tl::unexpected(wire_error::malformed);
+        return tl::unexpected(wire_error::Malformed);
     }
     return answerOf(*from.answer()).map([&from](lookup_answer answer) -> peer_message {
         return ticket_answer {from.nonce(), std::move(answer)};
@@ -197,7 +197,7 @@
         return catalogue_push {textOf(envelope.message_as_CataloguePush()->document()),
                                envelope.message_as_CataloguePush()->is_delta()};
     default:
-        return tl::unexpected(wire_error::unknownMessage);
+        return tl::unexpected(wire_error::UnknownMessage);
     }
 }
 
@@ -219,11 +219,11 @@
     // foreign bytes in an answer.
     flatbuffers::Verifier verifier(payload.data(), payload.size());
     if (payload.empty() || !wire::VerifyEnvelopeBuffer(verifier)) {
-        return tl::unexpected(wire_error::malformed);
+        return tl::unexpected(wire_error::Malformed);
     }
     const wire::Envelope &envelope = *wire::GetEnvelope(payload.data());
     if (envelope.message() == nullptr) {
-        return tl::unexpected(wire_error::unknownMessage);
+        return tl::unexpected(wire_error::UnknownMessage);
     }
     return decodeMessage(envelope).map([&envelope](peer_message message) {
         return peer_envelope {{envelope.from()}, std::move(message)};
@@ -247,7 +247,7 @@
     }
     const std::size_t length = lengthAt(waiting);
     if (length > maxFrameBytes) {
-        return tl::unexpected(wire_error::tooLong);
+        return tl::unexpected(wire_error::TooLong);
     }
     if (waiting.size() < framePrefixBytes + length) {
         return std::nullopt;
--- a/libs/wire/src/encode.cpp
+++ b/libs/wire/src/encode.cpp
@@ -1,6 +1,6 @@
 #include <wire/wire.h>
 
-#include "peer_generated.h"
+#include <peer_generated.h>
 
 #include <algorithm>
 
--- a/programs/chivelockd/answer_writer.cpp
+++ b/programs/chivelockd/answer_writer.cpp
@@ -60,7 +60,7 @@
         caller_http::send(*caller, reply);
         // Names that callers made up would make as many series in the metrics as callers care to invent.
         const bool known =
-            item.answer.reason != answer_reason::unknownKind && item.answer.reason != answer_reason::noCatalogue;
+            item.answer.reason != answer_reason::UnknownKind && item.answer.reason != answer_reason::NoCatalogue;
         const std::string kind = known ? item.answer.kind.value : "unknown";
         writer.m_metrics.add(
             {kind, std::string(toString(item.answer.priority)), std::string(toString(item.answer.outcome))},
@@ -99,7 +99,7 @@
     if (!m_settings.logAnswers) {
         return;
     }
-    logEvent(log_level::info,
+    logEvent(log_level::Info,
              "lookup_ended",
              {{"request_id", answer.requestId},
               {"kind", answer.kind.value},
--- a/programs/chivelockd/caller_http.cpp
+++ b/programs/chivelockd/caller_http.cpp
@@ -148,7 +148,7 @@
         response.headers().addRaw(http::Header::Raw("Content-Type", reply.contentType));
         response.send(static_cast<http::Code>(reply.status), reply.body);
     } catch (const std::exception &problem) {
-        logEvent(log_level::debug, "caller_gone", {{"problem", std::string(problem.what())}});
+        logEvent(log_level::Debug, "caller_gone", {{"problem", std::string(problem.what())}});
     }
 }
 
@@ -171,13 +171,13 @@
               millis(),
               m_decision->isStopping()});
     } else if (isGet && resource == "/v1/ready") {
-        handleReport(report_kind::ready, caller);
+        handleReport(report_kind::Ready, caller);
     } else if (isGet && resource == "/v1/status") {
-        handleReport(report_kind::status, caller);
+        handleReport(report_kind::Status, caller);
     } else if (isGet && resource == "/v1/audit") {
-        handleReport(report_kind::audit, caller);
+        handleReport(report_kind::Audit, caller);
     } else if (isGet && resource == "/metrics") {
-        handleReport(report_kind::metrics, caller);
+        handleReport(report_kind::Metrics, caller);
     } else {
         sendError(caller, http::Code::Not_Found, "no such resource");
     }
@@ -202,19 +202,20 @@
     lookup.remaining = millis(document->value("time_limit_ms", longestLimitMs));
     lookup.body = document->value("query", nlohmann::json()).dump();
     const std::string requestId = lookup.requestId;
+    const bool hasTicket = !lookup.ticket.empty();
     if (m_refusing) {
-        refuse(caller, requestId, kind, answer_reason::stopping);
+        refuse(caller, requestId, kind, hasTicket, answer_reason::Stopping);
         return;
     }
     const std::optional<caller_id> id = keep(caller);
     if (!id) {
-        refuse(caller, requestId, kind, answer_reason::ringFull);
+        refuse(caller, requestId, kind, hasTicket, answer_reason::RingFull);
         return;
     }
     lookup.caller = *id;
     if (!m_decision->offer(lookup_arrived {std::move(lookup), arrived})) {
         if (take(*id)) {
-            refuse(caller, requestId, kind, answer_reason::ringFull);
+            refuse(caller, requestId, kind, hasTicket, answer_reason::RingFull);
         }
     }
 }
@@ -248,13 +249,14 @@
 void caller_http::refuse(const waiting_caller &caller,
                          const std::string &requestId,
                          const std::string &kind,
+                         bool hasTicket,
                          answer_reason reason) const
 {
-    // Nothing was handed on, so "not run" is true.
+    // Nothing was handed on; without a ticket, "not run" is true.
     lookup_answer answer;
     answer.requestId = requestId;
     answer.kind = {kind};
-    answer.outcome = lookup_outcome::notRun;
+    answer.outcome = outcomeOfRefusal(hasTicket);
     answer.reason = reason;
     answer.retryAfter = fullAdvice;
     send(caller, {httpStatusOf(answer), "application/json", writeAnswer(answer), fullAdvice, m_decision->isStopping()});
--- a/programs/chivelockd/caller_http.h
+++ b/programs/chivelockd/caller_http.h
@@ -70,6 +70,7 @@
     void refuse(const waiting_caller &caller,
                 const std::string &requestId,
                 const std::string &kind,
+                bool hasTicket,
                 answer_reason reason) const;
 
     const daemon_settings &m_settings;
--- a/programs/chivelockd/decision_service.cpp
+++ b/programs/chivelockd/decision_service.cpp
@@ -46,7 +46,7 @@
     void operator()(lookup_arrived &event) const
     {
         event.request.remaining = event.request.remaining - (now - event.at);
-        service.m_core.onLookup(std::move(event.request), now, service.m_actions);
+        service.m_core.onLookup(event.request, now, service.m_actions);
     }
 
     void operator()(const peer_arrived &event) const
@@ -72,13 +72,13 @@
     void operator()(const document_read &event) const
     {
         switch (event.which) {
-        case platform_document::catalogue:
+        case platform_document::Catalogue:
             service.m_core.onCatalogueText(event.text, now, service.m_actions);
             break;
-        case platform_document::topology:
+        case platform_document::Topology:
             service.m_core.onTopologyText(event.text, now, service.m_actions);
             break;
-        case platform_document::vmList:
+        case platform_document::VmList:
             service.m_core.onVmListText(event.text, now, service.m_actions);
             (void)service.m_peers->offer(peers_changed {service.m_core.vmList().vms});
             break;
@@ -92,7 +92,7 @@
 
     void operator()(const stop_wanted & /*event*/) const
     {
-        logEvent(log_level::info, "stop_began", {});
+        logEvent(log_level::Info, "stop_began", {});
         service.m_stopping = true;
         service.m_core.beginStop(now, service.m_actions);
     }
@@ -121,7 +121,7 @@
     {
         leaf_reply refused;
         refused.id = action.id;
-        refused.status = call_status::notSent;
+        refused.status = call_status::NotSent;
         refused.shard = action.shard;
         const std::optional<leaf_endpoint> endpoint = service.endpointOf(action.leaf);
         if (!endpoint || !service.m_leafs->offer(leaf_call_command {std::move(action), *endpoint})) {
@@ -150,7 +150,7 @@
     void operator()(const publication_noted &action) const
     {
         const bool accepted = action.verdict == "accepted";
-        logEvent(accepted ? log_level::info : log_level::error,
+        logEvent(accepted ? log_level::Info : log_level::Error,
                  "publication",
                  {{"document", action.document}, {"verdict", action.verdict}, {"detail", action.detail}});
     }
@@ -202,7 +202,7 @@
 
 void decision_service::report(const report_wanted &wanted, millis now)
 {
-    if (wanted.kind == report_kind::metrics) {
+    if (wanted.kind == report_kind::Metrics) {
         (void)m_answers->offer(
             metrics_page {wanted.caller, m_core.runnerCounters(), m_core.rootCounters(), m_core.status(now)});
         return;
--- a/programs/chivelockd/events.h
+++ b/programs/chivelockd/events.h
@@ -32,9 +32,9 @@
 
 /** What the platform publishes. */
 enum class platform_document : std::uint8_t {
-    catalogue,
-    topology,
-    vmList
+    Catalogue,
+    Topology,
+    VmList
 };
 
 /** A document was read. */
@@ -45,10 +45,10 @@
 
 /** Pages about the process itself. */
 enum class report_kind : std::uint8_t {
-    ready,
-    status,
-    audit,
-    metrics
+    Ready,
+    Status,
+    Audit,
+    Metrics
 };
 
 /** An operator or the balancer asks for a page. */
--- a/programs/chivelockd/leaf_client.cpp
+++ b/programs/chivelockd/leaf_client.cpp
@@ -74,7 +74,7 @@
 
     void operator()(leaf_call_command &command) const
     {
-        client.beginSearch(std::move(command.call), std::move(command.endpoint));
+        client.beginSearch(std::move(command.call), command.endpoint);
     }
 
     void operator()(const leaf_cancel_command &command) const
@@ -108,7 +108,7 @@
     }
 }
 
-void leaf_client::beginSearch(leaf_call call, leaf_endpoint endpoint)
+void leaf_client::beginSearch(leaf_call call, const leaf_endpoint &endpoint)
 {
     // The decision may have been made before this process was stopped and woken. Sending it now could put work on a
     // leaf that has since begun to leave, or start what the caller was told is given up.
@@ -117,7 +117,7 @@
         refuseUnsent(call);
         return;
     }
-    transfer &started = prepare(purpose::search, endpoint, leaf_protocol::searchPath);
+    transfer &started = prepare(purpose::Search, endpoint, leaf_protocol::searchPath);
     const millis remaining = call.deadline - now;
     m_openSearches.emplace(call.id, endpoint);
     started.body = leaf_protocol::searchBody(call, callName(call.id), remaining);
@@ -140,14 +140,14 @@
         return; // Already ended.
     }
     transfer &started =
-        prepare(purpose::cancel, open->second, std::string(leaf_protocol::requestsPath) + callName(cancel.id));
+        prepare(purpose::Cancel, open->second, std::string(leaf_protocol::requestsPath) + callName(cancel.id));
     curl_easy_setopt(started.handle, CURLOPT_CUSTOMREQUEST, "DELETE");
     launch(started, cancelTimeout);
 }
 
 void leaf_client::beginProbe(const leaf_probe &probe, const leaf_endpoint &endpoint)
 {
-    transfer &started = prepare(purpose::probe, endpoint, leaf_protocol::healthPath);
+    transfer &started = prepare(purpose::Probe, endpoint, leaf_protocol::healthPath);
     started.leaf = probe.leaf;
     launch(started, probeTimeout);
 }
@@ -185,9 +185,9 @@
     m_transfers.erase(found);
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-    if (ended->what == purpose::search) {
+    if (ended->what == purpose::Search) {
         finishSearch(*ended, result, status);
-    } else if (ended->what == purpose::probe) {
+    } else if (ended->what == purpose::Probe) {
         finishProbe(*ended, result, status);
     }
     curl_multi_remove_handle(m_multi, handle);
@@ -209,8 +209,8 @@
     leaf_reply reply;
     reply.id = ended.call.id;
     reply.shard = ended.call.shard;
-    reply.status = neverSent(ended.handle, result) ? call_status::notSent : call_status::failed;
-    logEvent(log_level::debug,
+    reply.status = neverSent(ended.handle, result) ? call_status::NotSent : call_status::Failed;
+    logEvent(log_level::Debug,
              "leaf_request_failed",
              {{"request_id", ended.call.requestId},
               {"leaf", std::uint64_t {ended.call.leaf.value}},
@@ -229,7 +229,7 @@
     leaf_reply reply;
     reply.id = call.id;
     reply.shard = call.shard;
-    reply.status = call_status::notSent;
+    reply.status = call_status::NotSent;
     tell(std::move(reply));
 }
 
@@ -237,7 +237,7 @@
 {
     // The end of a search must not be lost: its slot would count as taken for ever.
     if (!m_decision->offer(std::move(event))) {
-        m_untold.push_back(std::move(event));
+        m_untold.push_back(std::move(event)); // NOLINT(bugprone-use-after-move): a refused push leaves the item whole
     }
 }
 
--- a/programs/chivelockd/leaf_client.h
+++ b/programs/chivelockd/leaf_client.h
@@ -41,14 +41,14 @@
 
 private:
     enum class purpose : std::uint8_t {
-        search,
-        cancel,
-        probe
+        Search,
+        Cancel,
+        Probe
     };
 
     /** One HTTP exchange. */
     struct transfer {
-        purpose what = purpose::search;
+        purpose what = purpose::Search;
         CURL *handle = nullptr;
         leaf_call call;
         leaf_endpoint endpoint;
@@ -61,7 +61,7 @@
     struct command_handler;
 
     void run();
-    void beginSearch(leaf_call call, leaf_endpoint endpoint);
+    void beginSearch(leaf_call call, const leaf_endpoint &endpoint);
     void beginCancel(const leaf_cancel &cancel);
     void beginProbe(const leaf_probe &probe, const leaf_endpoint &endpoint);
     transfer &prepare(purpose what, const leaf_endpoint &endpoint, std::string_view path);
--- a/programs/chivelockd/leaf_protocol.cpp
+++ b/programs/chivelockd/leaf_protocol.cpp
@@ -21,18 +21,18 @@
 {
     switch (status) {
     case okStatus:
-        return call_status::ok;
+        return call_status::Ok;
     case conflictStatus:
-        return call_status::snapshotGone;
+        return call_status::SnapshotGone;
     case goneStatus:
-        return call_status::leaving;
+        return call_status::Leaving;
     case tooManyStatus:
     case unavailableStatus:
-        return call_status::shed;
+        return call_status::Shed;
     case cancelledStatus:
-        return call_status::cancelled;
+        return call_status::Cancelled;
     default:
-        return call_status::failed;
+        return call_status::Failed;
     }
 }
 
@@ -57,7 +57,7 @@
     reply.incarnation = document.value("incarnation", std::uint64_t {0});
     reply.saysLeaving = document.value("leaving", false);
     reply.retryAfter = millis(document.value("retry_after_ms", 0.0));
-    if (reply.status == call_status::ok) {
+    if (reply.status == call_status::Ok) {
         std::ranges::transform(document.at("rows"), std::back_inserter(reply.rows), rowFrom);
     }
 }
@@ -90,11 +90,11 @@
         const json document = json::parse(body, nullptr, false);
         if (document.is_object()) {
             readFields(document, reply);
-        } else if (reply.status == call_status::ok) {
-            reply.status = call_status::failed;
+        } else if (reply.status == call_status::Ok) {
+            reply.status = call_status::Failed;
         }
     } catch (const json::exception &) {
-        reply.status = reply.status == call_status::ok ? call_status::failed : reply.status;
+        reply.status = reply.status == call_status::Ok ? call_status::Failed : reply.status;
         reply.rows.clear();
     }
     return reply;
--- a/programs/chivelockd/main.cpp
+++ b/programs/chivelockd/main.cpp
@@ -122,7 +122,7 @@
         std::cerr << "could not start " << started.error().service << ": " << started.error().reason << '\n';
         return exitFailed;
     }
-    logEvent(log_level::info,
+    logEvent(log_level::Info,
              "started",
              {{"vm", std::uint64_t {settings.vm.value}}, {"incarnation", settings.entry.incarnation}});
     auto &decision = services.find<decision_service>(decision_service::serviceName);
@@ -133,7 +133,7 @@
     awaitReadable(decision.finishedFd());
     services.find<caller_http>(caller_http::serviceName).refuseNew();
     services.stop();
-    logEvent(log_level::info, "ended", {});
+    logEvent(log_level::Info, "ended", {});
     return exitOk;
 }
 
--- a/programs/chivelockd/peer_link.cpp
+++ b/programs/chivelockd/peer_link.cpp
@@ -65,7 +65,7 @@
 
     bool refuse(wire_error error)
     {
-        logEvent(log_level::warning,
+        logEvent(log_level::Warning,
                  "peer_frame_refused",
                  {{"from", m_from.to_string()}, {"problem", std::string(toString(error))}});
         return false;
@@ -97,7 +97,7 @@
 
     void send(const peer_message &message)
     {
-        if (m_state == state::idle && m_link.m_clock.now() < m_redialAt) {
+        if (m_state == state::Idle && m_link.m_clock.now() < m_redialAt) {
             m_link.onUnreachable(m_peer.id);
             return;
         }
@@ -106,9 +106,9 @@
             drop(); // A peer that does not read would hold ever more memory.
             return;
         }
-        if (m_state == state::idle) {
+        if (m_state == state::Idle) {
             dial();
-        } else if (m_state == state::open && m_inFlight.empty()) {
+        } else if (m_state == state::Open && m_inFlight.empty()) {
             write();
         }
     }
@@ -122,9 +122,9 @@
 
 private:
     enum class state : std::uint8_t {
-        idle,
-        dialling,
-        open
+        Idle,
+        Dialling,
+        Open
     };
 
     void dial()
@@ -134,10 +134,10 @@
         m_socket.open(tcp::v4(), error);
         // The peer takes frames by address, so the connection must come from the listed one.
         m_socket.bind({asio::ip::make_address(m_link.m_settings.listen.address, error), 0}, error);
-        m_state = state::dialling;
+        m_state = state::Dialling;
         m_limit.expires_after(std::chrono::milliseconds(connectLimit.ceiled()));
         m_limit.async_wait([self = shared_from_this()](error_code ended) {
-            if (!ended && self->m_state == state::dialling) {
+            if (!ended && self->m_state == state::Dialling) {
                 self->drop();
             }
         });
@@ -147,7 +147,7 @@
 
     void onConnected(error_code failed)
     {
-        if (m_state != state::dialling) {
+        if (m_state != state::Dialling) {
             return;
         }
         m_limit.cancel();
@@ -157,7 +157,7 @@
         }
         error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
-        m_state = state::open;
+        m_state = state::Open;
         watchForEnd();
         write();
     }
@@ -166,7 +166,7 @@
     void watchForEnd()
     {
         m_socket.async_read_some(asio::buffer(m_end), [self = shared_from_this()](error_code error, std::size_t) {
-            if (error != asio::error::operation_aborted && self->m_state == state::open) {
+            if (error != asio::error::operation_aborted && self->m_state == state::Open) {
                 self->drop();
             }
         });
@@ -183,7 +183,7 @@
 
     void onWritten(error_code error)
     {
-        if (m_state != state::open) {
+        if (m_state != state::Open) {
             return;
         }
         m_inFlight.clear();
@@ -197,7 +197,7 @@
     void drop()
     {
         close();
-        m_state = state::idle;
+        m_state = state::Idle;
         m_waiting.clear();
         m_inFlight.clear();
         m_redialAt = m_link.m_clock.now() + redialPause;
@@ -208,7 +208,7 @@
     vm_info m_peer;
     tcp::socket m_socket;
     asio::steady_timer m_limit;
-    state m_state = state::idle;
+    state m_state = state::Idle;
     std::string m_waiting;
     std::string m_inFlight;
     std::array<char, 1> m_end {};
@@ -324,7 +324,7 @@
             if (!failed && mayConnect(from)) {
                 std::make_shared<incoming>(*this, std::move(socket), from)->read();
             } else if (m_refusedLog.allow(m_clock.now())) {
-                logEvent(log_level::warning,
+                logEvent(log_level::Warning,
                          "peer_refused",
                          {{"from", from.to_string()}, {"lines_left_out", m_refusedLog.takeSuppressed()}});
             }
@@ -349,7 +349,7 @@
 {
     if (!mayClaim(envelope.from, from)) {
         if (m_refusedLog.allow(m_clock.now())) {
-            logEvent(log_level::warning,
+            logEvent(log_level::Warning,
                      "peer_claim_refused",
                      {{"from", from.to_string()}, {"claimed_vm", std::uint64_t {envelope.from.value}}});
         }
--- a/programs/chivelockd/platform_watch.cpp
+++ b/programs/chivelockd/platform_watch.cpp
@@ -35,9 +35,9 @@
     : m_settings(settings)
     , m_random(settings.entry.seed)
     , m_failureLog(logPause)
-    , m_documents {watched {platform_document::vmList, "vms"},
-                   watched {platform_document::topology, "topology"},
-                   watched {platform_document::catalogue, "catalogue"}}
+    , m_documents {watched {platform_document::VmList, "vms"},
+                   watched {platform_document::Topology, "topology"},
+                   watched {platform_document::Catalogue, "catalogue"}}
 {
 }
 
@@ -127,7 +127,7 @@
     } else if (result != CURLE_OK || status != waitEndedStatus) {
         document.startAt = now + pauseAfterFailure();
         if (m_failureLog.allow(now)) {
-            logEvent(log_level::warning,
+            logEvent(log_level::Warning,
                      "platform_read_failed",
                      {{"document", std::string(document.path)},
                       {"status", std::int64_t {status}},
--- a/programs/chivelockd/reports.cpp
+++ b/programs/chivelockd/reports.cpp
@@ -17,7 +17,7 @@
 json troublesOf(const entry_status &status)
 {
     json troubles = json::array();
-    if (status.ready != readiness::ready) {
+    if (status.ready != readiness::Ready) {
         troubles.push_back("not ready: " + std::string(toString(status.ready)));
     }
     if (!status.catalogueRefusal.empty()) {
@@ -30,7 +30,7 @@
         troubles.push_back("no peer was heard since the start: what is in force here may be older than elsewhere");
     }
     for (const member_rumour &member : status.members) {
-        if (member.state != member_state::alive) {
+        if (member.state != member_state::Alive) {
             troubles.push_back("vm " + std::to_string(member.vm.value) + " is " + std::string(toString(member.state)));
         }
     }
@@ -42,7 +42,7 @@
     const entry_status status = core.status(now);
     json page = {{"vm", status.self.value},
                  {"incarnation", status.incarnation},
-                 {"ready", status.ready == readiness::ready},
+                 {"ready", status.ready == readiness::Ready},
                  {"readiness", toString(status.ready)},
                  {"catalogue_revision", status.catalogueRevision},
                  {"topology_revision", status.topologyRevision},
@@ -96,17 +96,17 @@
 {
     report_page page {wanted.caller, okStatus, "application/json", {}};
     switch (wanted.kind) {
-    case report_kind::ready: {
+    case report_kind::Ready: {
         const readiness ready = core.status(now).ready;
-        page.status = ready == readiness::ready ? okStatus : notReadyStatus;
-        page.body = json {{"ready", ready == readiness::ready}, {"readiness", toString(ready)}}.dump();
+        page.status = ready == readiness::Ready ? okStatus : notReadyStatus;
+        page.body = json {{"ready", ready == readiness::Ready}, {"readiness", toString(ready)}}.dump();
         break;
     }
-    case report_kind::audit:
+    case report_kind::Audit:
         page.body = auditText(core, now);
         break;
-    case report_kind::status:
-    case report_kind::metrics:
+    case report_kind::Status:
+    case report_kind::Metrics:
         page.body = statusText(core, now);
         break;
     }
@@ -142,7 +142,7 @@
         {"chivelock_shards_in_hand", "Shards in hand for any root", count(page.status.shardsInHand), {}},
         {"chivelock_catalogue_revision", "Catalogue revision in force", count(page.status.catalogueRevision), {}},
         {"chivelock_topology_revision", "Topology revision in force", count(page.status.topologyRevision), {}},
-        {"chivelock_ready", "1 if ready", page.status.ready == readiness::ready ? 1.0 : 0.0, {}}};
+        {"chivelock_ready", "1 if ready", page.status.ready == readiness::Ready ? 1.0 : 0.0, {}}};
 }
 
 } // namespace chivelock
