A leaf's sign of staying counts from when it was asked, not from when the answer was read

Cause: an entry that slept 3.5 s read on wake-up the answers that had lain in its sockets, took them as signs of that moment, and sent new work to leafs that had begun to leave meanwhile.

Change: a probe carries its time and the report gives it back; an answer to a search counts from the send.

Ruled out: the check before the send alone. Conclusion: evidence is as old as the question that it answers.

--- a/fakes/fake_fleet.cpp
+++ b/fakes/fake_fleet.cpp
@@ -391,8 +391,9 @@
 void fake_fleet::sendProbe(std::size_t entry, const leaf_probe &probe)
 {
     const std::uint64_t start = m_nodes.at(entry).start;
-    m_time.after(m_options.hop, [this, entry, start, id = probe.leaf] {
-        const health_report report = leaf(id).health();
+    m_time.after(m_options.hop, [this, entry, start, probe] {
+        health_report report = leaf(probe.leaf).health();
+        report.askedAt = probe.askedAt;
         m_time.after(m_options.hop, [this, entry, start, report] {
             deliver(entry, start, [report](entry_core &core, millis now, entry_core::actions &out) {
                 core.onHealth(report, now, out);
--- a/libs/policy/include/policy/policy.h
+++ b/libs/policy/include/policy/policy.h
@@ -117,6 +117,7 @@
 /** Ask the leaf for its health. */
 struct leaf_probe {
     leaf_id leaf;
+    millis askedAt; ///< instant; the report gives it back
 };
 
 /** Tell the root how a shard ended. */
@@ -175,6 +176,7 @@
 /** What a leaf says of itself; load is told but not believed. */
 struct health_report {
     leaf_id leaf;
+    millis askedAt; ///< as in @ref leaf_probe: the report says nothing about any earlier time
     bool reachable = false;
     bool serving = false;
     bool cold = false;
@@ -245,8 +247,10 @@
 
     void onTopology(const topology_document &document);
 
-    /** The leaf gave a sign that it stays. A leaving incarnation stays leaving whatever it says later. */
-    void onSign(leaf_id leaf, std::uint64_t incarnation, millis now);
+    /** The leaf gave a sign that it stays. A leaving incarnation stays leaving whatever it says later.
+     *  @param askedAt when it was asked, not when the answer was read: an answer may have lain unread while this
+     *  process slept, and the leaf may have begun to leave meanwhile. */
+    void onSign(leaf_id leaf, std::uint64_t incarnation, millis askedAt);
 
     /** @return true if this was new. */
     bool onLeaving(leaving_leaf leaf);
--- a/libs/policy/src/leaf_table.cpp
+++ b/libs/policy/src/leaf_table.cpp
@@ -33,14 +33,14 @@
     }
 }
 
-void leaf_table::onSign(leaf_id leaf, std::uint64_t incarnation, millis now)
+void leaf_table::onSign(leaf_id leaf, std::uint64_t incarnation, millis askedAt)
 {
     leaf_state *state = find(leaf);
     if (state == nullptr) {
         return;
     }
     state->incarnation = std::max(state->incarnation, incarnation);
-    state->lastSign = now;
+    state->lastSign = std::max(state->lastSign.value_or(askedAt), askedAt);
 }
 
 bool leaf_table::onLeaving(leaving_leaf leaf)
--- a/libs/policy/src/runner_engine.cpp
+++ b/libs/policy/src/runner_engine.cpp
@@ -194,7 +194,7 @@
             out.emplace_back(leaf_left {leaf});
         }
     } else if (report.reachable && (report.serving || report.cold)) {
-        m_leafs.onSign(report.leaf, report.incarnation, now);
+        m_leafs.onSign(report.leaf, report.incarnation, report.askedAt);
         m_leafs.onCold(report.leaf, report.cold);
     }
     redispatchShardsOf(report.leaf, now, out);
@@ -227,7 +227,7 @@
     m_nextProbeRound = now + probeRound;
     for (const leaf_id leaf : m_leafs.dueForProbe(now)) {
         m_leafs.onProbed(leaf, now);
-        out.emplace_back(leaf_probe {leaf});
+        out.emplace_back(leaf_probe {leaf, now});
     }
 }
 
@@ -422,7 +422,7 @@
     for (const leaf_id leaf : shard.leafs) {
         if (m_leafs.needsProbe(leaf, now)) {
             m_leafs.onProbed(leaf, now);
-            out.emplace_back(leaf_probe {leaf});
+            out.emplace_back(leaf_probe {leaf, now});
         }
     }
 }
@@ -629,7 +629,7 @@
     switch (reply.status) {
     case call_status::Ok:
         m_leafs.onSuccess(ended.leaf, now - ended.sentAt);
-        m_leafs.onSign(ended.leaf, reply.incarnation, now);
+        m_leafs.onSign(ended.leaf, reply.incarnation, ended.sentAt);
         break;
     case call_status::Shed:
         ++m_counters.leafSheds;
--- a/programs/chivelockd/leaf_client.cpp
+++ b/programs/chivelockd/leaf_client.cpp
@@ -148,7 +148,7 @@
 void leaf_client::beginProbe(const leaf_probe &probe, const leaf_endpoint &endpoint)
 {
     transfer &started = prepare(purpose::Probe, endpoint, leaf_protocol::healthPath);
-    started.leaf = probe.leaf;
+    started.probe = probe;
     launch(started, probeTimeout);
 }
 
@@ -221,7 +221,7 @@
 
 void leaf_client::finishProbe(const transfer &ended, CURLcode result, long status)
 {
-    tell(leaf_protocol::readHealth(ended.leaf, result == CURLE_OK ? status : 0, ended.reply));
+    tell(leaf_protocol::readHealth(ended.probe, result == CURLE_OK ? status : 0, ended.reply));
 }
 
 void leaf_client::refuseUnsent(const leaf_call &call)
--- a/programs/chivelockd/leaf_client.h
+++ b/programs/chivelockd/leaf_client.h
@@ -52,7 +52,7 @@
         CURL *handle = nullptr;
         leaf_call call;
         leaf_endpoint endpoint;
-        leaf_id leaf;
+        leaf_probe probe;
         std::string url;
         std::string body;
         std::string reply;
--- a/programs/chivelockd/leaf_protocol.cpp
+++ b/programs/chivelockd/leaf_protocol.cpp
@@ -100,10 +100,11 @@
     return reply;
 }
 
-health_report readHealth(leaf_id leaf, long status, std::string_view body)
+health_report readHealth(const leaf_probe &probe, long status, std::string_view body)
 {
     health_report report;
-    report.leaf = leaf;
+    report.leaf = probe.leaf;
+    report.askedAt = probe.askedAt;
     const json document = json::parse(body, nullptr, false);
     if (status != okStatus || !document.is_object()) {
         return report;
--- a/programs/chivelockd/leaf_protocol.h
+++ b/programs/chivelockd/leaf_protocol.h
@@ -23,6 +23,6 @@
 [[nodiscard]] leaf_reply readSearchReply(const leaf_call &call, long status, std::string_view body);
 
 /** Reads the reply to a health check. */
-[[nodiscard]] health_report readHealth(leaf_id leaf, long status, std::string_view body);
+[[nodiscard]] health_report readHealth(const leaf_probe &probe, long status, std::string_view body);
 
 } // namespace chivelock::leaf_protocol
