--- a/libs/schema/src/schema.cpp
+++ b/libs/schema/src/schema.cpp
@@ -36,6 +36,35 @@
     return document.at(place).dump().substr(0, shownLength);
 }
 
+/** The part of the schema that rules a place, so that a refusal can say what is allowed there. */
+std::string allowedAt(const nlohmann::json &schema, std::span<const std::string> context)
+{
+    constexpr std::size_t longestRule = 160;
+    const nlohmann::json *rule = &schema;
+    for (const std::string &step : context) {
+        if (step.size() < 3 || step.front() != '[') {
+            continue;
+        }
+        const std::string name = step.substr(1, step.size() - 2);
+        if (rule->contains("properties") && rule->at("properties").contains(name)) {
+            rule = &rule->at("properties").at(name);
+        } else if (rule->contains("items")) {
+            rule = &rule->at("items");
+        } else {
+            return "";
+        }
+    }
+    if (rule->contains("properties")) {
+        std::string names;
+        for (const auto &property : rule->at("properties").items()) {
+            names += (names.empty() ? "" : ", ") + property.key();
+        }
+        return "; keys allowed: " + names;
+    }
+    const std::string text = rule->dump();
+    return text.size() <= longestRule ? "; allowed: " + text : "";
+}
+
 /** A parent only repeats that a child failed; the child's own line says why. */
 bool onlyRepeatsChild(const std::string &description)
 {
@@ -43,7 +72,8 @@
         || description.starts_with("Failed to validate item");
 }
 
-document_error problemsOf(const nlohmann::json &document, valijson::ValidationResults &results)
+document_error
+problemsOf(const nlohmann::json &document, const nlohmann::json &schema, valijson::ValidationResults &results)
 {
     document_error error;
     valijson::ValidationResults::Error found;
@@ -52,7 +82,9 @@
             continue;
         }
         const std::string pointer = pointerFrom(found.context);
-        error.problems.push_back({pointer.empty() ? "/" : pointer, shown(document, pointer), found.description});
+        error.problems.push_back({pointer.empty() ? "/" : pointer,
+                                  shown(document, pointer),
+                                  found.description + allowedAt(schema, found.context)});
     }
     if (error.problems.empty()) {
         error.problems.push_back({"/", "", "does not match the schema"});
@@ -87,7 +119,7 @@
     valijson::Validator validator;
     valijson::ValidationResults results;
     if (!validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(document), &results)) {
-        return tl::unexpected(problemsOf(document, results));
+        return tl::unexpected(problemsOf(document, schemaDocument, results));
     }
     return document;
 }
--- a/programs/chivelockd/main.cpp
+++ b/programs/chivelockd/main.cpp
@@ -49,6 +49,7 @@
     TCLAP::ValueArg<std::string> settings(
         "s", "settings", "JSON file with this process's settings", true, "", "FILE", line);
     TCLAP::SwitchArg check("c", "check-settings", "check the settings, say what is wrong, and end", line);
+    line.setExceptionHandling(false);
     line.parse(argc, argv);
     return {settings.getValue(), check.getValue()};
 }
@@ -141,7 +142,15 @@
 
 int main(int argc, char **argv)
 {
-    const options chosen = readOptions(argc, argv);
+    options chosen;
+    try {
+        chosen = readOptions(argc, argv);
+    } catch (const TCLAP::ExitException &wanted) {
+        return wanted.getExitStatus();
+    } catch (const TCLAP::ArgException &problem) {
+        std::cerr << "chivelockd: " << problem.error() << " " << problem.argId() << "; see --help\n";
+        return exitBadSettings;
+    }
     auto settings = loadSettings(chosen.settingsPath);
     if (!settings) {
         std::cerr << settings.error();
