--- a/libs/policy/include/policy/policy.h
+++ b/libs/policy/include/policy/policy.h
@@ -64,12 +64,14 @@
 /** How a runner treats load; docs/design/ tells which values were measured against which. */
 struct runner_settings {
     replica_chooser chooser = least_in_flight();
-    std::uint32_t extraInFlight = 1; ///< beyond a leaf's slots, while requests wait: hides the round trip
+    std::uint32_t extraInFlight = 1; ///< beyond a leaf's slots, while many requests wait: hides the round trip
+    double extraFromWaiting = 2; ///< waiting requests for each slot of a shard from which on the extra is used
     bool hedging = true;
     double hedgeQuantile = 0.93; ///< of the service times; a request older than that gets a second try
     double hedgeBudget = 0.08; ///< second tries for each first try, at most
     std::uint32_t maxHedges = 2; ///< for one shard of one lookup
-    bool hedgeOnlyOntoIdle = true; ///< a hedge onto a busy leaf makes overload worse
+    bool hedgeOnlyOntoIdle = false; ///< true: never beyond a leaf's slots; false: within the limit in force
+    bool hedgeBeforeQueue = true; ///< a due hedge takes the next free slot: its win frees the slot of a straggler
     bool cancelLosers = true;
     double retryBudget = 0.1; ///< tries after a failure for each first try, at most
     std::uint32_t maxTries = 3;
@@ -272,7 +274,7 @@
     [[nodiscard]] millis freshUntil(leaf_id leaf) const;
 
     /** Requests that the leaf may have from this process. */
-    [[nodiscard]] std::uint32_t limit(leaf_id leaf, bool requestsWait) const;
+    [[nodiscard]] std::uint32_t limit(leaf_id leaf, bool withExtra) const;
     [[nodiscard]] std::uint32_t inFlight(leaf_id leaf) const;
     [[nodiscard]] std::uint32_t slots(leaf_id leaf) const;
     [[nodiscard]] replica_candidate candidate(leaf_id leaf) const;
@@ -376,6 +378,7 @@
     struct shard_state {
         std::deque<task_id> urgentQueue;
         std::deque<task_id> ordinaryQueue;
+        std::deque<call_id> dueHedges; ///< requests whose second try waits for a free slot
         std::size_t urgentWaiting = 0; ///< queues also hold tasks that ended meanwhile; these counts do not
         std::size_t ordinaryWaiting = 0;
         std::vector<leaf_id> leafs;
@@ -480,11 +483,14 @@
     void leaveQueue(task &entry);
     static void tellLateOnce(const call &ended, const leaf_reply &reply, actions &out);
     [[nodiscard]] bool queuesEmpty(const shard_state &shard) const;
+    [[nodiscard]] bool usesExtra(const shard_state &shard) const;
     std::optional<leaf_id> chooseLeaf(const shard_state &shard, const task &entry, bool onlyIdle, millis now);
     void probeStale(const shard_state &shard, millis now, actions &out);
     [[nodiscard]] bool cannotFinish(const task &entry, millis now);
     void send(task_id id, leaf_id leaf, bool isHedge, millis now, actions &out);
     void onHedgeDue(call_id id, millis now, actions &out);
+    bool tryHedge(call_id id, const shard_state &shard, millis now, actions &out);
+    void sendDueHedges(shard_state &shard, millis now, actions &out);
     void onValidAnswer(task_id id, call_id winner, const leaf_reply &reply, millis now, actions &out);
     void onFailedTry(task_id id, leaf_id leaf, const leaf_reply &reply, millis now, actions &out);
     [[nodiscard]] bool mayRetry(task &entry, const leaf_reply &reply, millis now);
--- a/libs/policy/src/leaf_table.cpp
+++ b/libs/policy/src/leaf_table.cpp
@@ -140,7 +140,7 @@
     return state != nullptr && state->lastSign ? *state->lastSign + m_settings.freshBound : millis();
 }
 
-std::uint32_t leaf_table::limit(leaf_id leaf, bool requestsWait) const
+std::uint32_t leaf_table::limit(leaf_id leaf, bool withExtra) const
 {
     const leaf_state *state = find(leaf);
     if (state == nullptr) {
@@ -149,7 +149,7 @@
     if (state->cold) {
         return 1; // A cold leaf is slow at first; a full share of work would make it the straggler of every lookup.
     }
-    const std::uint32_t wanted = state->info.slots + (requestsWait ? m_settings.extraInFlight : 0);
+    const std::uint32_t wanted = state->info.slots + (withExtra ? m_settings.extraInFlight : 0);
     return std::min(wanted, static_cast<std::uint32_t>(state->shedLimit));
 }
 
--- a/libs/policy/src/runner_engine.cpp
+++ b/libs/policy/src/runner_engine.cpp
@@ -325,6 +325,7 @@
     if (shard == nullptr) {
         return;
     }
+    sendDueHedges(*shard, now, out);
     while (!queuesEmpty(*shard)) {
         const std::optional<task_id> id = popNext(*shard);
         if (!id) {
@@ -388,13 +389,21 @@
     return shard.urgentWaiting == 0 && shard.ordinaryWaiting == 0;
 }
 
+bool runner_engine::usesExtra(const shard_state &shard) const
+{
+    std::size_t slots = 0;
+    std::ranges::for_each(shard.leafs, [&](leaf_id leaf) { slots += m_leafs.slots(leaf); });
+    const auto waiting = static_cast<double>(shard.urgentWaiting + shard.ordinaryWaiting);
+    return waiting >= m_settings.extraFromWaiting * static_cast<double>(slots);
+}
+
 std::optional<leaf_id> runner_engine::chooseLeaf(const shard_state &shard, const task &entry, bool onlyIdle, millis now)
 {
-    const bool requestsWait = !onlyIdle;
+    const bool withExtra = usesExtra(shard);
     std::vector<replica_candidate> candidates;
     std::vector<replica_candidate> lastResort;
     for (const leaf_id leaf : shard.leafs) {
-        const std::uint32_t room = onlyIdle ? m_leafs.slots(leaf) : m_leafs.limit(leaf, requestsWait);
+        const std::uint32_t room = onlyIdle ? m_leafs.slots(leaf) : m_leafs.limit(leaf, withExtra);
         if (!m_leafs.mayReceive(leaf, now) || m_leafs.inFlight(leaf) >= room) {
             continue;
         }
@@ -475,29 +484,48 @@
 void runner_engine::onHedgeDue(call_id id, millis now, actions &out)
 {
     const auto found = m_calls.find(id);
-    if (found == m_calls.end() || !m_tasks.contains(found->second.owner)) {
+    const auto owner = found != m_calls.end() ? m_tasks.find(found->second.owner) : m_tasks.end();
+    shard_state *shard = owner != m_tasks.end() ? findShard(owner->second.place) : nullptr;
+    if (shard == nullptr || tryHedge(id, *shard, now, out)) {
         return;
     }
-    const task_id owner = found->second.owner;
-    task &entry = m_tasks.at(owner);
-    const shard_state *shard = findShard(entry.place);
-    if (shard == nullptr || entry.hedges >= m_settings.maxHedges) {
+    if (m_settings.hedgeBeforeQueue) {
+        shard->dueHedges.push_back(id);
         return;
     }
-    const bool onlyIdle = m_settings.hedgeOnlyOntoIdle;
-    const bool requestsWait = onlyIdle && !queuesEmpty(*shard);
-    const std::optional<leaf_id> leaf = requestsWait ? std::nullopt : chooseLeaf(*shard, entry, onlyIdle, now);
+    constexpr millis askAgain {2};
+    m_timers.push({now + askAgain, timer_purpose::Hedge, id});
+}
+
+/** @return true if nothing is left to do for this request's hedge: sent, not needed any more, or not affordable. */
+bool runner_engine::tryHedge(call_id id, const shard_state &shard, millis now, actions &out)
+{
+    const auto found = m_calls.find(id);
+    const auto owner = found != m_calls.end() ? m_tasks.find(found->second.owner) : m_tasks.end();
+    if (owner == m_tasks.end() || owner->second.hedges >= m_settings.maxHedges) {
+        return true;
+    }
+    task &entry = owner->second;
+    const bool mustWait = m_settings.hedgeOnlyOntoIdle && !m_settings.hedgeBeforeQueue && !queuesEmpty(shard);
+    const std::optional<leaf_id> leaf =
+        mustWait ? std::nullopt : chooseLeaf(shard, entry, m_settings.hedgeOnlyOntoIdle, now);
     if (!leaf) {
-        constexpr millis askAgain {2};
-        m_timers.push({now + askAgain, timer_purpose::Hedge, id});
-        return;
+        return false;
     }
     if (!serviceOf(entry.place.service).hedges.spend()) {
-        return;
+        return true;
     }
     ++entry.hedges;
     ++m_counters.hedges;
-    send(owner, *leaf, true, now, out);
+    send(owner->first, *leaf, true, now, out);
+    return true;
+}
+
+void runner_engine::sendDueHedges(shard_state &shard, millis now, actions &out)
+{
+    while (!shard.dueHedges.empty() && tryHedge(shard.dueHedges.front(), shard, now, out)) {
+        shard.dueHedges.pop_front();
+    }
 }
 
 void runner_engine::onValidAnswer(task_id id, call_id /*winner*/, const leaf_reply &reply, millis now, actions &out)
