--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -109,6 +109,7 @@
     void refute(const member_rumour &rumour);
     void setState(member &target, member_state state, millis now);
     void refreshRunners();
+    void refreshIfChanged();
     [[nodiscard]] heartbeat compose(vm_id to, own_revisions own);
     void addRumours(heartbeat &message, vm_id to);
     void addLeavingLeafs(heartbeat &message);
@@ -123,7 +124,11 @@
     member_rumour m_self;
     std::map<vm_id, member> m_members; ///< without this process
     std::vector<vm_id> m_runners;
+    bool m_runnersChanged = false; ///< a heartbeat brings several rumours; the list is made anew once for all
     std::vector<vm_id> m_pingOrder;
+    std::set<vm_id> m_awaited; ///< members whose ack is awaited; the rest need no look at each tick
+    std::set<vm_id> m_suspects;
+    std::set<vm_id> m_untold; ///< members of whom something is still to be told
     std::size_t m_pingNext = 0;
     std::map<leaving_leaf, std::uint32_t> m_leavingLeafs; ///< and how often each was told
     std::uint64_t m_epoch = 1;
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <tuple>
+#include <utility>
 
 namespace chivelock {
 
@@ -42,6 +43,10 @@
         entry.listLeaving = vm.leaving;
     }
     std::erase_if(m_members, [](const auto &item) { return !item.second.listed; });
+    const auto unlisted = [this](vm_id id) { return !m_members.contains(id); };
+    std::erase_if(m_awaited, unlisted);
+    std::erase_if(m_suspects, unlisted);
+    std::erase_if(m_untold, unlisted);
     reshuffle();
     refreshRunners();
 }
@@ -58,7 +63,9 @@
     const auto found = m_members.find(message.self.vm);
     if (found != m_members.end() && message.isAck && found->second.awaitedNonce == message.nonce) {
         found->second.awaitedNonce.reset();
+        m_awaited.erase(message.self.vm);
     }
+    refreshIfChanged();
     if (message.isAck) {
         return std::nullopt;
     }
@@ -73,6 +80,7 @@
     const auto found = m_members.find(vm);
     if (found != m_members.end() && found->second.known.state == member_state::Alive) {
         setState(found->second, member_state::Suspect, now);
+        refreshIfChanged();
     }
 }
 
@@ -82,7 +90,8 @@
     m_lastTick = now;
     if (slept) {
         // While this process slept, acks could not be read: blaming the others would split the fleet on each wake-up.
-        std::ranges::for_each(m_members, [](auto &item) { item.second.awaitedNonce.reset(); });
+        std::ranges::for_each(m_awaited, [this](vm_id id) { m_members.at(id).awaitedNonce.reset(); });
+        m_awaited.clear();
     }
     judgeMissingAcks(now);
     ageSuspects(now);
@@ -99,6 +108,7 @@
     heartbeat message = compose(*target, own);
     message.nonce = ++m_nonce;
     entry.awaitedNonce = message.nonce;
+    m_awaited.insert(*target);
     entry.pingedAt = now;
     sends.push_back({*target, std::move(message)});
     return sends;
@@ -170,12 +180,29 @@
 
 void membership::setState(member &target, member_state state, millis now)
 {
+    const vm_id id = target.known.vm;
+    const bool changes = target.known.state != state;
+    m_runnersChanged = m_runnersChanged || changes;
     target.known.state = state;
-    target.toldTimes = 0;
+    // That a listed member lives is what everyone assumes; telling it would fill the heartbeats of a large fleet for
+    // minutes and hold up the news of a loss.
+    if (changes || state != member_state::Alive) {
+        target.toldTimes = 0;
+        m_untold.insert(id);
+    }
     if (state == member_state::Suspect) {
         target.suspectSince = now;
+        m_suspects.insert(id);
+    } else {
+        m_suspects.erase(id);
+    }
+}
+
+void membership::refreshIfChanged()
+{
+    if (std::exchange(m_runnersChanged, false)) {
+        refreshRunners();
     }
-    refreshRunners();
 }
 
 void membership::refreshRunners()
@@ -214,8 +241,9 @@
         message.rumours.push_back(receiver->second.known); // So that it can refute.
     }
     std::vector<member *> untold;
-    for (auto &[id, entry] : m_members) {
-        if (id != to && entry.toldTimes < tellLimit() && entry.known.incarnation != 0) {
+    for (const vm_id id : m_untold) {
+        member &entry = m_members.at(id);
+        if (id != to && entry.known.incarnation != 0) {
             untold.push_back(&entry);
         }
     }
@@ -223,7 +251,9 @@
     std::ranges::partial_sort(untold, untold.begin() + static_cast<std::ptrdiff_t>(count), {}, &member::toldTimes);
     for (member *entry : std::span(untold).first(count)) {
         message.rumours.push_back(entry->known);
-        ++entry->toldTimes;
+        if (++entry->toldTimes >= tellLimit()) {
+            m_untold.erase(entry->known.vm);
+        }
     }
 }
 
@@ -266,22 +296,27 @@
 
 void membership::judgeMissingAcks(millis now)
 {
-    for (auto &[id, entry] : m_members) {
-        if (!entry.awaitedNonce || now - entry.pingedAt < m_settings.ackTimeout) {
-            continue;
+    const std::set<vm_id> awaited = m_awaited;
+    for (const vm_id id : awaited) {
+        member &entry = m_members.at(id);
+        if (now - entry.pingedAt >= m_settings.ackTimeout) {
+            entry.awaitedNonce.reset();
+            m_awaited.erase(id);
+            onUnreachable(id, now);
         }
-        entry.awaitedNonce.reset();
-        onUnreachable(id, now);
     }
 }
 
 void membership::ageSuspects(millis now)
 {
-    for (auto &[id, entry] : m_members) {
-        if (entry.known.state == member_state::Suspect && now - entry.suspectSince >= m_settings.suspectFor) {
+    const std::set<vm_id> suspects = m_suspects;
+    for (const vm_id id : suspects) {
+        member &entry = m_members.at(id);
+        if (now - entry.suspectSince >= m_settings.suspectFor) {
             setState(entry, member_state::Gone, now);
         }
     }
+    refreshIfChanged();
 }
 
 std::uint32_t membership::tellLimit() const
--- a/programs/chivelockd/platform_watch.cpp
+++ b/programs/chivelockd/platform_watch.cpp
@@ -97,7 +97,11 @@
                 finish(message->easy_handle, message->data.result, m_clock.now());
             }
         }
-        curl_multi_poll(m_multi, nullptr, 0, roundMs, nullptr);
+        // A watch that has just ended is begun anew at once: a change published in between is seen without a round's wait.
+        const bool due = std::ranges::any_of(m_documents, [this](const watched &document) {
+            return !document.running && m_clock.now() >= document.startAt;
+        });
+        curl_multi_poll(m_multi, nullptr, 0, due ? 0 : roundMs, nullptr);
     }
 }
 
