--- a/programs/chivelockd/platform_watch.cpp
+++ b/programs/chivelockd/platform_watch.cpp
@@ -97,7 +97,8 @@
                 finish(message->easy_handle, message->data.result, m_clock.now());
             }
         }
-        // A watch that has just ended is begun anew at once: a change published in between is seen without a round's wait.
+        // A watch that has just ended is begun anew at once: a change published in between is seen without a round's
+        // wait.
         const bool due = std::ranges::any_of(m_documents, [this](const watched &document) {
             return !document.running && m_clock.now() >= document.startAt;
         });
