Who comes back when told goes first; a dangling reference that was not mended before

Cause 1: of refused callers who came back at the told time at twice the capacity 23 in 100 found room; they stood behind new callers. Change: `came_back` goes before new ordinary work; places are promised at nine tenths of the rate that urgent work leaves; new work yields to promised places, by the share that took them of late.

Not run: sanitizers on this state.

--- a/libs/policy/include/policy/policy.h
+++ b/libs/policy/include/policy/policy.h
@@ -78,6 +78,7 @@
     bool admission = true; ///< refuse at once what would wait too long
     double queueShare = 0.4; ///< of the time left that a request may wait in the queue
     bool urgentFirst = true;
+    bool returnedFirst = true; ///< callers who come back when told go before new ordinary ones
     std::uint32_t ordinaryFloor = 8; ///< one in so many sends is ordinary, if one waits
     bool dropExpired = true;
     bool ejection = true;
@@ -377,12 +378,17 @@
     /** The queue and measurements of one shard. */
     struct shard_state {
         std::deque<task_id> urgentQueue;
+        std::deque<task_id> returnedQueue; ///< ordinary, of callers who come back when told
         std::deque<task_id> ordinaryQueue;
         std::deque<call_id> dueHedges; ///< requests whose second try waits for a free slot
         std::size_t urgentWaiting = 0; ///< queues also hold tasks that ended meanwhile; these counts do not
+        std::size_t returnedWaiting = 0;
         std::size_t ordinaryWaiting = 0;
         std::vector<leaf_id> leafs;
         std::uint32_t sendsSinceOrdinary = 0;
+        double urgentShare = 0; ///< of recent sends
+        double recentRefusals = 0; ///< each with a promised place; fades with each new one
+        double recentReturns = 0; ///< callers who took their place; fades alike
         millis nextReturn; ///< when the next refused caller is told to come back
     };
 
@@ -417,6 +423,7 @@
         shard_place place;
         snapshot_id snapshot;
         urgency priority = urgency::Ordinary;
+        bool cameBack = false;
         std::uint32_t maxRows = 0;
         std::shared_ptr<const std::string> body;
         millis deadline;
@@ -474,15 +481,29 @@
     shard_state *findShard(const shard_place &place);
     service_state &serviceOf(const service_name &name);
     void admit(task_id id, task &&entry, millis now, actions &out);
-    [[nodiscard]] millis predictedWait(const shard_state &shard, const task &entry, millis now);
+    [[nodiscard]] millis predictedWait(const shard_state &shard, const task &entry, millis acceptable, millis now);
     void refuse(task_id id, shard_state &shard, millis excess, millis now, actions &out);
     void enqueue(task_id id, bool atFront);
     void dispatch(const shard_place &place, millis now, actions &out);
     std::optional<task_id> popNext(shard_state &shard);
-    std::size_t &waitingOf(shard_state &shard, const task &entry) const;
+    enum class queue_rank : std::uint8_t {
+        Urgent,
+        Returned,
+        Ordinary
+    };
+
+    /** One queue of a shard: its tasks, and how many of them have not ended. */
+    struct queue_view {
+        std::deque<task_id> &tasks;
+        std::size_t &waiting;
+    };
+
+    [[nodiscard]] queue_rank rankOf(const task &entry) const;
+    static queue_view queueOf(shard_state &shard, queue_rank rank);
     void leaveQueue(task &entry);
     static void tellLateOnce(const call &ended, const leaf_reply &reply, actions &out);
-    [[nodiscard]] bool queuesEmpty(const shard_state &shard) const;
+    [[nodiscard]] static bool queuesEmpty(const shard_state &shard);
+    [[nodiscard]] static std::size_t waitingIn(const shard_state &shard);
     [[nodiscard]] bool usesExtra(const shard_state &shard) const;
     std::optional<leaf_id> chooseLeaf(const shard_state &shard, const task &entry, bool onlyIdle, millis now);
     void probeStale(const shard_state &shard, millis now, actions &out);
--- a/libs/policy/src/runner_engine.cpp
+++ b/libs/policy/src/runner_engine.cpp
@@ -57,10 +57,8 @@
 void runner_engine::onRun(vm_id root, const run_shards &run, millis now, actions &out)
 {
     out.emplace_back(runner_accept {root, {run.key, run.attempt}});
-    std::vector<task_id> &tasks = m_attempts[{run.key, run.attempt}];
     for (const shard_id shard : run.shards) {
-        const bool inHand = std::ranges::any_of(tasks, [&](task_id id) { return m_tasks.at(id).place.shard == shard; });
-        if (inHand) {
+        if (isInHand({run.key, run.attempt}, shard)) {
             continue; // The root asked twice; one run answers both.
         }
         task entry;
@@ -71,6 +69,7 @@
         entry.place = {run.service, run.version, shard};
         entry.snapshot = run.snapshot;
         entry.priority = run.priority;
+        entry.cameBack = run.cameBack;
         entry.maxRows = run.maxRows;
         entry.body = run.body;
         entry.deadline = now + run.remaining;
@@ -252,9 +251,10 @@
         endTask(id, replyFor(stored, shard_status::NoLeaf), now, out);
         return;
     }
-    const millis wait = predictedWait(*shard, stored, now);
+    shard->recentReturns += stored.cameBack ? 1 : 0;
     const millis service = serviceOf(place.service).times.mean(m_settings.firstServiceGuess);
     const millis acceptable = (deadline - now - service) * m_settings.queueShare;
+    const millis wait = predictedWait(*shard, stored, acceptable, now);
     if (m_settings.admission && wait > millis() && wait > acceptable) {
         refuse(id, *shard, wait - acceptable, now, out);
         return;
@@ -264,7 +264,7 @@
     dispatch(place, now, out);
 }
 
-millis runner_engine::predictedWait(const shard_state &shard, const task &entry, millis /*now*/)
+millis runner_engine::predictedWait(const shard_state &shard, const task &entry, millis acceptable, millis now)
 {
     std::size_t busy = 0;
     std::size_t slots = 0;
@@ -274,14 +274,24 @@
             slots += std::min(m_leafs.slots(leaf), m_leafs.limit(leaf, true));
         }
     }
-    // Urgent work passes the ordinary queue, so only what goes before it counts.
-    const bool passes = m_settings.urgentFirst && entry.priority == urgency::Urgent;
-    const std::size_t ahead = shard.urgentWaiting + (passes ? 0 : shard.ordinaryWaiting);
+    // Only what goes before this task counts.
+    const queue_rank rank = rankOf(entry);
+    std::size_t ahead = shard.urgentWaiting;
+    ahead += rank >= queue_rank::Returned ? shard.returnedWaiting : 0;
+    ahead += rank == queue_rank::Ordinary ? shard.ordinaryWaiting : 0;
     if (slots == 0 || busy + ahead < slots) {
         return millis();
     }
     const millis service = serviceOf(entry.place.service).times.mean(m_settings.firstServiceGuess);
-    return service * (static_cast<double>(busy + ahead + 1 - slots) / static_cast<double>(slots));
+    const millis queued = service * (static_cast<double>(busy + ahead + 1 - slots) / static_cast<double>(slots));
+    // Callers who were told to come back within this wait will go first; without them in the reckoning, new work is
+    // let in only to expire behind them.
+    const bool yields = m_settings.returnedFirst && rank == queue_rank::Ordinary && shard.recentRefusals > 0;
+    // Places that nobody takes must not stand empty: the reckoning counts the share that came back of late.
+    const double obey = yields ? std::min(1.0, shard.recentReturns / shard.recentRefusals) : 0;
+    const millis promised =
+        yields ? std::clamp(shard.nextReturn - now, millis(), std::max(acceptable, millis())) : millis();
+    return queued + promised * obey;
 }
 
 void runner_engine::refuse(task_id id, shard_state &shard, millis excess, millis now, actions &out)
@@ -289,13 +299,20 @@
     const task &entry = m_tasks.at(id);
     constexpr double jitterShare = 0.2;
     constexpr millis longestAdvice {30000};
+    constexpr double leastLeft = 0.1;
+    constexpr double fade = 0.99;
+    constexpr double headroom = 0.9;
     ++m_counters.refusedOverload;
+    shard.recentRefusals = shard.recentRefusals * fade + 1;
+    shard.recentReturns *= fade;
     // Each refused caller is given its own place after the queue has drained: if all came back at once, the queue
     // would be as long again, which shows as refusals in waves.
     std::size_t slots = 0;
     std::ranges::for_each(shard.leafs, [&](leaf_id leaf) { slots += m_leafs.slots(leaf); });
     const millis service = serviceOf(entry.place.service).times.mean(m_settings.firstServiceGuess);
-    const millis spacing = service * (1.0 / static_cast<double>(std::max<std::size_t>(slots, 1)));
+    // Urgent work takes its share of the slots first; places for those who return are in what is left.
+    const double left = std::max(leastLeft, 1 - shard.urgentShare) * headroom;
+    const millis spacing = service * (1.0 / (static_cast<double>(std::max<std::size_t>(slots, 1)) * left));
     shard.nextReturn = std::max(shard.nextReturn, now) + spacing;
     const millis drained = std::max(excess, millis()) + (shard.nextReturn - now);
     shard_reply reply = replyFor(entry, shard_status::Overloaded);
@@ -308,14 +325,13 @@
     task &entry = m_tasks.at(id);
     shard_state *shard = findShard(entry.place);
     require(shard != nullptr, "a queued task has a shard");
-    const bool urgent = m_settings.urgentFirst && entry.priority == urgency::Urgent;
-    std::deque<task_id> &queue = urgent ? shard->urgentQueue : shard->ordinaryQueue;
+    const queue_view queue = queueOf(*shard, rankOf(entry));
     entry.queued = true;
-    ++waitingOf(*shard, entry);
+    ++queue.waiting;
     if (atFront) {
-        queue.push_front(id);
+        queue.tasks.push_front(id);
     } else {
-        queue.push_back(id);
+        queue.tasks.push_back(id);
     }
 }
 
@@ -355,10 +371,13 @@
         }
     };
     dropEnded(shard.urgentQueue);
+    dropEnded(shard.returnedQueue);
     dropEnded(shard.ordinaryQueue);
     const bool ordinaryTurn = shard.sendsSinceOrdinary + 1 >= m_settings.ordinaryFloor;
-    const bool ordinary = !shard.ordinaryQueue.empty() && (shard.urgentQueue.empty() || ordinaryTurn);
-    std::deque<task_id> &queue = ordinary ? shard.ordinaryQueue : shard.urgentQueue;
+    const queue_rank lower = shard.returnedQueue.empty() ? queue_rank::Ordinary : queue_rank::Returned;
+    const bool lowerWaits = !queueOf(shard, lower).tasks.empty();
+    const bool takesLower = lowerWaits && (shard.urgentQueue.empty() || ordinaryTurn);
+    std::deque<task_id> &queue = queueOf(shard, takesLower ? lower : queue_rank::Urgent).tasks;
     if (queue.empty()) {
         return std::nullopt;
     }
@@ -368,10 +387,25 @@
     return id;
 }
 
-std::size_t &runner_engine::waitingOf(shard_state &shard, const task &entry) const
+runner_engine::queue_rank runner_engine::rankOf(const task &entry) const
 {
-    const bool urgent = m_settings.urgentFirst && entry.priority == urgency::Urgent;
-    return urgent ? shard.urgentWaiting : shard.ordinaryWaiting;
+    if (m_settings.urgentFirst && entry.priority == urgency::Urgent) {
+        return queue_rank::Urgent;
+    }
+    return m_settings.returnedFirst && entry.cameBack ? queue_rank::Returned : queue_rank::Ordinary;
+}
+
+runner_engine::queue_view runner_engine::queueOf(shard_state &shard, queue_rank rank)
+{
+    switch (rank) {
+    case queue_rank::Urgent:
+        return {shard.urgentQueue, shard.urgentWaiting};
+    case queue_rank::Returned:
+        return {shard.returnedQueue, shard.returnedWaiting};
+    case queue_rank::Ordinary:
+        break;
+    }
+    return {shard.ordinaryQueue, shard.ordinaryWaiting};
 }
 
 void runner_engine::leaveQueue(task &entry)
@@ -381,19 +415,24 @@
         return;
     }
     entry.queued = false;
-    --waitingOf(*shard, entry);
+    --queueOf(*shard, rankOf(entry)).waiting;
+}
+
+bool runner_engine::queuesEmpty(const shard_state &shard)
+{
+    return waitingIn(shard) == 0;
 }
 
-bool runner_engine::queuesEmpty(const shard_state &shard) const
+std::size_t runner_engine::waitingIn(const shard_state &shard)
 {
-    return shard.urgentWaiting == 0 && shard.ordinaryWaiting == 0;
+    return shard.urgentWaiting + shard.returnedWaiting + shard.ordinaryWaiting;
 }
 
 bool runner_engine::usesExtra(const shard_state &shard) const
 {
     std::size_t slots = 0;
     std::ranges::for_each(shard.leafs, [&](leaf_id leaf) { slots += m_leafs.slots(leaf); });
-    const auto waiting = static_cast<double>(shard.urgentWaiting + shard.ordinaryWaiting);
+    const auto waiting = static_cast<double>(waitingIn(shard));
     return waiting >= m_settings.extraFromWaiting * static_cast<double>(slots);
 }
 
@@ -459,6 +498,9 @@
     entry.tries += isHedge ? 0 : 1;
     shard_state *shard = findShard(entry.place);
     if (shard != nullptr && !isHedge) {
+        constexpr double shareWeight = 0.02;
+        const double isUrgent = entry.priority == urgency::Urgent ? 1 : 0;
+        shard->urgentShare += shareWeight * (isUrgent - shard->urgentShare);
         shard->sendsSinceOrdinary = entry.priority == urgency::Ordinary ? 0 : shard->sendsSinceOrdinary + 1;
     }
     const millis notAfter = std::min(entry.deadline, m_leafs.freshUntil(leaf));
--- a/libs/query/include/query/query.h
+++ b/libs/query/include/query/query.h
@@ -38,6 +38,7 @@
     std::string body;
     millis remaining; ///< the caller's own time limit; the kind's hard limit caps it
     std::string ticket; ///< for unrepeatable kinds; empty: none yet
+    bool cameBack = false; ///< it was refused before and returns at the time it was told
 };
 
 /** How the root treats runners; docs/design/ tells the measurements. */
@@ -46,7 +47,7 @@
     millis ackTimeout {25}; ///< a runner that does not answer a run or a probe for so long is passed by
     millis avoidStalled {1000}; ///< how long a runner that did not answer gets no new runs
     std::uint32_t maxRestarts = 2; ///< on a newer snapshot
-    millis admissionMemory {15}; ///< how long one refusal stands for the next lookups of that service and class
+    millis admissionMemory {0}; ///< how long one refusal stands for the next lookups of that service and class
     std::size_t maxLookups = 20000; ///< in hand at once; beyond, refused at once
 };
 
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -85,6 +85,7 @@
     std::uint32_t maxRows = 0;
     std::shared_ptr<const std::string> body;
     std::vector<shard_id> shards;
+    bool cameBack = false; ///< refused before, and returned when told: goes before new ordinary work
 };
 
 /** Runner to root: this attempt is in my hands, and I am awake. */
--- a/libs/wire/src/encode.cpp
+++ b/libs/wire/src/encode.cpp
@@ -118,7 +118,8 @@
                                      message.remaining.micros(),
                                      message.maxRows,
                                      body,
-                                     shards)
+                                     shards,
+                                     message.cameBack)
             .Union();
     }
 
--- a/programs/chivelockd/caller_http.cpp
+++ b/programs/chivelockd/caller_http.cpp
@@ -26,6 +26,7 @@
     "key": {"type": "string", "minLength": 1, "maxLength": 256},
     "time_limit_ms": {"type": "integer", "minimum": 1, "maximum": 60000},
     "request_id": {"type": "string", "pattern": "^[A-Za-z0-9._:-]{1,128}$"},
+    "came_back": {"type": "boolean"},
     "ticket": {"type": "string", "minLength": 1, "maxLength": 256}
   }
 })";
@@ -199,6 +200,7 @@
         document->contains("request_id") ? document->at("request_id").get<std::string>() : madeUpRequestId(m_settings);
     lookup.shardKey = document->value("key", "");
     lookup.ticket = document->value("ticket", "");
+    lookup.cameBack = document->value("came_back", false);
     lookup.remaining = millis(document->value("time_limit_ms", longestLimitMs));
     lookup.body = document->value("query", nlohmann::json()).dump();
     const std::string requestId = lookup.requestId;
