--- a/libs/base/include/base/base.h
+++ b/libs/base/include/base/base.h
@@ -101,6 +101,16 @@
     [[nodiscard]] millis now() const;
 };
 
+/**
+ * Counts on while the whole VM is suspended, which @ref steady_clock does not: a deadline that passed in such a gap has
+ * passed for the caller too, and a connection that idled through it is as old as the other side thinks.
+ */
+class boot_clock
+{
+public:
+    [[nodiscard]] millis now() const;
+};
+
 /** A number that names one thing of the kind given by the tag. */
 template<typename tag>
 struct numbered {
@@ -222,6 +232,28 @@
 /** Prepares logging to standard output for the process; nothing is written to files. Call it once, first. */
 void startLogging(log_level least);
 
+/**
+ * While it lives, log lines are handed to a thread of its own that writes them: whoever logs never waits for standard
+ * output. Lines beyond @p linesPerSecond, or those that find the ring full, are left out and counted in a line of their
+ * own. At most one at a time.
+ */
+class log_writer
+{
+public:
+    explicit log_writer(std::uint32_t linesPerSecond);
+    log_writer(const log_writer &) = delete;
+    log_writer &operator=(const log_writer &) = delete;
+    /** Writes what is left. */
+    ~log_writer();
+
+    /** Lines left out since the start. */
+    [[nodiscard]] std::uint64_t dropped() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
 /** Writes one line: level, event and the fields as key=value pairs; values with blanks are quoted. */
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
--- a/libs/base/src/base.cpp
+++ b/libs/base/src/base.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <ctime>
 #include <cstdio>
 #include <cstdlib>
 
@@ -15,6 +16,15 @@
     return millis::fromMicros(std::chrono::duration_cast<std::chrono::microseconds>(sinceOrigin).count());
 }
 
+millis boot_clock::now() const
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    constexpr std::int64_t microsPerSecond = 1000000;
+    constexpr std::int64_t nanosPerMicro = 1000;
+    return millis::fromMicros(time.tv_sec * microsPerSecond + time.tv_nsec / nanosPerMicro);
+}
+
 std::string_view toString(urgency value)
 {
     return value == urgency::Urgent ? "urgent" : "ordinary";
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -3,7 +3,12 @@
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <cctype>
+#include <chrono>
+#include <ctime>
+#include <thread>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -45,15 +50,144 @@
     }
 };
 
+/** Taken when the event happens; a line may be written some time later. */
+std::string timeNow()
+{
+    const auto now = std::chrono::system_clock::now();
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 40> text {};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    constexpr int millisPerSecond = 1000;
+    const int rest
+        = std::snprintf(text.data() + length, text.size() - length, ".%03d", static_cast<int>(sinceEpoch % millisPerSecond));
+    return {text.data(), length + static_cast<std::size_t>(rest)};
+}
+
+struct log_line {
+    log_level level = log_level::Info;
+    std::string text;
+};
+
+void write(const log_line &line)
+{
+    switch (line.level) {
+    case log_level::Debug:
+        LOG(DEBUG) << line.text;
+        break;
+    case log_level::Info:
+        LOG(INFO) << line.text;
+        break;
+    case log_level::Warning:
+        LOG(WARNING) << line.text;
+        break;
+    case log_level::Error:
+        LOG(ERROR) << line.text;
+        break;
+    }
+}
+
+constexpr std::string_view levelName(log_level level)
+{
+    constexpr std::array<std::string_view, 4> names = {"debug", "info", "warning", "error"};
+    return names.at(static_cast<std::size_t>(level));
+}
+
+std::atomic<log_level> leastLevel = log_level::Debug;
+
+} // namespace
+
+/** Lines on their way to the thread that writes them. */
+struct log_writer::state {
+    explicit state(std::uint32_t limit)
+        : linesPerInterval(std::max(1U, limit * flushMillis / 1000))
+        , lines(ringCapacity)
+    {
+    }
+
+    static constexpr std::uint32_t flushMillis = 100; // lines wait this long at most; ten wake-ups a second cost little
+    static constexpr std::size_t ringCapacity = 8192;
+
+    std::uint32_t linesPerInterval;
+    boost::lockfree::queue<log_line *, boost::lockfree::fixed_sized<true>> lines;
+    std::atomic<std::uint32_t> taken = 0; ///< in this interval
+    std::atomic<std::uint64_t> dropped = 0;
+    std::atomic<bool> ending = false;
+    std::thread thread;
+
+    void offer(log_line line)
+    {
+        auto owned = std::make_unique<log_line>(std::move(line));
+        if (taken.fetch_add(1) >= linesPerInterval || !lines.bounded_push(owned.get())) {
+            dropped += 1;
+            return;
+        }
+        (void)owned.release();
+    }
+
+    void run()
+    {
+        std::uint64_t told = 0;
+        while (!ending) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(flushMillis));
+            taken = 0;
+            writeAll();
+            if (const std::uint64_t now = dropped; now != told) {
+                write({log_level::Warning,
+                       "time=" + timeNow() + " level=warning event=log_lines_dropped count=" + std::to_string(now - told)});
+                told = now;
+            }
+        }
+        writeAll();
+    }
+
+    void writeAll()
+    {
+        lines.consume_all([](log_line *line) {
+            const std::unique_ptr<log_line> owned(line);
+            write(*owned);
+        });
+    }
+};
+
+namespace {
+
+std::atomic<log_writer *> activeWriter = nullptr;
+std::function<void(log_line)> offerLine;
+
 } // namespace
 
+log_writer::log_writer(std::uint32_t linesPerSecond)
+    : m_state(std::make_unique<state>(linesPerSecond))
+{
+    require(activeWriter == nullptr, "one log_writer at a time");
+    offerLine = [kept = m_state.get()](log_line line) { kept->offer(std::move(line)); };
+    activeWriter = this;
+    m_state->thread = std::thread([kept = m_state.get()] { kept->run(); });
+}
+
+log_writer::~log_writer()
+{
+    activeWriter = nullptr;
+    m_state->ending = true;
+    m_state->thread.join();
+}
+
+std::uint64_t log_writer::dropped() const
+{
+    return m_state->dropped;
+}
+
 void startLogging(log_level least)
 {
     el::Configurations settings;
     settings.setToDefault();
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
     settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-    settings.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
+    settings.setGlobally(el::ConfigurationType::Format, "%msg");
+    leastLevel = least;
     if (least > log_level::Debug) {
         settings.set(el::Level::Debug, el::ConfigurationType::Enabled, "false");
     }
@@ -68,26 +202,21 @@
 
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    std::string pairs = " event=" + std::string(event);
+    if (level < leastLevel) {
+        return;
+    }
+    std::string text = "time=" + timeNow() + " level=" + std::string(levelName(level)) + " event=" + std::string(event);
     for (const log_field &field : fields) {
-        pairs += ' ';
-        pairs += field.key;
-        pairs += '=';
-        pairs += std::visit(value_writer(), field.value);
+        text += ' ';
+        text += field.key;
+        text += '=';
+        text += std::visit(value_writer(), field.value);
     }
-    switch (level) {
-    case log_level::Debug:
-        LOG(DEBUG) << "level=debug" << pairs;
-        break;
-    case log_level::Info:
-        LOG(INFO) << "level=info" << pairs;
-        break;
-    case log_level::Warning:
-        LOG(WARNING) << "level=warning" << pairs;
-        break;
-    case log_level::Error:
-        LOG(ERROR) << "level=error" << pairs;
-        break;
+    log_line line {level, std::move(text)};
+    if (activeWriter != nullptr) {
+        offerLine(std::move(line));
+    } else {
+        write(line);
     }
 }
 
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway.h
@@ -0,0 +1,529 @@
+#pragma once
+
+/**
+ * @file
+ * Decisions of the gateway: requests that are passed through to one leaf of a service, or to one leaf of each of many
+ * shards whose parts are merged. No input or output, no thread, no clock: events come in with the time, actions come
+ * out, so that every decision can be tested without a network.
+ */
+
+#include <base/base.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace chivelock {
+
+// ---- what operators publish
+
+/** One of the services over which a route's requests are spread. */
+struct service_share {
+    service_name service;
+    double weight = 1; ///< relative to the other shares of the route
+};
+
+/** How requests of one host and path prefix are handled. */
+struct gateway_route {
+    std::string name;
+    std::string host; ///< lower case, without port
+    std::string pathPrefix; ///< begins and ends with a slash
+    bool idempotent = false; ///< whether a request may run more than once
+    millis timeout; ///< longest time that a caller is kept waiting
+    millis objective; ///< an answer within this time is worth most
+    unsigned rank = 0; ///< 0 is the most urgent
+    unsigned maxAttempts = 1; ///< leafs that may run one request; counts for each shard
+    std::vector<service_share> split; ///< for requests to one leaf; empty for shards
+    std::vector<service_name> shards; ///< for requests to all shards; empty for one leaf
+    std::size_t topRecords = 0; ///< records in a merged answer
+    double minCoverage = 1; ///< least share of the shards in a merged answer
+
+    [[nodiscard]] bool isGather() const
+    {
+        return !shards.empty();
+    }
+};
+
+/** What is said of a service apart from its leafs. */
+struct service_description {
+    service_name name;
+    unsigned maxConnections = 1; ///< that one of its leafs accepts from the whole fleet
+};
+
+/** Bounds on what a caller may send and how long it may take. */
+struct caller_limits {
+    std::size_t headBytes = 16384;
+    std::size_t bodyBytes = 1048576;
+    millis headTimeout {5000};
+    millis idleTimeout {30000};
+};
+
+/** One published configuration, whole. */
+struct gateway_config {
+    std::uint64_t version = 0;
+    std::vector<gateway_route> routes;
+    std::vector<service_description> services;
+    caller_limits limits;
+};
+
+/** What a leaf says of itself in the platform's store. */
+struct leaf_entry {
+    std::string id; ///< new with each start of the leaf
+    service_name service;
+    std::string address; ///< IP number and port
+    zone_name zone;
+    unsigned slots = 1; ///< requests that it processes at a time
+    bool draining = false;
+    millis coldFor; ///< how much longer it is slow after its start
+};
+
+/** Finds the route of a request: exact host, then the longest prefix. */
+class route_table
+{
+public:
+    explicit route_table(gateway_config config);
+
+    /** @param host as sent, a port is ignored. @param target path with query. @return nullptr if no route matches. */
+    [[nodiscard]] const gateway_route *find(std::string_view host, std::string_view target) const;
+
+    [[nodiscard]] const gateway_config &config() const
+    {
+        return m_config;
+    }
+
+    /** @return 1 for a service that the configuration does not name. */
+    [[nodiscard]] unsigned maxConnections(const service_name &service) const;
+
+private:
+    gateway_config m_config;
+    std::unordered_map<std::string, std::unordered_map<std::string_view, const gateway_route *>> m_byHost;
+    std::unordered_map<service_name, unsigned> m_maxConnections;
+};
+
+// ---- measures
+
+/** Follows a quantile of a stream of times without keeping them: each value moves the estimate a small step. */
+class quantile_tracker
+{
+public:
+    quantile_tracker(double share, millis first)
+        : m_share(share)
+        , m_estimate(first)
+    {
+    }
+
+    void add(millis value);
+
+    [[nodiscard]] millis estimate() const
+    {
+        return m_estimate;
+    }
+
+private:
+    double m_share;
+    millis m_estimate;
+};
+
+/** How long leafs take for the requests of one route. */
+struct route_pace {
+    explicit route_pace(millis objective);
+
+    void add(millis value);
+
+    /** After this time without an answer a second leaf is worth asking. */
+    [[nodiscard]] millis hedgeAfter() const;
+
+    quantile_tracker typical; ///< median
+    quantile_tracker slow; ///< few answers take longer
+    millis objective;
+};
+
+/**
+ * Extra sends that one VM may make to one service. The fleet's limit is a share of the requests for the service plus a
+ * fixed number in each window. Without shared state each VM keeps to the same share of its own requests and to its part
+ * of the fixed number, so that the sum over the fleet stays inside the limit whatever the others do.
+ */
+class retry_budget
+{
+public:
+    retry_budget(double ratio, millis window)
+        : m_ratio(ratio)
+        , m_window(window)
+    {
+    }
+
+    void countRequest(millis now);
+
+    /** @param fixedPart extra sends allowed in each window besides the share of requests.
+     *  @param reserve share of the allowance that stays untouched. @return whether the extra send may be made. */
+    [[nodiscard]] bool tryTake(double fixedPart, double reserve, millis now);
+
+private:
+    struct slice {
+        std::int64_t index = 0;
+        double requests = 0;
+        double extras = 0;
+    };
+
+    slice &current(millis now);
+
+    double m_ratio;
+    millis m_window;
+    std::deque<slice> m_slices;
+};
+
+// ---- leafs
+
+/** What a leaf tells of its load in an answer. */
+struct leaf_load {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+using send_id = std::uint64_t;
+
+/** What this process knows of one leaf. */
+struct leaf {
+    explicit leaf(leaf_entry described)
+        : entry(std::move(described))
+    {
+    }
+
+    struct open_send {
+        send_id id = 0;
+        millis sentAt;
+        millis expectedBy; ///< later than that is a sign of a stall
+    };
+
+    leaf_entry entry;
+    millis coldUntil;
+    millis drainSeenAt = millis::never(); ///< when this process learned that it leaves
+    millis removeAt = millis::never(); ///< entry is missing from the store; it is forgotten then
+    bool misdirected = false; ///< another instance answered at its address
+    std::vector<open_send> open;
+    millis lastReplyAt = millis() - millis::never();
+    double slowness = 1; ///< its times over what is typical
+    millis slownessAt; ///< when that was last measured
+    double failing = 0; ///< share of failures among recent answers
+    millis failingAt;
+    unsigned failuresInRow = 0; ///< without any answer between
+    millis downUntil = millis() - millis::never();
+    leaf_load load;
+    millis loadAt = millis() - millis::never();
+
+    /** Since when it has been silent on a request that should have been answered; never if it is not. */
+    [[nodiscard]] millis stalledSince() const;
+
+    /** It will leave or is gone from the store; only asked where nobody else is. */
+    [[nodiscard]] bool isLeaving() const
+    {
+        return entry.draining || removeAt < millis::never();
+    }
+};
+
+/** Leafs by id and by service, as the platform's store tells of them. */
+class leaf_directory
+{
+public:
+    /** @param hold how long a leaf whose entry is missing stays usable: entries lapse while the store is away. */
+    explicit leaf_directory(millis hold)
+        : m_hold(hold)
+    {
+    }
+
+    /** @return true if something changed that matters. */
+    bool put(const leaf_entry &entry, millis now);
+
+    /** The entry is missing from the store. @return false for an unknown id. */
+    bool remove(std::string_view id, millis now);
+
+    /** Removes all that are not in @p entries, puts the others. */
+    void replaceAll(std::span<const leaf_entry> entries, millis now);
+
+    /** Forgets leafs whose hold is over. @return how many. */
+    std::size_t expire(millis now);
+
+    [[nodiscard]] std::span<const std::shared_ptr<leaf>> of(const service_name &service) const;
+    [[nodiscard]] std::shared_ptr<leaf> find(std::string_view id) const;
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_byId.size();
+    }
+
+private:
+    void unlink(const leaf &gone);
+
+    millis m_hold;
+    std::map<std::string, std::shared_ptr<leaf>, std::less<>> m_byId;
+    std::unordered_map<service_name, std::vector<std::shared_ptr<leaf>>> m_byService;
+    millis m_nextExpiry = millis::never();
+};
+
+// ---- requests
+
+using exchange_id = std::uint64_t;
+
+/** What the decisions need to know of a caller's request. */
+struct caller_request {
+    std::string id; ///< as the caller names it, for logs
+    std::string_view host;
+    std::string_view target;
+    std::optional<millis> patience; ///< how long the caller will wait, if it said so
+};
+
+/** A leaf's whole answer. */
+struct gateway_reply {
+    unsigned status = 0;
+    std::string reason;
+    std::string stamp; ///< the leaf's digest; empty if it gave none
+    bool notRun = false; ///< the leaf says that it did not run the request
+    bool wrongInstance = false; ///< another leaf has the address
+    std::optional<leaf_load> load;
+    std::vector<std::pair<std::string, std::string>> headers; ///< to pass on
+    std::string body;
+
+    [[nodiscard]] bool isSuccess() const
+    {
+        return status >= 200 && status < 300;
+    }
+};
+
+/** Why a send brought no answer. */
+enum class send_failure : std::uint8_t {
+    NotSent, ///< no byte reached the leaf: it can't have run
+    Broken, ///< the connection ended or spoke nonsense: it may have run
+    TimedOut ///< silence until the deadline: it may have run
+};
+
+/** Ask a leaf. */
+struct send_action {
+    send_id id = 0;
+    exchange_id exchange = 0;
+    std::shared_ptr<leaf> to;
+    millis deadline; ///< instant at which the leaf may stop
+    unsigned maxConnections = 1; ///< this VM's part of what the leaf accepts
+    bool once = false; ///< must not run twice: use only a connection that is surely alive
+};
+
+/** Give up a send; its connection must close. */
+struct cancel_action {
+    send_id id = 0;
+};
+
+/** How a request ended. */
+enum class exchange_outcome : std::uint8_t {
+    Relayed, ///< one leaf's answer
+    Merged, ///< parts of shards
+    Refused, ///< not run and never will be
+    Failed, ///< given up; it may have run
+    NoRoute,
+    NoConfig
+};
+
+[[nodiscard]] std::string_view toString(exchange_outcome outcome);
+
+/** The one final answer of a request, with what decided it. */
+struct answer_action {
+    exchange_id exchange = 0;
+    exchange_outcome outcome = exchange_outcome::Failed;
+    std::string_view cause; ///< a constant word for logs and callers
+    bool timedOut = false; ///< of a failed one: the time was up
+    millis retryAfter; ///< of a refused or failed one
+    gateway_reply reply; ///< of a relayed one
+    std::string body; ///< of a merged one
+    std::vector<std::string> stamps; ///< of a merged one
+    std::string requestId;
+    std::string route;
+    std::uint64_t version = 0; ///< of the configuration that decided
+    std::size_t shards = 0;
+    std::size_t missing = 0;
+    unsigned sends = 0;
+    unsigned hedges = 0;
+    unsigned retries = 0;
+    millis elapsed;
+};
+
+/** A decision that touches a request while it is under way; for the log. */
+struct note_action {
+    std::string requestId;
+    std::string_view event;
+    std::string_view cause;
+    std::string leafId;
+    std::string service;
+    millis age; ///< of the request
+    millis input; ///< the time that decided: silence, or what the leaf took
+};
+
+using gateway_action = std::variant<send_action, cancel_action, answer_action, note_action>;
+
+/** Figures of the gateway; those without a source are engineering choices with their reason. */
+struct gateway_settings {
+    zone_name zone;
+    double retryRatio = 0.2; ///< extra sends for each request, over the whole fleet
+    double retrySlack = 10; ///< extra sends in each window besides, over the whole fleet
+    millis retryWindow {10000};
+    millis drainLimit {3000}; ///< a leaving leaf may be asked no later than this after the store knew
+    millis callerRoundTrip {6}; ///< to a caller and back, for the moment of answering in time
+    millis removalHold {2200}; ///< how long a leaf stays usable whose entry lapsed while the store was away
+};
+
+/** All requests of one process. */
+class gateway_engine
+{
+public:
+    gateway_engine(gateway_settings settings, std::uint64_t seed);
+    gateway_engine(const gateway_engine &) = delete;
+    gateway_engine &operator=(const gateway_engine &) = delete;
+    ~gateway_engine();
+
+    /** @return false if @p config is not newer than what is in force. */
+    bool applyConfig(gateway_config config);
+
+    [[nodiscard]] const route_table *config() const
+    {
+        return m_table.get();
+    }
+
+    [[nodiscard]] leaf_directory &leafs()
+    {
+        return m_leafs;
+    }
+
+    /** New figures for what comes; windows that have begun keep theirs. */
+    void changeSettings(gateway_settings settings)
+    {
+        m_settings = std::move(settings);
+    }
+
+    /** VMs among which the fleet's limits are divided. */
+    void setFleetSize(std::size_t size)
+    {
+        m_fleetSize = size;
+    }
+
+    /** Takes a request. Its answer comes as an action, perhaps at once. */
+    exchange_id arrive(const caller_request &request, millis now);
+
+    void onReply(send_id id, gateway_reply reply, millis now);
+    void onSendFailed(send_id id, send_failure failure, millis now);
+    void onCallerLeft(exchange_id id, millis now);
+
+    /** This process stood still: what leafs seem to owe since then says nothing of them. */
+    void onStandstill(millis gap);
+
+    /** Does what is due. */
+    void advance(millis now);
+
+    /** When @ref advance has something to do again. */
+    [[nodiscard]] millis nextDue() const;
+
+    [[nodiscard]] std::vector<gateway_action> takeActions();
+
+    [[nodiscard]] std::size_t openExchanges() const
+    {
+        return m_exchanges.size();
+    }
+
+private:
+    struct shard_call;
+    struct exchange;
+
+    /** One request on its way to a leaf; outlives its exchange until the leaf has answered or time is up. */
+    struct send {
+        send_id id = 0;
+        exchange_id exchange = 0;
+        std::size_t call = 0;
+        std::shared_ptr<leaf> to;
+        route_pace *pace = nullptr;
+        millis sentAt;
+        millis closeAt; ///< given up then
+        bool idempotent = true;
+    };
+
+    struct due {
+        millis at;
+        bool isSend = false;
+        std::uint64_t id = 0;
+        bool operator>(const due &other) const
+        {
+            return at > other.at;
+        }
+    };
+    struct choice {
+        std::shared_ptr<leaf> to; ///< nullptr if none may be asked
+        double cost = 0;
+        bool full = false; ///< none because all that could be asked have no connection left
+    };
+
+    void begin(exchange &work, millis now);
+    void beginSingle(exchange &work, millis now);
+    void beginGather(exchange &work, millis now);
+    [[nodiscard]] choice
+    chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now);
+    [[nodiscard]] double expectedCost(const leaf &candidate, const route_pace &pace, millis now);
+    [[nodiscard]] bool mayAsk(const leaf &candidate, millis now) const;
+    [[nodiscard]] unsigned connectionShare(const service_name &service) const;
+    void sendCall(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
+    bool takeBudget(const service_name &service, double reserve, millis now);
+    retry_budget &budgetOf(const service_name &service);
+    route_pace &paceOf(const gateway_route &route);
+    void retryCall(exchange &work, std::size_t call, std::string_view cause, millis now);
+    void failCall(exchange &work, std::size_t call, std::string_view cause, millis now);
+    void takePart(exchange &work, std::size_t call, gateway_reply reply, millis now);
+    void hedgeDue(exchange &work, millis now);
+    void retryWaiting(exchange &work, millis now);
+    void advanceExchange(exchange &work, millis now);
+    void finishGatherIfDone(exchange &work, millis now);
+    void answer(exchange &work, exchange_outcome outcome, std::string_view cause, millis now);
+    void answerMerged(exchange &work, std::string_view cause, millis now);
+    void answerUnserved(exchange &work, std::string_view cause, bool timedOut, millis now);
+    void answerWithout(const caller_request &request, exchange_outcome outcome, std::string_view cause, exchange_id id);
+    void erase(exchange_id id);
+    void schedule(exchange &work, millis now);
+    void closeSend(const send &ended, millis now);
+    void noteLeafReply(leaf &from, const send &ended, const gateway_reply &reply, millis now);
+    void noteLeafFailure(leaf &from, send_failure failure, millis now);
+    void note(const exchange &work,
+              std::string_view event,
+              std::string_view cause,
+              const leaf *about,
+              const service_name &service,
+              millis input,
+              millis now);
+    [[nodiscard]] const service_name &pickShare(const gateway_route &route);
+    void answerSingle(exchange &work, gateway_reply reply, millis now);
+
+    gateway_settings m_settings;
+    seeded_random m_random;
+    std::shared_ptr<const route_table> m_table;
+    leaf_directory m_leafs;
+    std::size_t m_fleetSize;
+    std::unordered_map<service_name, retry_budget> m_budgets;
+    std::unordered_map<std::string, route_pace> m_paces;
+    std::unordered_map<std::string, std::vector<double>> m_shareCredits; ///< by route, for a smooth split
+    std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges;
+    std::unordered_map<send_id, send> m_sends;
+    std::priority_queue<due, std::vector<due>, std::greater<>> m_due;
+    std::uint64_t m_nextId = 1;
+    std::vector<gateway_action> m_actions;
+};
+
+/** A record is this many bytes; a shorter remainder of a part is none. */
+inline constexpr std::size_t recordBytes = 16;
+
+/** @return the greatest @p count records of all parts, greatest first, compared byte by byte; equal ones all count. */
+[[nodiscard]] std::string mergeRecords(std::span<const std::string_view> parts, std::size_t count);
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/gateway/src/engine.cpp
@@ -0,0 +1,453 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivelock {
+
+namespace {
+
+constexpr std::size_t fleetSizeGuess = 16; // until peers are counted: twice the fleets of today
+constexpr millis answerMargin(4); // from deciding to answer to the last byte on its way, on a busy small VM
+constexpr double waysBeforeArrival = 1.0; // round trips a caller may have spent on a new connection before we count
+constexpr double waysBack = 0.5; // of a round trip until it has the answer
+constexpr double leastUseOfObjective = 0.5; // a partial answer is never given before that share of the objective
+constexpr double holdShare = 0.2; // of the objective: longest wait for a free connection before a refusal
+
+millis patienceAfterWays(millis patience, millis roundTrip)
+{
+    const millis ways = roundTrip * (waysBeforeArrival + waysBack) + answerMargin;
+    return patience > ways * 2 ? patience - ways : patience * 0.5;
+}
+
+} // namespace
+
+std::string_view toString(exchange_outcome outcome)
+{
+    switch (outcome) {
+    case exchange_outcome::Relayed:
+        return "relayed";
+    case exchange_outcome::Merged:
+        return "merged";
+    case exchange_outcome::Refused:
+        return "refused";
+    case exchange_outcome::Failed:
+        return "failed";
+    case exchange_outcome::NoRoute:
+        return "no_route";
+    case exchange_outcome::NoConfig:
+        return "no_config";
+    }
+    return "unknown";
+}
+
+bool gateway_engine::exchange::mayHaveRun() const
+{
+    return std::ranges::any_of(calls, [](const shard_call &call) { return call.mayHaveRun > 0; });
+}
+
+std::size_t gateway_engine::exchange::neededParts() const
+{
+    constexpr double roundingSlack = 1e-9; // 0.9 of 20 must not become 19
+    const double wanted = std::ceil(route->minCoverage * static_cast<double>(calls.size()) - roundingSlack);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(wanted));
+}
+
+gateway_engine::gateway_engine(gateway_settings settings, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_random(seed)
+    , m_leafs(m_settings.removalHold)
+    , m_fleetSize(fleetSizeGuess)
+{
+}
+
+gateway_engine::~gateway_engine() = default;
+
+bool gateway_engine::applyConfig(gateway_config config)
+{
+    if (m_table && config.version <= m_table->config().version) {
+        return false;
+    }
+    m_table = std::make_shared<const route_table>(std::move(config));
+    return true;
+}
+
+exchange_id gateway_engine::arrive(const caller_request &request, millis now)
+{
+    const exchange_id id = m_nextId++;
+    if (!m_table) {
+        answerWithout(request, exchange_outcome::NoConfig, "no_config", id);
+        return id;
+    }
+    const gateway_route *route = m_table->find(request.host, request.target);
+    if (route == nullptr) {
+        answerWithout(request, exchange_outcome::NoRoute, "no_route", id);
+        return id;
+    }
+    auto work = std::make_unique<exchange>();
+    work->id = id;
+    work->requestId = request.id;
+    work->table = m_table;
+    work->route = route;
+    work->pace = &paceOf(*route);
+    work->arrivedAt = now;
+    const millis patience = request.patience ? patienceAfterWays(*request.patience, m_settings.callerRoundTrip)
+                                             : route->timeout;
+    work->limit = now + std::min(patience, route->timeout);
+    exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
+    begin(kept, now);
+    if (kept.ended) {
+        erase(id);
+    }
+    return id;
+}
+
+void gateway_engine::begin(exchange &work, millis now)
+{
+    if (work.route->isGather()) {
+        beginGather(work, now);
+    } else {
+        beginSingle(work, now);
+    }
+    schedule(work, now);
+}
+
+void gateway_engine::beginSingle(exchange &work, millis now)
+{
+    work.sendBy = now + work.route->objective * holdShare;
+    shard_call &call = work.calls.emplace_back();
+    call.service = pickShare(*work.route);
+    budgetOf(call.service).countRequest(now);
+    const choice chosen = chooseLeaf(work, call, false, now);
+    if (chosen.to) {
+        sendCall(work, 0, chosen.to, now);
+    } else if (chosen.full) {
+        call.waiting = true;
+    } else {
+        answerUnserved(work, "no_leaf", false, now);
+    }
+}
+
+void gateway_engine::beginGather(exchange &work, millis now)
+{
+    const millis ways = m_settings.callerRoundTrip * (waysBeforeArrival + waysBack) + answerMargin;
+    const millis inTime = std::max(work.route->objective - ways, work.route->objective * leastUseOfObjective);
+    work.cutoff = now + inTime;
+    std::vector<choice> chosen;
+    for (const service_name &shard : work.route->shards) {
+        shard_call &call = work.calls.emplace_back();
+        call.service = shard;
+        budgetOf(shard).countRequest(now);
+        choice &one = chosen.emplace_back(chooseLeaf(work, call, false, now));
+        call.waiting = !one.to && one.full;
+        call.missing = !one.to && !one.full;
+        work.missing += call.missing ? 1 : 0;
+    }
+    // Known before anything ran: nobody's time is spent on an answer that can't be given.
+    if (work.calls.size() - work.missing < work.neededParts()) {
+        answerUnserved(work, "too_few_shards", false, now);
+        return;
+    }
+    for (std::size_t at = 0; at < chosen.size(); ++at) {
+        if (chosen[at].to) {
+            sendCall(work, at, chosen[at].to, now);
+        }
+    }
+}
+
+void gateway_engine::sendCall(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
+{
+    shard_call &call = work.calls[at];
+    const millis hedgeAfter = work.pace->hedgeAfter();
+    send one;
+    one.id = m_nextId++;
+    one.exchange = work.id;
+    one.call = at;
+    one.to = to;
+    one.pace = work.pace;
+    one.sentAt = now;
+    one.idempotent = work.route->idempotent;
+    constexpr millis afterDeadline(100); // a leaf's own word that time is up is still heard
+    one.closeAt = work.limit + afterDeadline;
+    to->open.push_back({one.id, now, now + hedgeAfter});
+    call.tried.push_back(to);
+    call.open += 1;
+    call.mayHaveRun += 1;
+    call.sends += 1;
+    call.waiting = false;
+    call.nextHedge = work.route->idempotent ? now + hedgeAfter : millis::never();
+    work.sends += 1;
+    m_due.push({one.closeAt, true, one.id});
+    m_actions.emplace_back(
+        send_action {one.id, work.id, to, work.limit, connectionShare(call.service), !work.route->idempotent});
+    m_sends.emplace(one.id, std::move(one));
+}
+
+void gateway_engine::onReply(send_id id, gateway_reply reply, millis now)
+{
+    const auto found = m_sends.find(id);
+    if (found == m_sends.end()) {
+        return;
+    }
+    const send ended = std::move(found->second);
+    m_sends.erase(found);
+    closeSend(ended, now);
+    noteLeafReply(*ended.to, ended, reply, now);
+    const auto owner = m_exchanges.find(ended.exchange);
+    if (owner == m_exchanges.end()) {
+        return;
+    }
+    exchange &work = *owner->second;
+    shard_call &call = work.calls[ended.call];
+    call.open -= 1;
+    const bool notRun = reply.notRun || reply.wrongInstance;
+    call.mayHaveRun -= notRun ? 1 : 0;
+    if (!call.done && !call.missing) {
+        if (notRun) {
+            retryCall(work, ended.call, reply.wrongInstance ? "wrong_instance" : "leaf_refused", now);
+        } else if (work.route->isGather()) {
+            takePart(work, ended.call, std::move(reply), now);
+        } else {
+            answerSingle(work, std::move(reply), now);
+        }
+    }
+    retryWaiting(work, now);
+    schedule(work, now);
+    if (work.ended) {
+        erase(work.id);
+    }
+}
+
+void gateway_engine::onSendFailed(send_id id, send_failure failure, millis now)
+{
+    const auto found = m_sends.find(id);
+    if (found == m_sends.end()) {
+        return;
+    }
+    const send ended = std::move(found->second);
+    m_sends.erase(found);
+    closeSend(ended, now);
+    noteLeafFailure(*ended.to, failure, now);
+    const auto owner = m_exchanges.find(ended.exchange);
+    if (owner == m_exchanges.end()) {
+        return;
+    }
+    exchange &work = *owner->second;
+    shard_call &call = work.calls[ended.call];
+    call.open -= 1;
+    call.mayHaveRun -= failure == send_failure::NotSent ? 1 : 0;
+    if (!call.done && !call.missing) {
+        retryCall(work, ended.call, failure == send_failure::NotSent ? "not_sent" : "connection_broken", now);
+    }
+    schedule(work, now);
+    if (work.ended) {
+        erase(work.id);
+    }
+}
+
+void gateway_engine::takePart(exchange &work, std::size_t at, gateway_reply reply, millis now)
+{
+    if (!reply.isSuccess() || reply.stamp.empty()) {
+        retryCall(work, at, "leaf_failed", now);
+        return;
+    }
+    shard_call &call = work.calls[at];
+    call.done = true;
+    call.part = std::move(reply);
+    work.done += 1;
+    finishGatherIfDone(work, now);
+}
+
+void gateway_engine::answerSingle(exchange &work, gateway_reply reply, millis now)
+{
+    const bool served = reply.isSuccess() || reply.status < 500;
+    if (served || !work.route->idempotent) {
+        work.failure = std::move(reply);
+        answerUnserved(work, served ? "answered" : "leaf_failed", false, now);
+        return;
+    }
+    work.failure = std::move(reply);
+    retryCall(work, 0, "leaf_failed", now);
+}
+
+void gateway_engine::retryCall(exchange &work, std::size_t at, std::string_view cause, millis now)
+{
+    shard_call &call = work.calls[at];
+    if (call.open > 0) {
+        return; // another send may still bring it
+    }
+    constexpr unsigned refusalsBeyondAttempts = 2; // sends that did not run are no attempts, yet have an end too
+    const bool mayRunAgain = call.mayHaveRun == 0 || work.route->idempotent;
+    const bool attemptsLeft = call.mayHaveRun < work.route->maxAttempts
+        && call.sends < work.route->maxAttempts + refusalsBeyondAttempts;
+    if (!mayRunAgain || !attemptsLeft || now >= work.limit) {
+        failCall(work, at, cause, now);
+        return;
+    }
+    const choice chosen = chooseLeaf(work, call, false, now);
+    if (!chosen.to || !takeBudget(call.service, 0, now)) {
+        failCall(work, at, chosen.to ? "retry_budget" : cause, now);
+        return;
+    }
+    work.retries += 1;
+    note(work, "resend", cause, chosen.to.get(), call.service, now - work.arrivedAt, now);
+    sendCall(work, at, chosen.to, now);
+}
+
+void gateway_engine::failCall(exchange &work, std::size_t at, std::string_view cause, millis now)
+{
+    shard_call &call = work.calls[at];
+    call.missing = true;
+    call.nextHedge = millis::never();
+    work.missing += 1;
+    note(work, "shard_given_up", cause, nullptr, call.service, now - work.arrivedAt, now);
+    if (!work.route->isGather()) {
+        answerUnserved(work, cause, false, now);
+        return;
+    }
+    if (work.calls.size() - work.missing < work.neededParts()) {
+        answerUnserved(work, cause, false, now);
+        return;
+    }
+    finishGatherIfDone(work, now);
+}
+
+void gateway_engine::hedgeDue(exchange &work, millis now)
+{
+    constexpr double hedgeReserve = 0.3; // of the budget is kept for retries of what has failed
+    constexpr millis lookAgain(10); // when no second leaf is free: pauses end after some tens of milliseconds
+    for (std::size_t at = 0; at < work.calls.size(); ++at) {
+        shard_call &call = work.calls[at];
+        if (call.done || call.missing || call.open == 0 || now < call.nextHedge) {
+            continue;
+        }
+        if (call.mayHaveRun >= work.route->maxAttempts) {
+            call.nextHedge = millis::never();
+            continue;
+        }
+        const choice chosen = chooseLeaf(work, call, true, now);
+        if (!chosen.to || !takeBudget(call.service, hedgeReserve, now)) {
+            call.nextHedge = now + lookAgain;
+            continue;
+        }
+        work.hedges += 1;
+        note(work, "hedge", "silent", chosen.to.get(), call.service, work.pace->hedgeAfter(), now);
+        sendCall(work, at, chosen.to, now);
+    }
+}
+
+void gateway_engine::retryWaiting(exchange &work, millis now)
+{
+    for (std::size_t at = 0; at < work.calls.size() && !work.ended; ++at) {
+        shard_call &call = work.calls[at];
+        if (!call.waiting || call.done || call.missing) {
+            continue;
+        }
+        const choice chosen = chooseLeaf(work, call, false, now);
+        if (chosen.to) {
+            sendCall(work, at, chosen.to, now);
+        } else if (!chosen.full) {
+            call.waiting = false;
+            failCall(work, at, "no_leaf", now);
+        }
+    }
+}
+
+void gateway_engine::finishGatherIfDone(exchange &work, millis now)
+{
+    if (work.ended) {
+        return;
+    }
+    const bool allKnown = work.done + work.missing == work.calls.size();
+    const bool enough = work.done >= work.neededParts();
+    if (enough && (allKnown || now >= work.cutoff)) {
+        answerMerged(work, allKnown ? (work.missing == 0 ? "whole" : "shards_missing") : "time", now);
+    }
+}
+
+void gateway_engine::advanceExchange(exchange &work, millis now)
+{
+    if (now >= work.limit) {
+        answerUnserved(work, "time", true, now);
+        return;
+    }
+    retryWaiting(work, now);
+    if (!work.ended && work.sends == 0 && now >= work.sendBy) {
+        answerUnserved(work, "leafs_full", false, now);
+    }
+    if (!work.ended && work.route->isGather()) {
+        finishGatherIfDone(work, now);
+    }
+    if (!work.ended) {
+        hedgeDue(work, now);
+    }
+}
+
+void gateway_engine::advance(millis now)
+{
+    m_leafs.expire(now);
+    while (!m_due.empty() && m_due.top().at <= now) {
+        const due next = m_due.top();
+        m_due.pop();
+        if (next.isSend) {
+            const auto late = m_sends.find(next.id);
+            if (late != m_sends.end() && late->second.closeAt <= now) {
+                m_actions.emplace_back(cancel_action {next.id});
+                onSendFailed(next.id, send_failure::TimedOut, now);
+            }
+            continue;
+        }
+        const auto found = m_exchanges.find(next.id);
+        if (found == m_exchanges.end() || found->second->scheduled != next.at) {
+            continue; // it was scheduled anew for another time
+        }
+        exchange &work = *found->second;
+        work.scheduled = millis::never();
+        advanceExchange(work, now);
+        schedule(work, now);
+        if (work.ended) {
+            erase(work.id);
+        }
+    }
+}
+
+void gateway_engine::schedule(exchange &work, millis now)
+{
+    if (work.ended) {
+        return;
+    }
+    constexpr millis waitingLook(5); // how often a request without a free connection looks for one
+    millis next = work.limit;
+    if (work.cutoff > now) {
+        next = std::min(next, work.cutoff);
+    }
+    for (const shard_call &call : work.calls) {
+        if (call.done || call.missing) {
+            continue;
+        }
+        next = std::min(next, call.waiting ? now + waitingLook : call.nextHedge);
+    }
+    // An earlier time that is still to come does: looking once too often is cheaper than a heap full of old times.
+    if (work.scheduled > now && work.scheduled <= next) {
+        return;
+    }
+    work.scheduled = next;
+    m_due.push({next, false, work.id});
+}
+
+millis gateway_engine::nextDue() const
+{
+    return m_due.empty() ? millis::never() : m_due.top().at;
+}
+
+std::vector<gateway_action> gateway_engine::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+void gateway_engine::erase(exchange_id id)
+{
+    m_exchanges.erase(id);
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/gateway/src/engine_answers.cpp
@@ -0,0 +1,148 @@
+#include "exchange.h"
+
+#include <algorithm>
+
+namespace chivelock {
+
+namespace {
+
+constexpr millis leastRetryAfter(50); // a leaf's short pause or a full queue has mostly passed by then
+constexpr millis mostRetryAfter(500); // no leaf: the store's word of new ones arrives within a second
+
+/** Statuses by which this system itself promises that a request did not run and never will. */
+bool promisesNotRun(unsigned status)
+{
+    constexpr unsigned timeoutBeforeRead = 408;
+    constexpr unsigned misdirected = 421;
+    constexpr unsigned tooMany = 429;
+    constexpr unsigned unavailable = 503;
+    return status == timeoutBeforeRead || status == misdirected || status == tooMany || status == unavailable;
+}
+
+} // namespace
+
+void gateway_engine::answerMerged(exchange &work, std::string_view cause, millis now)
+{
+    std::vector<std::string_view> parts;
+    answer_action merged;
+    for (const shard_call &call : work.calls) {
+        if (call.done) {
+            parts.emplace_back(call.part.body);
+            merged.stamps.push_back(call.part.stamp);
+        }
+    }
+    merged.body = mergeRecords(parts, work.route->topRecords);
+    m_actions.emplace_back(std::move(merged));
+    answer(work, exchange_outcome::Merged, cause, now);
+}
+
+void gateway_engine::answerUnserved(exchange &work, std::string_view cause, bool timedOut, millis now)
+{
+    answer_action result;
+    result.timedOut = timedOut;
+    exchange_outcome outcome = work.mayHaveRun() ? exchange_outcome::Failed : exchange_outcome::Refused;
+    // A leaf's status that reads as this system's promise must not be passed on for a request that may have run.
+    if (work.failure && !timedOut && !promisesNotRun(work.failure->status)) {
+        result.reply = std::move(*work.failure);
+        outcome = exchange_outcome::Relayed;
+    }
+    millis soonest = millis::never();
+    for (const shard_call &call : work.calls) {
+        if (call.done) {
+            continue;
+        }
+        for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
+            soonest = std::min(soonest, std::max(one->downUntil - now, millis()));
+        }
+    }
+    result.retryAfter = std::clamp(soonest, leastRetryAfter, mostRetryAfter);
+    m_actions.emplace_back(std::move(result));
+    answer(work, outcome, cause, now);
+}
+
+/** Completes the answer that was put in place last. */
+void gateway_engine::answer(exchange &work, exchange_outcome outcome, std::string_view cause, millis now)
+{
+    auto &result = std::get<answer_action>(m_actions.back());
+    result.exchange = work.id;
+    result.outcome = outcome;
+    result.cause = cause;
+    result.requestId = work.requestId;
+    result.route = work.route->name;
+    result.version = work.table->config().version;
+    result.shards = work.route->isGather() ? work.calls.size() : 0;
+    result.missing = work.route->isGather() ? work.calls.size() - work.done : 0;
+    result.sends = work.sends;
+    result.hedges = work.hedges;
+    result.retries = work.retries;
+    result.elapsed = now - work.arrivedAt;
+    work.ended = true;
+}
+
+void gateway_engine::answerWithout(const caller_request &request,
+                                   exchange_outcome outcome,
+                                   std::string_view cause,
+                                   exchange_id id)
+{
+    answer_action result;
+    result.exchange = id;
+    result.outcome = outcome;
+    result.cause = cause;
+    result.retryAfter = mostRetryAfter;
+    result.requestId = request.id;
+    result.version = m_table ? m_table->config().version : 0;
+    m_actions.emplace_back(std::move(result));
+}
+
+void gateway_engine::note(const exchange &work,
+                          std::string_view event,
+                          std::string_view cause,
+                          const leaf *about,
+                          const service_name &service,
+                          millis input,
+                          millis now)
+{
+    m_actions.emplace_back(note_action {work.requestId,
+                                        event,
+                                        cause,
+                                        about == nullptr ? std::string() : about->entry.id,
+                                        service.value,
+                                        now - work.arrivedAt,
+                                        input});
+}
+
+void gateway_engine::onCallerLeft(exchange_id id, millis now)
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    // Most leafs answer within this time anyway, and a connection that is kept needs no new one; what is longer at work
+    // for nobody is stopped. Well inside the half second after which a leaf's work for nobody counts as waste.
+    constexpr millis cancelAfter(200);
+    for (auto &[sendId, one] : m_sends) {
+        if (one.exchange != id) {
+            continue;
+        }
+        one.exchange = 0;
+        if (one.idempotent) {
+            one.closeAt = std::min(one.closeAt, now + cancelAfter);
+            m_due.push({one.closeAt, true, sendId});
+        }
+    }
+    note(*found->second, "caller_left", "closed", nullptr, {}, now - found->second->arrivedAt, now);
+    m_exchanges.erase(found);
+}
+
+void gateway_engine::onStandstill(millis gap)
+{
+    for (auto &[id, one] : m_sends) {
+        for (leaf::open_send &open : one.to->open) {
+            if (open.id == id) {
+                open.expectedBy = open.expectedBy + gap;
+            }
+        }
+    }
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/gateway/src/exchange.h
@@ -0,0 +1,53 @@
+#pragma once
+
+/** @file One caller's request under way; private to the engine. */
+
+#include <gateway/gateway.h>
+
+namespace chivelock {
+
+/** A leaf silent for this long is not in one of its short pauses: nobody waits for it any more. */
+inline constexpr millis hopelessAfter(350);
+
+/** One shard of a gather, or the whole of a request to one leaf. */
+struct gateway_engine::shard_call {
+    service_name service;
+    std::vector<std::shared_ptr<leaf>> tried; ///< has a send out or has failed; not asked again
+    unsigned open = 0; ///< sends without an answer yet
+    unsigned mayHaveRun = 0; ///< sends not proven to have left nothing running
+    unsigned sends = 0;
+    millis nextHedge = millis::never();
+    bool waiting = false; ///< not sent yet: no leaf has a free connection
+    bool done = false; ///< has its part
+    bool missing = false; ///< given up
+    gateway_reply part;
+};
+
+/** One request. */
+struct gateway_engine::exchange {
+    exchange_id id = 0;
+    std::string requestId;
+    std::shared_ptr<const route_table> table; ///< keeps the route alive, and the shards of one version together
+    const gateway_route *route = nullptr;
+    route_pace *pace = nullptr;
+    millis arrivedAt;
+    millis limit; ///< final answer then at the latest
+    millis cutoff = millis::never(); ///< a partial answer is given from then on
+    millis sendBy = millis::never(); ///< refused if nothing was sent by then
+    millis scheduled = millis::never();
+    std::vector<shard_call> calls;
+    std::size_t done = 0;
+    std::size_t missing = 0;
+    std::optional<gateway_reply> failure; ///< of a request to one leaf: the last failing answer
+    unsigned sends = 0;
+    unsigned hedges = 0;
+    unsigned retries = 0;
+    bool ended = false;
+
+    [[nodiscard]] bool mayHaveRun() const;
+
+    /** Shards that a merged answer needs. */
+    [[nodiscard]] std::size_t neededParts() const;
+};
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -0,0 +1,132 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivelock {
+
+namespace {
+
+constexpr millis slownessHalfLife(3000); // a leaf that was slow is tried again after some seconds without traffic
+constexpr millis failingHalfLife(3000);
+constexpr millis loadFresh(60); // a reported load is older than the work it speaks of after some work times
+constexpr double otherZoneShare = 0.3; // of the typical time: what a byte saved between zones may cost in time
+constexpr millis otherZoneDelay(1); // there and back
+constexpr double coldShare = 0.6; // slower by that share of the typical time after its start
+constexpr double tieShare = 0.1; // random share, so that VMs with equal views do not all choose the same leaf
+constexpr double stallShare = 0.5; // of the objective: what a stalled leaf is expected to cost more
+constexpr double leavingShare = 4; // of the objective: asked only if no other leaf of the service may be
+constexpr millis drainMargin(1000); // for the store's word to arrive and a request to reach the leaf
+
+/** @return what is left of @p value over one after @p age. */
+double faded(double value, millis age, millis halfLife)
+{
+    return value * std::exp2(-std::max(age.count(), 0.0) / halfLife.count());
+}
+
+double currentSlowness(const leaf &candidate, millis now)
+{
+    return 1 + faded(candidate.slowness - 1, now - candidate.slownessAt, slownessHalfLife);
+}
+
+/** Time in the leaf's queue, in units of one request's time. */
+double queueFactor(const leaf &candidate, millis now)
+{
+    double atWork = static_cast<double>(candidate.open.size());
+    if (now - candidate.loadAt < loadFresh) {
+        atWork = std::max(atWork, static_cast<double>(candidate.load.running + candidate.load.waiting));
+    }
+    const double slots = std::max(1U, candidate.entry.slots);
+    return std::max(0.0, atWork - slots + 1) / slots;
+}
+
+} // namespace
+
+double gateway_engine::expectedCost(const leaf &candidate, const route_pace &pace, millis now)
+{
+    const double typical = pace.typical.estimate().count();
+    const double objective = pace.objective.count();
+    double cost = typical * currentSlowness(candidate, now) * (1 + queueFactor(candidate, now));
+    cost += objective * faded(candidate.failing, now - candidate.failingAt, failingHalfLife);
+    if (candidate.entry.zone != m_settings.zone) {
+        cost += typical * otherZoneShare + otherZoneDelay.count();
+    }
+    if (now < candidate.coldUntil) {
+        cost += typical * coldShare;
+    }
+    if (candidate.stalledSince() < now) {
+        cost += objective * stallShare;
+    }
+    if (candidate.isLeaving()) {
+        cost += objective * leavingShare;
+    }
+    return cost * (1 + tieShare * m_random.uniform());
+}
+
+bool gateway_engine::mayAsk(const leaf &candidate, millis now) const
+{
+    if (candidate.misdirected || now < candidate.downUntil) {
+        return false;
+    }
+    if (candidate.failuresInRow > 0 && !candidate.open.empty()) {
+        return false; // one request at a time finds out whether it is back
+    }
+    const millis drainEnd = m_settings.drainLimit - std::min(drainMargin, m_settings.drainLimit * 0.5);
+    if (candidate.drainSeenAt < millis::never() && now >= candidate.drainSeenAt + drainEnd) {
+        return false;
+    }
+    const millis stalled = candidate.stalledSince();
+    return stalled > now || now - stalled < hopelessAfter;
+}
+
+unsigned gateway_engine::connectionShare(const service_name &service) const
+{
+    const std::size_t all = m_table->maxConnections(service);
+    return static_cast<unsigned>(std::max<std::size_t>(1, all / std::max<std::size_t>(1, m_fleetSize)));
+}
+
+gateway_engine::choice
+gateway_engine::chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now)
+{
+    choice best;
+    const unsigned share = connectionShare(call.service);
+    for (const std::shared_ptr<leaf> &candidate : m_leafs.of(call.service)) {
+        const bool tried = std::ranges::find(call.tried, candidate) != call.tried.end();
+        if (tried || !mayAsk(*candidate, now)) {
+            continue;
+        }
+        if (candidate->open.size() >= share) {
+            best.full = true;
+            continue;
+        }
+        if (forHedge && candidate->stalledSince() < now) {
+            continue; // a second request would only wait beside the first
+        }
+        const double cost = expectedCost(*candidate, *work.pace, now);
+        if (!best.to || cost < best.cost) {
+            best.to = candidate;
+            best.cost = cost;
+        }
+    }
+    return best;
+}
+
+const service_name &gateway_engine::pickShare(const gateway_route &route)
+{
+    if (route.split.size() == 1) {
+        return route.split.front().service;
+    }
+    // Smooth weighted turns: each share gains its weight, the richest is taken and pays the sum of all weights.
+    std::vector<double> &credits = m_shareCredits[route.name];
+    credits.resize(route.split.size(), 0.0);
+    double sum = 0;
+    for (std::size_t at = 0; at < credits.size(); ++at) {
+        credits[at] += route.split[at].weight;
+        sum += route.split[at].weight;
+    }
+    const auto richest = std::ranges::max_element(credits);
+    *richest -= sum;
+    return route.split[static_cast<std::size_t>(richest - credits.begin())].service;
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/gateway/src/leaf_directory.cpp
@@ -0,0 +1,116 @@
+#include <gateway/gateway.h>
+
+#include <algorithm>
+#include <set>
+
+namespace chivelock {
+
+millis leaf::stalledSince() const
+{
+    millis since = millis::never();
+    for (const open_send &one : open) {
+        // An answer to another request after this one was due shows that the leaf is at work, only this one is long.
+        if (lastReplyAt < one.expectedBy) {
+            since = std::min(since, one.expectedBy);
+        }
+    }
+    return since;
+}
+
+bool leaf_directory::put(const leaf_entry &entry, millis now)
+{
+    const auto found = m_byId.find(entry.id);
+    if (found == m_byId.end()) {
+        auto added = std::make_shared<leaf>(entry);
+        added->coldUntil = now + entry.coldFor;
+        added->drainSeenAt = entry.draining ? now : millis::never();
+        m_byId.emplace(entry.id, added);
+        m_byService[entry.service].push_back(std::move(added));
+        return true;
+    }
+    leaf &known = *found->second;
+    const bool returned = known.removeAt < millis::never();
+    const bool drainsNow = entry.draining && !known.entry.draining;
+    if (drainsNow) {
+        known.drainSeenAt = now;
+    }
+    known.removeAt = millis::never();
+    known.entry.draining = entry.draining;
+    known.entry.slots = entry.slots;
+    known.coldUntil = now + entry.coldFor;
+    return returned || drainsNow;
+}
+
+bool leaf_directory::remove(std::string_view id, millis now)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end()) {
+        return false;
+    }
+    leaf &gone = *found->second;
+    if (gone.removeAt == millis::never()) {
+        gone.removeAt = now + m_hold;
+        m_nextExpiry = std::min(m_nextExpiry, gone.removeAt);
+    }
+    return true;
+}
+
+void leaf_directory::replaceAll(std::span<const leaf_entry> entries, millis now)
+{
+    std::set<std::string_view> present;
+    for (const leaf_entry &entry : entries) {
+        present.insert(entry.id);
+        put(entry, now);
+    }
+    for (const auto &[id, known] : m_byId) {
+        if (!present.contains(id)) {
+            remove(id, now);
+        }
+    }
+}
+
+std::size_t leaf_directory::expire(millis now)
+{
+    if (now < m_nextExpiry) {
+        return 0;
+    }
+    m_nextExpiry = millis::never();
+    std::size_t removed = 0;
+    for (auto at = m_byId.begin(); at != m_byId.end();) {
+        if (at->second->removeAt <= now) {
+            unlink(*at->second);
+            at = m_byId.erase(at);
+            ++removed;
+            continue;
+        }
+        m_nextExpiry = std::min(m_nextExpiry, at->second->removeAt);
+        ++at;
+    }
+    return removed;
+}
+
+std::span<const std::shared_ptr<leaf>> leaf_directory::of(const service_name &service) const
+{
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? std::span<const std::shared_ptr<leaf>>() : found->second;
+}
+
+std::shared_ptr<leaf> leaf_directory::find(std::string_view id) const
+{
+    const auto found = m_byId.find(id);
+    return found == m_byId.end() ? nullptr : found->second;
+}
+
+void leaf_directory::unlink(const leaf &gone)
+{
+    const auto found = m_byService.find(gone.entry.service);
+    if (found == m_byService.end()) {
+        return;
+    }
+    std::erase_if(found->second, [&](const std::shared_ptr<leaf> &one) { return one.get() == &gone; });
+    if (found->second.empty()) {
+        m_byService.erase(found);
+    }
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/gateway/src/leaf_health.cpp
@@ -0,0 +1,95 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivelock {
+
+namespace {
+
+constexpr double slowerStep = 1.35; // two slow answers outweigh the preference for the own zone
+constexpr double fasterStep = 0.8;
+constexpr double leastSlowness = 0.8;
+constexpr double mostSlowness = 30;
+constexpr double failureWeight = 0.3; // of the newest answer among the recent ones
+constexpr millis firstDown(200); // a process that was killed is back within a second or not for long
+constexpr millis mostDown(2000); // a leaf that came back is found within this time
+constexpr unsigned brokenInRow = 3; // single broken answers happen to healthy leafs
+
+millis downFor(unsigned failuresInRow)
+{
+    const millis time = firstDown * std::exp2(std::min(failuresInRow, 8U) - 1.0);
+    return std::min(time, mostDown);
+}
+
+void learnSlowness(leaf &from, double ratio, millis sentAt, millis now)
+{
+    const bool slower = ratio > from.slowness;
+    // Several requests that waited out one pause together tell of one pause.
+    if (slower && sentAt < from.slownessAt) {
+        return;
+    }
+    from.slowness = std::clamp(from.slowness * (slower ? slowerStep : fasterStep), leastSlowness, mostSlowness);
+    from.slownessAt = now;
+}
+
+} // namespace
+
+retry_budget &gateway_engine::budgetOf(const service_name &service)
+{
+    return m_budgets.try_emplace(service, m_settings.retryRatio, m_settings.retryWindow).first->second;
+}
+
+bool gateway_engine::takeBudget(const service_name &service, double reserve, millis now)
+{
+    constexpr double safety = 0.8; // of the fixed part: VMs that restart have forgotten what they spent
+    const double fixedPart = m_settings.retrySlack * safety / static_cast<double>(std::max<std::size_t>(1, m_fleetSize));
+    return budgetOf(service).tryTake(fixedPart, reserve, now);
+}
+
+route_pace &gateway_engine::paceOf(const gateway_route &route)
+{
+    return m_paces.try_emplace(route.name, route.objective).first->second;
+}
+
+void gateway_engine::closeSend(const send &ended, millis now)
+{
+    (void)now;
+    std::erase_if(ended.to->open, [&](const leaf::open_send &one) { return one.id == ended.id; });
+}
+
+void gateway_engine::noteLeafReply(leaf &from, const send &ended, const gateway_reply &reply, millis now)
+{
+    from.lastReplyAt = now;
+    from.failuresInRow = 0;
+    from.downUntil = millis();
+    from.misdirected = from.misdirected || reply.wrongInstance;
+    if (reply.load) {
+        from.load = *reply.load;
+        from.loadAt = now;
+    }
+    if (reply.notRun || reply.wrongInstance) {
+        return;
+    }
+    const millis took = now - ended.sentAt;
+    const bool good = reply.status < 500;
+    const double share = good ? 0.0 : 1.0;
+    from.failing = from.failing * (1 - failureWeight) + share * failureWeight;
+    from.failingAt = now;
+    if (good) {
+        learnSlowness(from, took.count() / ended.pace->typical.estimate().count(), ended.sentAt, now);
+        ended.pace->add(took);
+    }
+}
+
+void gateway_engine::noteLeafFailure(leaf &from, send_failure failure, millis now)
+{
+    from.failuresInRow += 1;
+    from.failing = from.failing * (1 - failureWeight) + failureWeight;
+    from.failingAt = now;
+    if (failure != send_failure::Broken || from.failuresInRow >= brokenInRow) {
+        from.downUntil = now + downFor(from.failuresInRow);
+    }
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/http1/src/headers.cpp
@@ -0,0 +1,93 @@
+#include <http1/http1.h>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace chivelock {
+
+namespace beast = boost::beast;
+
+namespace {
+
+beast::string_view asBeast(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+constexpr std::array<std::string_view, 9> hopHeaders = {"connection",
+                                                        "keep-alive",
+                                                        "proxy-connection",
+                                                        "proxy-authenticate",
+                                                        "proxy-authorization",
+                                                        "te",
+                                                        "trailer",
+                                                        "transfer-encoding",
+                                                        "upgrade"};
+
+void appendHeader(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+} // namespace
+
+bool sameHeaderName(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && beast::iequals(asBeast(a), asBeast(b));
+}
+
+std::string_view findHeader(const http_headers &headers, std::string_view name)
+{
+    const auto found
+        = std::ranges::find_if(headers, [&](const http_header &header) { return sameHeaderName(header.name, name); });
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+bool headerHasToken(const http_headers &headers, std::string_view name, std::string_view token)
+{
+    return std::ranges::any_of(headers, [&](const http_header &header) {
+        return sameHeaderName(header.name, name)
+            && beast::http::token_list(asBeast(header.value)).exists(asBeast(token));
+    });
+}
+
+bool isHopHeader(std::string_view name, const http_headers &all)
+{
+    const bool known
+        = std::ranges::any_of(hopHeaders, [&](std::string_view hop) { return sameHeaderName(hop, name); });
+    return known || headerHasToken(all, "Connection", name);
+}
+
+std::string_view reasonFor(unsigned status)
+{
+    const beast::string_view words = beast::http::obsolete_reason(beast::http::int_to_status(status));
+    return {words.data(), words.size()};
+}
+
+std::string
+writeResponse(unsigned status, std::string_view reason, const http_headers &headers, std::string_view body, bool close)
+{
+    constexpr std::size_t typicalHead = 256;
+    std::string text;
+    text.reserve(typicalHead + body.size());
+    text.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason).append("\r\n");
+    for (const http_header &header : headers) {
+        appendHeader(text, header.name, header.value);
+    }
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
+    if (status != noContent && status != notModified) {
+        appendHeader(text, "Content-Length", std::to_string(body.size()));
+    }
+    if (close) {
+        appendHeader(text, "Connection", "close");
+    }
+    text.append("\r\n").append(body);
+    return text;
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/http1/src/request_reader.cpp
@@ -0,0 +1,198 @@
+#include "message_parts.h"
+
+#include <http1/http1.h>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+
+namespace chivelock {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+using beast_parser = http::request_parser<http::string_body>;
+
+/**
+ * Two readers of one message may disagree on folded lines and bare line feeds; a request hidden behind such a line
+ * would then reach a leaf as one of its own. Refusing them leaves one reading only.
+ */
+bool hasDoubtfulLines(std::string_view head)
+{
+    for (std::size_t at = head.find('\n'); at != std::string_view::npos; at = head.find('\n', at + 1)) {
+        const bool bare = at == 0 || head[at - 1] != '\r';
+        const bool folded = at + 1 < head.size() && (head[at + 1] == ' ' || head[at + 1] == '\t');
+        if (bare || folded) {
+            return true;
+        }
+    }
+    return head.find('\0') != std::string_view::npos;
+}
+
+bool framingIsPlain(const http::request<http::string_body> &message)
+{
+    const auto encodings = message.equal_range(http::field::transfer_encoding);
+    for (auto line = encodings.first; line != encodings.second; ++line) {
+        if (message.version() < 11 || !boost::beast::iequals(line->value(), "chunked")) {
+            return false;
+        }
+    }
+    return std::distance(encodings.first, encodings.second) <= 1;
+}
+
+bool hasOneHost(const http::request<http::string_body> &message)
+{
+    return message.count(http::field::host) == 1;
+}
+
+/** Only targets that are a path: other forms name a host a second time. */
+bool isPathTarget(const http::request<http::string_body> &message)
+{
+    return !message.target().empty() && message.target().front() == '/';
+}
+
+} // namespace
+
+struct request_reader::state {
+    std::optional<beast_parser> parser {std::in_place};
+    std::size_t headLimit = 16384;
+    std::size_t bodyLimit = 1048576;
+    std::size_t scanned = 0; ///< bytes of an unfinished head already looked through for its end
+    bool headDone = false;
+    bool headTold = false;
+
+    read_state readHead(std::string &input);
+    read_state readBody(std::string &input);
+};
+
+namespace {
+
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+void dropLeadingBlankLines(std::string &input)
+{
+    while (input.starts_with("\r\n")) {
+        input.erase(0, 2);
+    }
+}
+
+} // namespace
+
+read_state request_reader::state::readHead(std::string &input)
+{
+    if (scanned == 0) {
+        dropLeadingBlankLines(input);
+    }
+    const std::size_t from = scanned < headEnd.size() ? 0 : scanned - headEnd.size();
+    const std::size_t end = input.find(headEnd, from);
+    const std::size_t headBytes = end == std::string::npos ? input.size() : end + headEnd.size();
+    if (hasDoubtfulLines(std::string_view(input).substr(0, headBytes))) {
+        return read_state::BadMessage;
+    }
+    if (headBytes > headLimit) {
+        return read_state::HeadTooLarge;
+    }
+    scanned = input.size();
+    if (end == std::string::npos) {
+        return read_state::NeedMore;
+    }
+    parser->header_limit(static_cast<std::uint32_t>(headLimit + headEnd.size()));
+    parser->body_limit(bodyLimit);
+    parser->eager(true);
+    boost::system::error_code error;
+    const std::size_t used = parser->put(boost::asio::buffer(input), error);
+    input.erase(0, used);
+    if (error == http::error::body_limit) {
+        return read_state::BodyTooLarge;
+    }
+    if ((error && error != http::error::need_more) || !parser->is_header_done()) {
+        return read_state::BadMessage;
+    }
+    headDone = true;
+    const auto &message = parser->get();
+    if (!framingIsPlain(message) || !hasOneHost(message) || !isPathTarget(message)) {
+        return read_state::BadMessage;
+    }
+    return parser->is_done() ? read_state::Complete : read_state::HeadComplete;
+}
+
+read_state request_reader::state::readBody(std::string &input)
+{
+    boost::system::error_code error;
+    while (!parser->is_done() && !input.empty()) {
+        const std::size_t used = parser->put(boost::asio::buffer(input), error);
+        input.erase(0, used);
+        if (error == http::error::body_limit) {
+            return read_state::BodyTooLarge;
+        }
+        if (error && error != http::error::need_more) {
+            return read_state::BadMessage;
+        }
+        if (used == 0) {
+            break;
+        }
+    }
+    return parser->is_done() ? read_state::Complete : read_state::NeedMore;
+}
+
+request_reader::request_reader()
+    : m_state(std::make_unique<state>())
+{
+}
+
+request_reader::~request_reader() = default;
+
+void request_reader::setLimits(std::size_t headBytes, std::size_t bodyBytes)
+{
+    m_state->headLimit = headBytes;
+    m_state->bodyLimit = bodyBytes;
+}
+
+read_state request_reader::feed(std::string &input)
+{
+    if (!m_state->headDone) {
+        const read_state head = m_state->readHead(input);
+        if (head != read_state::HeadComplete) {
+            return head;
+        }
+    }
+    const read_state body = m_state->readBody(input);
+    if (body == read_state::NeedMore && !m_state->headTold) {
+        m_state->headTold = true;
+        return read_state::HeadComplete;
+    }
+    return body;
+}
+
+bool request_reader::wantsContinue() const
+{
+    return m_state->headDone
+        && boost::beast::iequals(m_state->parser->get()[http::field::expect], "100-continue");
+}
+
+bool request_reader::begun() const
+{
+    return m_state->headDone || m_state->scanned > 0;
+}
+
+http_request request_reader::take()
+{
+    auto message = m_state->parser->release();
+    http_request request;
+    const auto method = message.method_string();
+    request.method.assign(method.data(), method.size());
+    const auto target = message.target();
+    request.target.assign(target.data(), target.size());
+    request.keepAlive = message.version() >= 11 && message.keep_alive();
+    request.headers = copyHeaders(message);
+    request.body = std::move(message.body());
+    const std::size_t headLimit = m_state->headLimit;
+    const std::size_t bodyLimit = m_state->bodyLimit;
+    m_state = std::make_unique<state>();
+    setLimits(headLimit, bodyLimit);
+    return request;
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/http1/tests/test_http1.cpp
@@ -0,0 +1,131 @@
+#define BOOST_TEST_MODULE http1
+#include <boost/test/included/unit_test.hpp>
+
+#include <http1/http1.h>
+
+using namespace chivelock;
+
+namespace {
+
+read_state readOnce(const std::string &bytes)
+{
+    request_reader reader;
+    std::string input = bytes;
+    read_state state = reader.feed(input);
+    return state == read_state::HeadComplete ? reader.feed(input) : state;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(request_keeps_target_and_headers_byte_for_byte)
+{
+    request_reader reader;
+    std::string input = "GET /a/?z=1&a=2&a=3&&x=%2F&q HTTP/1.1\r\nHost: h\r\nX-Two: 1\r\nx-two: 2\r\n\r\nGET ";
+    BOOST_CHECK(reader.feed(input) == read_state::Complete);
+    const http_request request = reader.take();
+    BOOST_TEST(request.target == "/a/?z=1&a=2&a=3&&x=%2F&q");
+    BOOST_REQUIRE(request.headers.size() == 3);
+    BOOST_TEST(request.headers[1].name == "X-Two");
+    BOOST_TEST(request.headers[2].name == "x-two");
+    BOOST_TEST(input == "GET ");
+}
+
+BOOST_AUTO_TEST_CASE(bodies_come_by_length_and_in_chunks)
+{
+    request_reader reader;
+    std::string input = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
+                        "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nfg";
+    BOOST_CHECK(reader.feed(input) == read_state::Complete);
+    BOOST_TEST(reader.take().body == "abcde");
+    BOOST_CHECK(reader.feed(input) == read_state::Complete);
+    BOOST_TEST(reader.take().body == "fg");
+}
+
+BOOST_AUTO_TEST_CASE(a_request_in_single_bytes_is_the_same_request)
+{
+    request_reader reader;
+    const std::string whole = "POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nfg";
+    std::string input;
+    read_state last = read_state::NeedMore;
+    unsigned heads = 0;
+    for (const char c : whole) {
+        input += c;
+        last = reader.feed(input);
+        heads += last == read_state::HeadComplete ? 1 : 0;
+    }
+    BOOST_CHECK(last == read_state::Complete);
+    BOOST_TEST(heads == 1);
+    BOOST_TEST(reader.take().body == "fg");
+}
+
+// Symptom: a leaf runs a request that no caller sent.
+// Sequence: the caller's message is read in two ways, here as one request, at the leaf as two.
+// Cause: doubtful framing was let pass.
+BOOST_AUTO_TEST_CASE(doubtful_framing_is_refused)
+{
+    const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    BOOST_CHECK(readOnce(start + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+                == read_state::BadMessage);
+    BOOST_CHECK(readOnce(start + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n")
+                == read_state::BadMessage);
+    BOOST_CHECK(readOnce(start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab") == read_state::BadMessage);
+    BOOST_CHECK(readOnce(start + "Content-Length: +1\r\n\r\na") == read_state::BadMessage);
+    BOOST_CHECK(readOnce(start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n") == read_state::BadMessage);
+    BOOST_CHECK(readOnce(start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n") == read_state::BadMessage);
+    BOOST_CHECK(readOnce(start + "X: a\r\n b\r\n\r\n") == read_state::BadMessage);
+    BOOST_CHECK(readOnce("GET /a HTTP/1.1\nHost: h\n\n") == read_state::BadMessage);
+    BOOST_CHECK(readOnce(start + "X : a\r\n\r\n") == read_state::BadMessage);
+    BOOST_CHECK(readOnce("GET /a HTTP/1.1\r\n\r\n") == read_state::BadMessage);
+    BOOST_CHECK(readOnce("GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n") == read_state::BadMessage);
+    BOOST_CHECK(readOnce("GET http://x/a HTTP/1.1\r\nHost: a\r\n\r\n") == read_state::BadMessage);
+}
+
+BOOST_AUTO_TEST_CASE(limits_are_told_apart)
+{
+    request_reader reader;
+    reader.setLimits(64, 4);
+    std::string head = "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(100, 'x');
+    BOOST_CHECK(reader.feed(head) == read_state::HeadTooLarge);
+    request_reader second;
+    second.setLimits(64, 4);
+    std::string body = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n";
+    BOOST_CHECK(second.feed(body) == read_state::BodyTooLarge);
+}
+
+BOOST_AUTO_TEST_CASE(a_response_without_length_ends_with_its_connection)
+{
+    response_reader reader;
+    reader.expect(false, 100);
+    std::string input = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX: 1\r\n\r\nabc";
+    BOOST_CHECK(reader.feed(input) == read_state::NeedMore);
+    BOOST_CHECK(reader.finish() == read_state::Complete);
+    const http_response response = reader.take();
+    BOOST_TEST(response.status == 200U);
+    BOOST_TEST(response.body == "abc");
+}
+
+BOOST_AUTO_TEST_CASE(a_response_cut_short_is_not_complete)
+{
+    response_reader reader;
+    reader.expect(false, 100);
+    std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc";
+    BOOST_CHECK(reader.feed(input) == read_state::NeedMore);
+    BOOST_CHECK(reader.finish() == read_state::BadMessage);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_behind_a_response_stay)
+{
+    response_reader reader;
+    reader.expect(false, 100);
+    std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n";
+    BOOST_CHECK(reader.feed(input) == read_state::Complete);
+    BOOST_TEST(input == "HTTP/1.1 200 OK\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(hop_headers_are_known_and_named)
+{
+    const http_headers headers = {{"Connection", "close, X-Mine"}, {"X-Mine", "1"}, {"X-Other", "2"}};
+    BOOST_TEST(isHopHeader("x-mine", headers));
+    BOOST_TEST(isHopHeader("Keep-Alive", headers));
+    BOOST_TEST(!isHopHeader("X-Other", headers));
+}
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -50,4 +50,33 @@
 /** Reads and checks the text; gives each problem with path, value and what is allowed. */
 [[nodiscard]] tl::expected<daemon_settings, document_error> readSettings(std::string_view text);
 
+/** An IP number with a port. */
+struct listen_address {
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+/** What a process is told that passes requests through to leafs, see gateway/gateway.h. */
+struct gateway_daemon_settings {
+    std::string vmName;
+    zone_name zone;
+    listen_address callers;
+    listen_address readiness;
+    std::optional<listen_address> metrics;
+    std::string storeAddress; ///< IP number and port
+    millis storeWait {3000}; ///< how long the store holds a watch; bounds how long a lost answer goes unnoticed
+    millis grace {6000}; ///< from SIGTERM to SIGKILL
+    std::size_t maxConnections = 1000; ///< of callers at a time
+    std::uint32_t logLinesPerSecond = 500;
+    log_level log = log_level::Info;
+    double retryRatio = 0.2; ///< extra sends for each request that the whole fleet may make to a service
+    double retrySlack = 10; ///< extra sends in a window besides
+    millis retryWindow {10000};
+    millis drainLimit {3000}; ///< from the store's word that a leaf leaves to the last request it gets
+    millis callerRoundTrip {6}; ///< between callers and this VM, there and back
+};
+
+/** Reads and checks the text; gives each problem with path, value and what is allowed. */
+[[nodiscard]] tl::expected<gateway_daemon_settings, document_error> readGatewaySettings(std::string_view text);
+
 } // namespace chivelock
--- /dev/null
+++ b/libs/settings/src/gateway_settings.cpp
@@ -0,0 +1,104 @@
+#include "read_settings.h"
+
+#include <settings/settings.h>
+
+#include <algorithm>
+
+namespace chivelock {
+
+namespace {
+
+constexpr std::string_view gatewaySchema = R"({
+  "type": "object", "required": ["vm", "zone", "listen", "store", "limits"],
+  "properties": {
+    "vm": {"type": "string", "minLength": 1},
+    "zone": {"type": "string", "minLength": 1, "maxLength": 64},
+    "listen": {
+      "type": "object", "required": ["callers", "readiness"],
+      "properties": {
+        "callers": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+        "readiness": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+        "metrics": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}
+      }},
+    "store": {
+      "type": "object", "required": ["address"],
+      "properties": {
+        "address": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+        "wait_ms": {"type": "integer", "minimum": 100, "maximum": 30000}
+      }},
+    "log": {"enum": ["debug", "info", "warning", "error"]},
+    "log_lines_per_s": {"type": "integer", "minimum": 10, "maximum": 100000},
+    "limits": {
+      "type": "object", "required": ["retry_ratio", "retry_slack", "retry_window_s", "drain_ms", "grace_s"],
+      "properties": {
+        "retry_ratio": {"type": "number", "minimum": 0, "maximum": 1},
+        "retry_slack": {"type": "number", "minimum": 0},
+        "retry_window_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
+        "drain_ms": {"type": "number", "exclusiveMinimum": 0},
+        "grace_s": {"type": "number", "exclusiveMinimum": 0},
+        "stable_ms": {"type": "number", "minimum": 500},
+        "connections": {"type": "integer", "minimum": 16},
+        "caller_round_trip_ms": {"type": "number", "minimum": 0, "maximum": 1000}
+      }}
+  }
+})";
+
+using nlohmann::json;
+
+listen_address readAddress(const json &from)
+{
+    const auto text = from.get<std::string>();
+    const std::size_t colon = text.rfind(':');
+    return {text.substr(0, colon), static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
+}
+
+millis seconds(const json &from)
+{
+    constexpr double millisPerSecond = 1000;
+    return millis(from.get<double>() * millisPerSecond);
+}
+
+/**
+ * The store's answer to a watch may be lost without a sign. The next call tells, so a watch must end well before what
+ * it held back had to be in force: within the time that counts as calm after a trouble.
+ */
+millis waitWithin(millis stable)
+{
+    constexpr double share = 0.7;
+    return stable * share;
+}
+
+} // namespace
+
+tl::expected<gateway_daemon_settings, document_error> readGatewaySettings(std::string_view text)
+{
+    return parseChecked(text, gatewaySchema).map([](const json &document) {
+        gateway_daemon_settings settings;
+        take(document, "vm", settings.vmName);
+        take(document, "zone", settings.zone.value);
+        const json &listen = document.at("listen");
+        settings.callers = readAddress(listen.at("callers"));
+        settings.readiness = readAddress(listen.at("readiness"));
+        if (listen.contains("metrics")) {
+            settings.metrics = readAddress(listen.at("metrics"));
+        }
+        const json &limits = document.at("limits");
+        if (limits.contains("stable_ms")) {
+            settings.storeWait = waitWithin(millis(limits.at("stable_ms").get<double>()));
+        }
+        take(document.at("store"), "address", settings.storeAddress);
+        take(document.at("store"), "wait_ms", settings.storeWait);
+        settings.log = levelFrom(document.value("log", "info"));
+        take(document, "log_lines_per_s", settings.logLinesPerSecond);
+        take(limits, "retry_ratio", settings.retryRatio);
+        take(limits, "retry_slack", settings.retrySlack);
+        settings.retryWindow = seconds(limits.at("retry_window_s"));
+        take(limits, "drain_ms", settings.drainLimit);
+        settings.grace = seconds(limits.at("grace_s"));
+        take(limits, "connections", settings.maxConnections);
+        take(limits, "caller_round_trip_ms", settings.callerRoundTrip);
+        return settings;
+    });
+}
+
+} // namespace chivelock
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -1,3 +1,5 @@
+#include "read_settings.h"
+
 #include <settings/settings.h>
 
 namespace chivelock {
@@ -68,38 +70,11 @@
 
 using nlohmann::json;
 
-/** Overwrites a setting if the document has it, so the defaults stand in one place: the structs. */
-template<typename value_type>
-void take(const json &from, const char *key, value_type &setting)
-{
-    if (from.contains(key)) {
-        setting = from.at(key).get<value_type>();
-    }
-}
-
-void take(const json &from, const char *key, millis &setting)
-{
-    if (from.contains(key)) {
-        setting = millis(from.at(key).get<double>());
-    }
-}
-
 json section(const json &document, const char *key)
 {
     return document.value(key, json::object());
 }
 
-log_level levelFrom(const std::string &name)
-{
-    if (name == "debug") {
-        return log_level::Debug;
-    }
-    if (name == "warning") {
-        return log_level::Warning;
-    }
-    return name == "error" ? log_level::Error : log_level::Info;
-}
-
 void readListen(const json &from, listen_settings &listen)
 {
     take(from, "address", listen.address);
--- /dev/null
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -0,0 +1,572 @@
+#include "gateway_service.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace chivelock {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr millis housekeepingInterval(500); // expiry of leafs and notice of standstills need no more
+constexpr millis standstillGap(300); // a timer is never that late on a VM that merely is busy
+constexpr millis longStandstill(1000); // leafs close idle connections meanwhile
+constexpr millis stopLook(50);
+constexpr millis closeBeforeGrace(1500); // for what was read last to be answered before the process is killed
+constexpr millis endBeforeGrace(200);
+constexpr unsigned noticesToEnd = 3; // the platform takes a VM out after two; one more in case one crossed the signal
+
+gateway_settings engineSettings(const gateway_daemon_settings &from)
+{
+    gateway_settings settings;
+    settings.zone = from.zone;
+    settings.retryRatio = from.retryRatio;
+    settings.retrySlack = from.retrySlack;
+    settings.retryWindow = from.retryWindow;
+    settings.drainLimit = from.drainLimit;
+    settings.callerRoundTrip = from.callerRoundTrip;
+    constexpr double holdShare = 0.73; // of the drain limit; the rest is for the store's word to arrive
+    settings.removalHold = from.drainLimit * holdShare;
+    return settings;
+}
+
+std::string writeFault(read_state fault)
+{
+    constexpr unsigned badRequest = 400;
+    constexpr unsigned timeout = 408;
+    constexpr unsigned bodyTooLarge = 413;
+    constexpr unsigned headTooLarge = 431;
+    switch (fault) {
+    case read_state::NeedMore:
+        return platform::writeOwnAnswer(timeout, "too_slow", std::nullopt, true);
+    case read_state::HeadTooLarge:
+        return platform::writeOwnAnswer(headTooLarge, "head_too_large", std::nullopt, true);
+    case read_state::BodyTooLarge:
+        return platform::writeOwnAnswer(bodyTooLarge, "body_too_large", std::nullopt, true);
+    default:
+        return platform::writeOwnAnswer(badRequest, "bad_request", std::nullopt, true);
+    }
+}
+
+} // namespace
+
+/** A caller's request whose answer is owed. */
+struct gateway_service::pending {
+    session_id session = 0;
+    std::string requestId;
+    std::shared_ptr<const platform::leaf_request_text> text;
+    bool toHead = false;
+    millis arrivedAt;
+    unsigned rank = 0;
+};
+
+/** Readiness and metrics, each at its own address. */
+class gateway_service::status_pages
+{
+public:
+    explicit status_pages(gateway_service &owner)
+        : m_readiness(owner)
+        , m_metrics(owner)
+        , readinessServer(owner.m_reactor, m_readiness, writeFault)
+        , metricsServer(owner.m_reactor, m_metrics, writeFault)
+    {
+        m_readiness.server = &readinessServer;
+        m_metrics.server = &metricsServer;
+    }
+
+private:
+    class page : public request_listener
+    {
+    public:
+        explicit page(gateway_service &service)
+            : owner(service)
+        {
+        }
+
+        void onCallerLeft(session_id) override
+        {
+        }
+
+        gateway_service &owner;
+        caller_server *server = nullptr;
+    };
+
+    class readiness_page : public page
+    {
+    public:
+        using page::page;
+
+        void onRequest(session_id session, http_request request) override
+        {
+            const bool known = request.target == platform::readinessPath;
+            const bool ready = owner.isReady();
+            owner.m_notReadyTold += owner.m_stopping ? 1 : 0;
+            constexpr unsigned ok = 200;
+            constexpr unsigned notFound = 404;
+            constexpr unsigned unavailable = 503;
+            const unsigned status = !known ? notFound : (ready ? ok : unavailable);
+            server->reply(session, writeResponse(status, reasonFor(status), {}, {}, false), false);
+        }
+    };
+
+    class metrics_page : public page
+    {
+    public:
+        using page::page;
+
+        void onRequest(session_id session, http_request request) override
+        {
+            (void)request;
+            constexpr unsigned ok = 200;
+            const http_headers headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+            server->reply(session, writeResponse(ok, reasonFor(ok), headers, owner.metricsPage(), false), false);
+        }
+    };
+
+    readiness_page m_readiness;
+    metrics_page m_metrics;
+
+public:
+    caller_server readinessServer;
+    caller_server metricsServer;
+};
+
+gateway_service::gateway_service(gateway_daemon_settings settings)
+    : m_settings(std::move(settings))
+    , m_reactor(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO)
+    , m_engine(engineSettings(m_settings), std::hash<std::string>()(m_settings.vmName))
+    , m_dueTimer(m_reactor)
+    , m_houseTimer(m_reactor)
+    , m_stopTimer(m_reactor)
+    , m_finishedFd(eventfd(0, EFD_CLOEXEC))
+{
+}
+
+gateway_service::~gateway_service()
+{
+    close(m_finishedFd);
+}
+
+std::string_view gateway_service::name() const
+{
+    return serviceName;
+}
+
+void gateway_service::connect(kernel &services)
+{
+    (void)services; // it works with no other service
+}
+
+int gateway_service::finishedFd() const
+{
+    return m_finishedFd;
+}
+
+tl::expected<void, kernel_error> gateway_service::start()
+{
+    if (auto opened = open(); !opened) {
+        return opened;
+    }
+    m_configReader->start();
+    m_leafReader->start();
+    housekeep();
+    m_thread = std::thread([this] {
+        const auto work = asio::make_work_guard(m_reactor);
+        m_reactor.run();
+    });
+    return {};
+}
+
+tl::expected<void, kernel_error> gateway_service::open()
+{
+    m_pool = std::make_unique<leaf_pool>(m_reactor, *this);
+    m_callers = std::make_unique<caller_server>(m_reactor, *this, writeFault);
+    m_callers->setLimits({}, m_settings.maxConnections);
+    m_pages = std::make_unique<status_pages>(*this);
+    store_reader_settings reading;
+    reading.address = m_settings.storeAddress;
+    reading.wait = m_settings.storeWait;
+    reading.prefix = platform::configPrefix;
+    m_configReader = std::make_unique<store_reader>(m_reactor, reading, *this);
+    reading.prefix = platform::leafPrefix;
+    m_leafReader = std::make_unique<store_reader>(m_reactor, reading, *this);
+    error_code error = m_callers->listen(m_settings.callers.address, m_settings.callers.port);
+    if (!error) {
+        error = m_pages->readinessServer.listen(m_settings.readiness.address, m_settings.readiness.port);
+    }
+    if (!error && m_settings.metrics) {
+        error = m_pages->metricsServer.listen(m_settings.metrics->address, m_settings.metrics->port);
+    }
+    if (error) {
+        return tl::unexpected(kernel_error {std::string(serviceName), "can't listen: " + error.message()});
+    }
+    return {};
+}
+
+void gateway_service::stop()
+{
+    m_reactor.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+// ---- requests
+
+void gateway_service::onRequest(session_id session, http_request request)
+{
+    const millis now = m_clock.now();
+    m_counts.requests += 1;
+    platform::caller_marks marks = platform::readCallerMarks(request.headers);
+    if (marks.requestId.empty()) {
+        constexpr unsigned badRequest = 400;
+        m_callers->reply(session, platform::writeOwnAnswer(badRequest, "no_request_id", std::nullopt, m_stopping), m_stopping);
+        return;
+    }
+    caller_request asked;
+    asked.id = marks.requestId;
+    asked.host = findHeader(request.headers, "Host");
+    asked.target = request.target;
+    asked.patience = marks.patience;
+    const exchange_id id = m_engine.arrive(asked, now);
+    pending &kept = m_pending[id];
+    kept.session = session;
+    kept.requestId = std::move(marks.requestId);
+    kept.toHead = request.method == "HEAD";
+    kept.arrivedAt = now;
+    kept.text = std::make_shared<platform::leaf_request_text>(platform::writeLeafRequest(request));
+    m_bySession[session] = id;
+    flush();
+}
+
+void gateway_service::onCallerLeft(session_id session)
+{
+    const auto found = m_bySession.find(session);
+    if (found == m_bySession.end()) {
+        return;
+    }
+    m_counts.callersLeft += 1;
+    const exchange_id id = found->second;
+    m_bySession.erase(found);
+    m_pending.erase(id);
+    m_engine.onCallerLeft(id, m_clock.now());
+    flush();
+}
+
+void gateway_service::onLeafReply(send_id id, gateway_reply reply)
+{
+    m_engine.onReply(id, std::move(reply), m_clock.now());
+    flush();
+}
+
+void gateway_service::onLeafFailure(send_id id, send_failure failure)
+{
+    m_engine.onSendFailed(id, failure, m_clock.now());
+    flush();
+}
+
+void gateway_service::flush()
+{
+    for (auto actions = m_engine.takeActions(); !actions.empty(); actions = m_engine.takeActions()) {
+        for (gateway_action &action : actions) {
+            std::visit([this](auto &one) { perform(std::move(one)); }, action);
+        }
+    }
+    armTimer();
+}
+
+void gateway_service::perform(send_action action)
+{
+    const auto found = m_pending.find(action.exchange);
+    if (found == m_pending.end()) {
+        return;
+    }
+    leaf_message message;
+    message.id = action.id;
+    message.to = std::move(action.to);
+    message.text = found->second.text;
+    message.requestId = found->second.requestId;
+    message.remaining = action.deadline - m_clock.now();
+    message.toHead = found->second.toHead;
+    message.once = action.once;
+    m_pool->send(std::move(message));
+}
+
+void gateway_service::perform(const cancel_action &action)
+{
+    m_pool->cancel(action.id);
+}
+
+void gateway_service::perform(const answer_action &action)
+{
+    const auto found = m_pending.find(action.exchange);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const session_id session = found->second.session;
+    m_pending.erase(found);
+    m_bySession.erase(session);
+    m_callers->reply(session, platform::writeCallerAnswer(action, m_stopping), m_stopping);
+    m_counts.hedges += action.hedges;
+    m_counts.retries += action.retries;
+    m_counts.refused += action.outcome == exchange_outcome::Refused ? 1 : 0;
+    m_counts.failed += action.outcome == exchange_outcome::Failed ? 1 : 0;
+    m_counts.partial += action.outcome == exchange_outcome::Merged && action.missing > 0 ? 1 : 0;
+    m_latencies.add({action.route, "all", std::string(toString(action.outcome))}, action.elapsed);
+    logEvent(log_level::Info,
+             "request",
+             {{"id", action.requestId},
+              {"route", action.route},
+              {"version", action.version},
+              {"outcome", std::string(toString(action.outcome))},
+              {"cause", std::string(action.cause)},
+              {"status", std::uint64_t {action.reply.status}},
+              {"shards", std::uint64_t {action.shards}},
+              {"missing", std::uint64_t {action.missing}},
+              {"sends", std::uint64_t {action.sends}},
+              {"hedges", std::uint64_t {action.hedges}},
+              {"retries", std::uint64_t {action.retries}},
+              {"elapsed_ms", action.elapsed.ceiled()},
+              {"retry_after_ms", action.retryAfter.ceiled()}});
+}
+
+void gateway_service::perform(const note_action &action)
+{
+    logEvent(log_level::Info,
+             action.event,
+             {{"id", action.requestId},
+              {"cause", std::string(action.cause)},
+              {"service", action.service},
+              {"leaf", action.leafId},
+              {"age_ms", action.age.ceiled()},
+              {"input_ms", action.input.ceiled()}});
+}
+
+void gateway_service::armTimer()
+{
+    const millis due = m_engine.nextDue();
+    if (due >= m_armedFor) {
+        return; // it fires no later than needed
+    }
+    m_armedFor = due;
+    const millis wait = std::max(due - m_clock.now(), millis());
+    m_dueTimer.expires_after(std::chrono::microseconds(wait.micros()));
+    m_dueTimer.async_wait([this](const error_code &stopped) {
+        if (stopped) {
+            return;
+        }
+        m_armedFor = millis::never();
+        m_engine.advance(m_clock.now());
+        flush();
+    });
+}
+
+void gateway_service::housekeep()
+{
+    const millis now = m_clock.now();
+    if (m_nextHousekeeping > millis() && now - m_nextHousekeeping > standstillGap) {
+        noticeStandstill(now);
+    }
+    m_engine.advance(now);
+    flush();
+    m_nextHousekeeping = now + housekeepingInterval;
+    m_houseTimer.expires_after(std::chrono::milliseconds(housekeepingInterval.ceiled()));
+    m_houseTimer.async_wait([this](const error_code &stopped) {
+        if (!stopped) {
+            housekeep();
+        }
+    });
+}
+
+void gateway_service::noticeStandstill(millis now)
+{
+    const millis gap = now - m_nextHousekeeping;
+    m_counts.standstills += 1;
+    logEvent(log_level::Warning, "stood_still", {{"gap_ms", gap.ceiled()}, {"outcome", std::string("ask_anew")}});
+    m_engine.onStandstill(gap);
+    if (gap > longStandstill) {
+        m_pool->closeIdle();
+        m_configReader->refresh();
+        m_leafReader->refresh();
+    }
+}
+
+// ---- what the store says
+
+void gateway_service::onStoreContents(std::string_view prefix, std::vector<platform::store_event> items)
+{
+    if (prefix == platform::configPrefix) {
+        std::ranges::for_each(items, [this](const platform::store_event &item) { applyConfig(item); });
+        return;
+    }
+    std::vector<leaf_entry> entries;
+    for (const platform::store_event &item : items) {
+        if (auto entry = platform::decodeLeaf(item.key, item.value)) {
+            entries.push_back(*std::move(entry));
+        } else {
+            logEvent(log_level::Error, "leaf_entry_refused", {{"key", item.key}, {"cause", entry.error().reason}});
+        }
+    }
+    m_engine.leafs().replaceAll(entries, m_clock.now());
+    m_leafsKnown = true;
+    logEvent(log_level::Info,
+             "leafs_read",
+             {{"listed", std::uint64_t {entries.size()}}, {"known", std::uint64_t {m_engine.leafs().size()}}});
+}
+
+void gateway_service::onStoreChanges(std::string_view prefix, std::vector<platform::store_event> changes)
+{
+    const bool isConfig = prefix == platform::configPrefix;
+    for (const platform::store_event &change : changes) {
+        if (isConfig) {
+            applyConfig(change);
+        } else {
+            applyLeafEvent(change);
+        }
+    }
+    flush();
+}
+
+void gateway_service::applyLeafEvent(const platform::store_event &event)
+{
+    const millis now = m_clock.now();
+    const std::string id(platform::leafIdFromKey(event.key));
+    if (event.deleted) {
+        if (m_engine.leafs().remove(id, now)) {
+            logEvent(log_level::Info, "leaf_missing", {{"leaf", id}, {"revision", event.revision}});
+        }
+        return;
+    }
+    const auto entry = platform::decodeLeaf(event.key, event.value);
+    if (!entry) {
+        logEvent(log_level::Error, "leaf_entry_refused", {{"key", event.key}, {"cause", entry.error().reason}});
+        return;
+    }
+    if (m_engine.leafs().put(*entry, now)) {
+        logEvent(log_level::Info,
+                 entry->draining ? "leaf_draining" : "leaf_ready",
+                 {{"leaf", id},
+                  {"service", entry->service.value},
+                  {"address", entry->address},
+                  {"revision", event.revision}});
+    }
+}
+
+void gateway_service::applyConfig(const platform::store_event &event)
+{
+    if (event.key != platform::configKey || event.deleted) {
+        return;
+    }
+    auto config = platform::decodeConfig(event.value);
+    if (!config) {
+        logEvent(log_level::Error, "config_refused", {{"revision", event.revision}, {"cause", config.error().reason}});
+        return;
+    }
+    const std::uint64_t version = config->version;
+    const std::size_t routes = config->routes.size();
+    const caller_limits limits = config->limits;
+    const bool taken = m_engine.applyConfig(*std::move(config));
+    if (taken) {
+        m_callers->setLimits(limits, m_settings.maxConnections);
+    }
+    logEvent(log_level::Info,
+             taken ? "config_in_force" : "config_not_newer",
+             {{"version", version}, {"routes", std::uint64_t {routes}}, {"revision", event.revision}});
+}
+
+// ---- start and stop
+
+bool gateway_service::isReady() const
+{
+    return !m_stopping && m_leafsKnown && m_engine.config() != nullptr;
+}
+
+void gateway_service::beginStop()
+{
+    asio::post(m_reactor, [this] {
+        if (m_stopping) {
+            return;
+        }
+        m_stopping = true;
+        m_stopBegan = m_clock.now();
+        logEvent(log_level::Info, "stopping", {{"callers", std::uint64_t {m_callers->sessions()}}});
+        continueStop();
+    });
+}
+
+void gateway_service::changeSettings(gateway_daemon_settings settings)
+{
+    asio::post(m_reactor, [this, changed = std::move(settings)]() mutable {
+        changed.callers = m_settings.callers;
+        changed.readiness = m_settings.readiness;
+        changed.metrics = m_settings.metrics;
+        changed.storeAddress = m_settings.storeAddress;
+        m_settings = std::move(changed);
+        m_engine.changeSettings(engineSettings(m_settings));
+    });
+}
+
+/**
+ * New callers keep coming until the platform has noticed that this VM is not ready; they are served. Connections that
+ * stay open are closed late, so that no request crosses the close that could still have been answered.
+ */
+void gateway_service::continueStop()
+{
+    const millis spent = m_clock.now() - m_stopBegan;
+    const bool noticed = m_notReadyTold >= noticesToEnd && m_callers->sessions() == 0;
+    if (!m_closing && (spent >= m_settings.grace - closeBeforeGrace || noticed)) {
+        m_closing = true;
+        m_callers->stopListening();
+    }
+    if (m_closing) {
+        m_callers->closeIdle();
+    }
+    const bool done = m_closing && m_callers->sessions() == 0;
+    if (done || spent >= m_settings.grace - endBeforeGrace) {
+        logEvent(log_level::Info,
+                 "stopped",
+                 {{"spent_ms", spent.ceiled()}, {"unanswered", std::uint64_t {m_pending.size()}}});
+        const std::uint64_t one = 1;
+        (void)!write(m_finishedFd, &one, sizeof one);
+        return;
+    }
+    m_stopTimer.expires_after(std::chrono::milliseconds(stopLook.ceiled()));
+    m_stopTimer.async_wait([this](const error_code &stopped) {
+        if (!stopped) {
+            continueStop();
+        }
+    });
+}
+
+std::string gateway_service::metricsPage() const
+{
+    const auto number = [](std::uint64_t value) { return static_cast<double>(value); };
+    const std::uint64_t version = m_engine.config() == nullptr ? 0 : m_engine.config()->config().version;
+    const std::vector<metric_value> values = {
+        {"chivelock_gateway_requests_total", "Requests read from callers.", number(m_counts.requests), {}},
+        {"chivelock_gateway_partial_total", "Merged answers with shards missing.", number(m_counts.partial), {}},
+        {"chivelock_gateway_refused_total", "Requests that were not run.", number(m_counts.refused), {}},
+        {"chivelock_gateway_failed_total", "Requests given up that may have run.", number(m_counts.failed), {}},
+        {"chivelock_gateway_callers_left_total", "Callers that left unanswered.", number(m_counts.callersLeft), {}},
+        {"chivelock_gateway_hedges_total", "Second requests to silent shards.", number(m_counts.hedges), {}},
+        {"chivelock_gateway_retries_total", "Requests sent again after a failure.", number(m_counts.retries), {}},
+        {"chivelock_gateway_standstills_total", "Times this process stood still.", number(m_counts.standstills), {}},
+        {"chivelock_leaf_sends_total", "Requests to leafs.", number(m_pool->counts().sent), {}},
+        {"chivelock_leaf_connections_opened_total", "New connections.", number(m_pool->counts().opened), {}},
+        {"chivelock_leaf_stray_answers_total", "Answers to other requests.", number(m_pool->counts().strayAnswers), {}},
+        {"chivelock_store_calls_total", "Calls to the store.", number(m_configReader->calls() + m_leafReader->calls()), {}},
+        {"chivelock_callers", "Open connections of callers.", number(m_callers->sessions()), {}},
+        {"chivelock_exchanges", "Requests under way.", number(m_engine.openExchanges()), {}},
+        {"chivelock_config_version", "Configuration in force.", number(version), {}},
+    };
+    return m_latencies.write(values);
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -0,0 +1,110 @@
+#pragma once
+
+/**
+ * @file
+ * The gateway's data path on one reactor thread: callers, decisions, leafs and the platform's store. A ring between
+ * threads would cost two wake-ups for each leaf request on a VM with a quarter of a core.
+ */
+
+#include "caller_server.h"
+#include "leaf_pool.h"
+#include "store_reader.h"
+
+#include <gateway/gateway.h>
+#include <kernel/kernel.h>
+#include <metrics/metrics.h>
+#include <settings/settings.h>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <unordered_map>
+
+namespace chivelock {
+
+class gateway_service : public kernel_service, public request_listener, public send_listener, public store_listener
+{
+public:
+    static constexpr std::string_view serviceName = "gateway";
+
+    explicit gateway_service(gateway_daemon_settings settings);
+    ~gateway_service() override;
+
+    [[nodiscard]] std::string_view name() const override;
+    void connect(kernel &services) override;
+    [[nodiscard]] tl::expected<void, kernel_error> start() override;
+    void stop() override;
+
+    /** Begins a planned stop; any thread. */
+    void beginStop();
+
+    /** Takes what may change while the process runs; addresses stay. Any thread. */
+    void changeSettings(gateway_daemon_settings settings);
+
+    /** Readable once a planned stop is complete. */
+    [[nodiscard]] int finishedFd() const;
+
+private:
+    struct pending;
+    class status_pages;
+
+    void onRequest(session_id session, http_request request) override;
+    void onCallerLeft(session_id session) override;
+    void onLeafReply(send_id id, gateway_reply reply) override;
+    void onLeafFailure(send_id id, send_failure failure) override;
+    void onStoreContents(std::string_view prefix, std::vector<platform::store_event> items) override;
+    void onStoreChanges(std::string_view prefix, std::vector<platform::store_event> changes) override;
+
+    [[nodiscard]] tl::expected<void, kernel_error> open();
+    void flush();
+    void perform(send_action action);
+    void perform(const cancel_action &action);
+    void perform(const answer_action &action);
+    void perform(const note_action &action);
+    void armTimer();
+    void housekeep();
+    void noticeStandstill(millis now);
+    void applyLeafEvent(const platform::store_event &event);
+    void applyConfig(const platform::store_event &event);
+    void continueStop();
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] std::string metricsPage() const;
+
+    gateway_daemon_settings m_settings;
+    boot_clock m_clock;
+    boost::asio::io_context m_reactor;
+    gateway_engine m_engine;
+    std::unique_ptr<caller_server> m_callers;
+    std::unique_ptr<status_pages> m_pages;
+    std::unique_ptr<leaf_pool> m_pool;
+    std::unique_ptr<store_reader> m_configReader;
+    std::unique_ptr<store_reader> m_leafReader;
+    boost::asio::steady_timer m_dueTimer;
+    boost::asio::steady_timer m_houseTimer;
+    boost::asio::steady_timer m_stopTimer;
+    millis m_armedFor = millis::never();
+    millis m_nextHousekeeping;
+    std::unordered_map<exchange_id, pending> m_pending;
+    std::unordered_map<session_id, exchange_id> m_bySession;
+    bool m_leafsKnown = false;
+    bool m_stopping = false;
+    bool m_closing = false;
+    millis m_stopBegan;
+    unsigned m_notReadyTold = 0; ///< how often the platform was told that this VM stops
+    bool m_finished = false;
+    int m_finishedFd;
+    lookup_metrics m_latencies;
+    struct counts {
+        std::uint64_t requests = 0;
+        std::uint64_t hedges = 0;
+        std::uint64_t retries = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t failed = 0;
+        std::uint64_t partial = 0;
+        std::uint64_t callersLeft = 0;
+        std::uint64_t standstills = 0;
+    } m_counts;
+    std::thread m_thread;
+};
+
+} // namespace chivelock
--- a/programs/chivelockd/main.cpp
+++ b/programs/chivelockd/main.cpp
@@ -8,9 +8,12 @@
 #include "decision_service.h"
 #include "leaf_client.h"
 #include "peer_link.h"
+#include "gateway/serve_gateway.h"
 #include "platform_watch.h"
+#include "settings_file.h"
 
 #include <kernel/kernel.h>
+#include <platform/platform.h>
 #include <settings/settings.h>
 
 #include <openssl/rand.h>
@@ -18,13 +21,13 @@
 
 #include <poll.h>
 #include <sys/signalfd.h>
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
 #include <csignal>
-#include <fstream>
+#include <cstdlib>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -37,38 +40,34 @@
 struct options {
     std::string settingsPath;
     bool checkOnly = false;
+    bool gateway = false;
 };
 
 options readOptions(int argc, char **argv)
 {
     TCLAP::CmdLine line("chivelockd answers lookups over many shards.\n"
                         "Example: chivelockd --settings entry-1.json\n"
+                        "With --gateway it passes requests through to leafs and needs no other process;\n"
+                        "the settings file is then the one that the platform names, if --settings is not given.\n"
                         "Exit codes: 0 ended as asked, 1 could not start, 2 settings refused",
                         ' ',
                         "0.1.0");
     TCLAP::ValueArg<std::string> settings(
-        "s", "settings", "JSON file with this process's settings", true, "", "FILE", line);
+        "s", "settings", "JSON file with this process's settings", false, "", "FILE", line);
+    TCLAP::SwitchArg gateway("g", "gateway", "run as the gateway on the platform", line);
     TCLAP::SwitchArg check("c", "check-settings", "check the settings, say what is wrong, and end", line);
     line.setExceptionHandling(false);
     line.parse(argc, argv);
-    return {settings.getValue(), check.getValue()};
+    if (!settings.isSet() && !gateway.getValue()) {
+        throw TCLAP::CmdLineParseException("a settings file is needed", "--settings");
+    }
+    return {settings.getValue(), check.getValue(), gateway.getValue()};
 }
 
 tl::expected<daemon_settings, std::string> loadSettings(const std::string &path)
 {
-    const std::ifstream file(path);
-    if (!file) {
-        return tl::unexpected("can't read " + path);
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return readSettings(text.str()).map_error([](const document_error &error) {
-        std::string lines;
-        for (const document_problem &problem : error.problems) {
-            lines += problem.path + ": " + problem.message + " (value: " + problem.value + ")\n";
-        }
-        return lines;
-    });
+    return readFile(path).and_then(
+        [](const std::string &text) { return readSettings(text).map_error(problemLines); });
 }
 
 /** Fresh for each start; the wall clock makes it rise over restarts of the same VM. */
@@ -98,11 +97,22 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signalfd(-1, &signals, SFD_CLOEXEC);
 }
 
+/** A hang-up asks for nothing here: these settings are read once. */
+void awaitStopSignal(int signals)
+{
+    signalfd_siginfo info {};
+    do {
+        info = {};
+        (void)!read(signals, &info, sizeof info);
+    } while (info.ssi_signo != SIGTERM && info.ssi_signo != SIGINT);
+}
+
 void awaitReadable(int fd)
 {
     pollfd readable {fd, POLLIN, 0};
@@ -127,7 +137,7 @@
              "started",
              {{"vm", std::uint64_t {settings.vm.value}}, {"incarnation", settings.entry.incarnation}});
     auto &decision = services.find<decision_service>(decision_service::serviceName);
-    awaitReadable(signals);
+    awaitStopSignal(signals);
     while (!decision.offer(stop_wanted {})) {
         poll(nullptr, 0, 1);
     }
@@ -138,6 +148,30 @@
     return exitOk;
 }
 
+/** The platform names the settings file in the environment. */
+std::string gatewaySettingsPath(const options &chosen)
+{
+    const char *named = std::getenv(platform::settingsVariable);
+    return chosen.settingsPath.empty() && named != nullptr ? named : chosen.settingsPath;
+}
+
+int runGateway(const options &chosen)
+{
+    const std::string path = gatewaySettingsPath(chosen);
+    const auto settings = loadGatewaySettings(path);
+    if (!settings) {
+        std::cerr << settings.error() << '\n';
+        return exitBadSettings;
+    }
+    if (chosen.checkOnly) {
+        std::cout << "settings are valid\n";
+        return exitOk;
+    }
+    const int signals = openSignals();
+    startLogging(settings->log);
+    return serveGateway(*settings, path, signals);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -151,6 +185,9 @@
         std::cerr << "chivelockd: " << problem.error() << " " << problem.argId() << "; see --help\n";
         return exitBadSettings;
     }
+    if (chosen.gateway) {
+        return runGateway(chosen);
+    }
     auto settings = loadSettings(chosen.settingsPath);
     if (!settings) {
         std::cerr << settings.error();
