--- /dev/null
+++ b/libs/fleet/include/fleet/fleet.h
@@ -0,0 +1,288 @@
+#pragma once
+
+/**
+ * @file
+ * How a fleet learns what the platform's store says with few calls: one process reads, the others follow it in a tree,
+ * each passing on what it hears to a few more. Nobody is elected and nothing is agreed: a process that hears no one in
+ * time reads for itself, so the tree saves calls and nothing rests on it. No input or output, no thread, no clock.
+ */
+
+#include <base/base.h>
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace chivelock {
+
+/** One item of the store as it was written, or the word that it is gone. */
+struct store_item {
+    std::string key;
+    std::uint64_t revision = 0; ///< of the store; rises with every change of any key
+    bool deleted = false;
+    std::string value; ///< empty if deleted
+};
+
+/** What is known of one prefix of the store. Takes news in any order and from several sources; never goes back. */
+class store_view
+{
+public:
+    /** @return the items that are news here, oldest first. */
+    std::vector<store_item> applyChanges(std::vector<store_item> items, std::uint64_t revision);
+
+    /** @param items all that the prefix held at @p revision. @return as @ref applyChanges; keys that are missing
+     *  count as deleted. */
+    std::vector<store_item> applyContents(std::vector<store_item> items, std::uint64_t revision);
+
+    /** Whether the contents were known at some time. */
+    [[nodiscard]] bool known() const
+    {
+        return m_known;
+    }
+
+    /** Everything up to this revision is in. */
+    [[nodiscard]] std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+
+    /** @return what a holder of @p revision lacks, or nothing if deletions that old are forgotten. */
+    [[nodiscard]] std::optional<std::vector<store_item>> changesSince(std::uint64_t revision) const;
+
+    [[nodiscard]] std::vector<store_item> contents() const;
+
+private:
+    struct held {
+        std::uint64_t revision = 0;
+        std::string value;
+    };
+
+    [[nodiscard]] bool isNews(const store_item &item) const;
+    void keep(const store_item &item);
+    void forgetOldDeletions();
+
+    bool m_known = false;
+    std::uint64_t m_revision = 0;
+    std::map<std::string, held, std::less<>> m_items;
+    std::map<std::string, std::uint64_t, std::less<>> m_deleted; ///< and at which revision
+    std::uint64_t m_deletionsSince = 0; ///< deletions after this revision are all in @ref m_deleted
+};
+
+// ---- messages
+
+/** What a process knows of one prefix. */
+struct known_revision {
+    std::string prefix;
+    std::uint64_t revision = 0;
+};
+
+/** To a process further up: pass on to me what you hear. */
+struct follow_request {
+    std::string address; ///< at which the sender takes followers itself
+    std::uint32_t subtree = 1; ///< processes that hear through the sender, itself among them
+    std::vector<known_revision> known;
+};
+
+/** Upwards: still here. */
+struct follow_beat {
+    std::uint32_t subtree = 1;
+};
+
+/** Downwards: still here, and how I know what I pass on. */
+struct upstream_state {
+    bool accepted = false; ///< the receiver is a follower of the sender
+    bool storeOk = false; ///< the process at the top reads the store without trouble
+    std::uint32_t fleetSize = 1;
+    std::vector<std::string> path; ///< addresses from the top down to the sender
+    std::vector<std::string> elsewhere; ///< whom to ask instead, if not accepted
+};
+
+/** Downwards: news of one prefix. */
+struct store_items {
+    std::string prefix;
+    bool whole = false; ///< all that the prefix holds, not only what changed
+    std::uint64_t revision = 0;
+    std::vector<store_item> items;
+};
+
+using fleet_message = std::variant<follow_request, follow_beat, upstream_state, store_items>;
+
+/** Why bytes are not a message of the fleet. */
+enum class fleet_wire_error : std::uint8_t {
+    Malformed, ///< the FlatBuffers verifier refused it
+    UnknownMessage
+};
+
+/** @return a whole frame: length in four bytes, little-endian, then the message. */
+[[nodiscard]] std::string encodeFleetFrame(const fleet_message &message);
+
+/** @param payload one frame without its length. */
+[[nodiscard]] tl::expected<fleet_message, fleet_wire_error> decodeFleetPayload(std::span<const std::uint8_t> payload);
+
+// ---- the tree
+
+/** Names one connection to another process of the fleet, as long as it lasts. */
+using link_id = std::uint64_t;
+
+struct fleet_settings {
+    std::string address; ///< of this process, as others know it
+    std::vector<std::string> seeds; ///< processes to ask first, the same list for all; may be stale
+    std::vector<std::string> prefixes; ///< of the store that are followed
+    std::size_t fanOut = 8; ///< followers of one process: passing a configuration on to more fills a small VM's link
+    millis beat {400}; ///< between signs of life
+    millis silence {1100}; ///< without one, the process above counts as lost: two beats and some delay
+    millis seekFor {400}; ///< for a new process above; some round trips, far below what configuration may lag
+    millis firstSeekFor {1500}; ///< after the start, when all start together and none listens yet
+    millis mergeInterval {3000}; ///< between a reader's looks for another reader to follow
+};
+
+/** Connect to a process. */
+struct dial_action {
+    link_id link = 0;
+    std::string address;
+};
+
+/** Close a connection. */
+struct hang_up_action {
+    link_id link = 0;
+};
+
+struct tell_action {
+    link_id link = 0;
+    fleet_message message;
+};
+
+/** Begin or end reading the store. */
+struct read_action {
+    bool reading = false;
+};
+
+/** The store's news for this process's own use. */
+struct news_action {
+    std::string prefix;
+    std::vector<store_item> items;
+};
+
+/** A change of what this process believes of the tree; for the log. */
+struct tree_note_action {
+    std::string_view event;
+    std::string about;
+    millis input; ///< silence, or time spent
+};
+
+using fleet_action
+    = std::variant<dial_action, hang_up_action, tell_action, read_action, news_action, tree_note_action>;
+
+/** This process's place in the tree. */
+class fleet_node
+{
+public:
+    fleet_node(fleet_settings settings, std::uint64_t seed);
+
+    void start(millis now);
+
+    /** A connection that was dialled is open. */
+    void onLinkOpen(link_id link, millis now);
+
+    /** A connection is gone, or could not be made. */
+    void onLinkClosed(link_id link, millis now);
+
+    /** @param link a dialled one, or any new number for a connection that another process opened. */
+    void onMessage(link_id link, fleet_message message, millis now);
+
+    void onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision);
+    void onStoreChanges(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision);
+
+    /** Whether this process's own reading of the prefix goes on without trouble. */
+    void onStoreState(std::string_view prefix, bool ok, millis now);
+
+    /** Does what is due; call it some times a second. */
+    void tick(millis now);
+
+    [[nodiscard]] std::vector<fleet_action> takeActions();
+
+    /** Processes of the fleet, rather too many than too few: limits are divided by it. */
+    [[nodiscard]] std::size_t fleetSize(millis now) const;
+
+    [[nodiscard]] const store_view &view(std::string_view prefix) const;
+
+    [[nodiscard]] bool isReading() const
+    {
+        return m_phase == phase::Reading;
+    }
+
+private:
+    enum class phase : std::uint8_t {
+        Seeking, ///< for a process to follow
+        Following,
+        Reading ///< the store, for itself and all below
+    };
+
+    struct candidate {
+        std::string address;
+        bool open = false;
+    };
+
+    struct follower {
+        std::string address;
+        std::uint32_t subtree = 1;
+        millis heardAt;
+    };
+
+    void seek(millis now);
+    void dialCandidates();
+    void dial(const std::string &address);
+    void dropCandidates(link_id except);
+    void becomeReader(std::string_view why, millis now);
+    void adopt(link_id link, const upstream_state &state, millis now);
+    void loseUpstream(std::string_view why, millis now);
+    void onFollow(link_id link, const follow_request &request, millis now);
+    void onState(link_id link, const upstream_state &state, millis now);
+    void onItems(link_id link, store_items items, millis now);
+    void sendMissing(link_id link, const follow_request &request);
+    void passOn(std::string_view prefix, const std::vector<store_item> &news, bool whole);
+    void tellFollowers();
+    void beat(millis now);
+    void judgeUpstream(millis now);
+    void dropSilentFollowers(millis now);
+    [[nodiscard]] upstream_state ownState(bool accepted) const;
+    [[nodiscard]] bool ownStoreOk() const;
+    [[nodiscard]] std::uint32_t subtree() const;
+    [[nodiscard]] std::vector<std::string> candidates() const;
+    [[nodiscard]] bool hasData() const;
+    void noteSize(std::uint32_t size, millis now);
+    void note(std::string_view event, std::string about, millis input);
+
+    fleet_settings m_settings;
+    seeded_random m_random;
+    std::map<std::string, store_view, std::less<>> m_views;
+    std::map<std::string, bool, std::less<>> m_readOk; ///< by prefix, while reading
+    phase m_phase = phase::Seeking;
+    millis m_seekUntil;
+    millis m_redialAt;
+    millis m_nextBeat;
+    millis m_nextMerge;
+    std::map<link_id, candidate> m_candidates;
+    std::size_t m_referrals = 0; ///< followed in this search
+    link_id m_upstream = 0;
+    std::string m_upstreamAddress;
+    millis m_upstreamHeardAt;
+    upstream_state m_upstreamState;
+    millis m_upstreamBadUntil = millis::never(); ///< leaves one whose store is lost then
+    std::map<link_id, follower> m_followers;
+    std::uint32_t m_size = 1;
+    std::uint32_t m_rememberedSize = 1; ///< the greatest of late
+    millis m_rememberedUntil;
+    millis m_guessUntil; ///< nothing is known yet
+    link_id m_nextLink = 1;
+    std::vector<fleet_action> m_actions;
+};
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -0,0 +1,141 @@
+#include <fleet/fleet.h>
+
+#include <fleet_generated.h>
+#include <wire/wire.h>
+
+#include <algorithm>
+
+namespace chivelock {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+/** Writes one alternative; the union's type follows from it. */
+struct message_writer {
+    FlatBufferBuilder &builder;
+
+    Offset<fleet_wire::Envelope> operator()(const follow_request &message) const
+    {
+        std::vector<Offset<fleet_wire::Known>> known;
+        for (const known_revision &one : message.known) {
+            const auto prefix = builder.CreateString(one.prefix);
+            known.push_back(fleet_wire::CreateKnown(builder, prefix, one.revision));
+        }
+        const auto address = builder.CreateString(message.address);
+        const auto all = builder.CreateVector(known);
+        return wrap(fleet_wire::Message::Follow,
+                    fleet_wire::CreateFollow(builder, address, message.subtree, all).Union());
+    }
+
+    Offset<fleet_wire::Envelope> operator()(const follow_beat &message) const
+    {
+        return wrap(fleet_wire::Message::Beat, fleet_wire::CreateBeat(builder, message.subtree).Union());
+    }
+
+    Offset<fleet_wire::Envelope> operator()(const upstream_state &message) const
+    {
+        const auto path = builder.CreateVectorOfStrings(message.path);
+        const auto elsewhere = builder.CreateVectorOfStrings(message.elsewhere);
+        return wrap(fleet_wire::Message::State,
+                    fleet_wire::CreateState(
+                        builder, message.accepted, message.storeOk, message.fleetSize, path, elsewhere)
+                        .Union());
+    }
+
+    Offset<fleet_wire::Envelope> operator()(const store_items &message) const
+    {
+        std::vector<Offset<fleet_wire::Item>> items;
+        for (const store_item &item : message.items) {
+            const auto key = builder.CreateString(item.key);
+            const auto value = builder.CreateString(item.value);
+            items.push_back(fleet_wire::CreateItem(builder, key, item.revision, item.deleted, value));
+        }
+        const auto prefix = builder.CreateString(message.prefix);
+        const auto all = builder.CreateVector(items);
+        return wrap(fleet_wire::Message::Items,
+                    fleet_wire::CreateItems(builder, prefix, message.whole, message.revision, all).Union());
+    }
+
+private:
+    [[nodiscard]] Offset<fleet_wire::Envelope> wrap(fleet_wire::Message type, Offset<void> message) const
+    {
+        return fleet_wire::CreateEnvelope(builder, type, message);
+    }
+};
+
+std::string textOf(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+std::vector<std::string> textsOf(const flatbuffers::Vector<Offset<flatbuffers::String>> *texts)
+{
+    std::vector<std::string> result;
+    if (texts != nullptr) {
+        std::ranges::transform(*texts, std::back_inserter(result), [](const auto *text) { return textOf(text); });
+    }
+    return result;
+}
+
+follow_request readFollow(const fleet_wire::Follow &from)
+{
+    follow_request message {textOf(from.address()), from.subtree(), {}};
+    if (from.known() != nullptr) {
+        for (const auto *known : *from.known()) {
+            message.known.push_back({textOf(known->prefix()), known->revision()});
+        }
+    }
+    return message;
+}
+
+store_items readItems(const fleet_wire::Items &from)
+{
+    store_items message {textOf(from.prefix()), from.whole(), from.revision(), {}};
+    if (from.items() != nullptr) {
+        for (const auto *item : *from.items()) {
+            message.items.push_back({textOf(item->key()), item->revision(), item->deleted(), textOf(item->value())});
+        }
+    }
+    return message;
+}
+
+upstream_state readState(const fleet_wire::State &from)
+{
+    return {from.accepted(), from.store_ok(), from.fleet_size(), textsOf(from.path()), textsOf(from.elsewhere())};
+}
+
+} // namespace
+
+std::string encodeFleetFrame(const fleet_message &message)
+{
+    FlatBufferBuilder builder;
+    builder.Finish(std::visit(message_writer {builder}, message));
+    return frameOf({builder.GetBufferPointer(), builder.GetSize()});
+}
+
+tl::expected<fleet_message, fleet_wire_error> decodeFleetPayload(std::span<const std::uint8_t> bytes)
+{
+    const std::vector<std::uint64_t> aligned = alignedCopy(bytes);
+    const auto *payload = reinterpret_cast<const std::uint8_t *>(aligned.data());
+    flatbuffers::Verifier verifier(payload, bytes.size());
+    if (bytes.empty() || !fleet_wire::VerifyEnvelopeBuffer(verifier)) {
+        return tl::unexpected(fleet_wire_error::Malformed);
+    }
+    const fleet_wire::Envelope &envelope = *fleet_wire::GetEnvelope(payload);
+    switch (envelope.message_type()) {
+    case fleet_wire::Message::Follow:
+        return readFollow(*envelope.message_as_Follow());
+    case fleet_wire::Message::Beat:
+        return follow_beat {envelope.message_as_Beat()->subtree()};
+    case fleet_wire::Message::State:
+        return readState(*envelope.message_as_State());
+    case fleet_wire::Message::Items:
+        return readItems(*envelope.message_as_Items());
+    default:
+        return tl::unexpected(fleet_wire_error::UnknownMessage);
+    }
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/fleet/src/store_view.cpp
@@ -0,0 +1,106 @@
+#include <fleet/fleet.h>
+
+#include <algorithm>
+#include <set>
+
+namespace chivelock {
+
+namespace {
+
+constexpr std::size_t mostDeletions = 4096; // remembered for followers that lag; beyond that they get everything anew
+
+} // namespace
+
+std::vector<store_item> store_view::applyChanges(std::vector<store_item> items, std::uint64_t revision)
+{
+    std::erase_if(items, [this](const store_item &item) { return !isNews(item); });
+    std::ranges::stable_sort(items, {}, &store_item::revision);
+    std::ranges::for_each(items, [this](const store_item &item) { keep(item); });
+    m_revision = std::max(m_revision, revision);
+    forgetOldDeletions();
+    return items;
+}
+
+std::vector<store_item> store_view::applyContents(std::vector<store_item> items, std::uint64_t revision)
+{
+    std::set<std::string_view> present;
+    for (const store_item &item : items) {
+        present.insert(item.key);
+    }
+    std::vector<store_item> gone;
+    for (const auto &[key, known] : m_items) {
+        // A key that was written after the contents were read is missing from them for that reason alone.
+        if (!present.contains(key) && known.revision <= revision) {
+            gone.push_back({key, revision, true, {}});
+        }
+    }
+    std::ranges::move(gone, std::back_inserter(items));
+    if (!m_known) {
+        m_deletionsSince = revision;
+    }
+    m_known = true;
+    return applyChanges(std::move(items), revision);
+}
+
+std::optional<std::vector<store_item>> store_view::changesSince(std::uint64_t revision) const
+{
+    if (!m_known || revision < m_deletionsSince) {
+        return std::nullopt;
+    }
+    std::vector<store_item> changes;
+    for (const auto &[key, known] : m_items) {
+        if (known.revision > revision) {
+            changes.push_back({key, known.revision, false, known.value});
+        }
+    }
+    for (const auto &[key, deletedAt] : m_deleted) {
+        if (deletedAt > revision) {
+            changes.push_back({key, deletedAt, true, {}});
+        }
+    }
+    return changes;
+}
+
+std::vector<store_item> store_view::contents() const
+{
+    std::vector<store_item> all;
+    for (const auto &[key, known] : m_items) {
+        all.push_back({key, known.revision, false, known.value});
+    }
+    return all;
+}
+
+bool store_view::isNews(const store_item &item) const
+{
+    if (const auto found = m_items.find(item.key); found != m_items.end()) {
+        const bool newer = item.revision > found->second.revision;
+        return newer || (item.deleted && item.revision == found->second.revision);
+    }
+    const auto deleted = m_deleted.find(item.key);
+    if (item.deleted) {
+        return false;
+    }
+    return deleted == m_deleted.end() || item.revision > deleted->second;
+}
+
+void store_view::keep(const store_item &item)
+{
+    if (item.deleted) {
+        m_items.erase(item.key);
+        m_deleted[item.key] = item.revision;
+        return;
+    }
+    m_deleted.erase(item.key);
+    m_items[item.key] = {item.revision, item.value};
+}
+
+void store_view::forgetOldDeletions()
+{
+    while (m_deleted.size() > mostDeletions) {
+        const auto oldest = std::ranges::min_element(m_deleted, {}, [](const auto &one) { return one.second; });
+        m_deletionsSince = std::max(m_deletionsSince, oldest->second);
+        m_deleted.erase(oldest);
+    }
+}
+
+} // namespace chivelock
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -63,6 +63,8 @@
     listen_address callers;
     listen_address readiness;
     std::optional<listen_address> metrics;
+    listen_address peers; ///< other processes of the fleet
+    std::vector<std::string> seeds; ///< addresses of a few of them; may be stale
     std::string storeAddress; ///< IP number and port
     millis storeWait {3000}; ///< how long the store holds a watch; bounds how long a lost answer goes unnoticed
     millis grace {6000}; ///< from SIGTERM to SIGKILL
--- a/libs/settings/src/gateway_settings.cpp
+++ b/libs/settings/src/gateway_settings.cpp
@@ -14,10 +14,11 @@
     "vm": {"type": "string", "minLength": 1},
     "zone": {"type": "string", "minLength": 1, "maxLength": 64},
     "listen": {
-      "type": "object", "required": ["callers", "readiness"],
+      "type": "object", "required": ["callers", "readiness", "peers"],
       "properties": {
         "callers": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
         "readiness": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+        "peers": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
         "metrics": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}
       }},
     "store": {
@@ -26,6 +27,7 @@
         "address": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
         "wait_ms": {"type": "integer", "minimum": 100, "maximum": 30000}
       }},
+    "seeds": {"type": "array", "items": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}},
     "log": {"enum": ["debug", "info", "warning", "error"]},
     "log_lines_per_s": {"type": "integer", "minimum": 10, "maximum": 100000},
     "limits": {
@@ -79,6 +81,8 @@
         const json &listen = document.at("listen");
         settings.callers = readAddress(listen.at("callers"));
         settings.readiness = readAddress(listen.at("readiness"));
+        settings.peers = readAddress(listen.at("peers"));
+        take(document, "seeds", settings.seeds);
         if (listen.contains("metrics")) {
             settings.metrics = readAddress(listen.at("metrics"));
         }
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -264,6 +264,13 @@
 /** Bytes before the payload: its length, little-endian. */
 inline constexpr std::size_t framePrefixBytes = 4;
 
+/** @return @p payload behind its length prefix. The library's own prefix would shift the alignment that its verifier
+ *  counts from. */
+[[nodiscard]] std::string frameOf(std::span<const std::uint8_t> payload);
+
+/** Copies a payload to where its structs have the alignment that they need; in a stream's buffer it starts anywhere. */
+[[nodiscard]] std::vector<std::uint64_t> alignedCopy(std::span<const std::uint8_t> payload);
+
 /** @return a whole frame, prefix included. */
 [[nodiscard]] std::string encodeFrame(vm_id from, const peer_message &message);
 
--- a/libs/wire/src/decode.cpp
+++ b/libs/wire/src/decode.cpp
@@ -210,11 +210,16 @@
 
 } // namespace
 
+std::vector<std::uint64_t> alignedCopy(std::span<const std::uint8_t> payload)
+{
+    std::vector<std::uint64_t> aligned((payload.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
+    std::ranges::copy(payload, reinterpret_cast<std::uint8_t *>(aligned.data()));
+    return aligned;
+}
+
 tl::expected<peer_envelope, wire_error> decodePayload(std::span<const std::uint8_t> bytes)
 {
-    // A frame starts anywhere in a stream's buffer; the structs inside are read in place and need their alignment.
-    std::vector<std::uint64_t> aligned((bytes.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
-    std::ranges::copy(bytes, reinterpret_cast<std::uint8_t *>(aligned.data()));
+    const std::vector<std::uint64_t> aligned = alignedCopy(bytes);
     const std::span<const std::uint8_t> payload(reinterpret_cast<const std::uint8_t *>(aligned.data()), bytes.size());
     // Without the verifier, an offset made up by a sender reads memory outside the frame; it shows as a crash or as
     // foreign bytes in an answer.
--- a/libs/wire/src/encode.cpp
+++ b/libs/wire/src/encode.cpp
@@ -197,31 +197,30 @@
     return static_cast<wire::Message>(message.index() + 1);
 }
 
-/** The prefix is written apart: the library's own one shifts the alignment that the verifier counts from. */
-std::string framed(const FlatBufferBuilder &builder)
+static_assert(std::variant_size_v<peer_message> == static_cast<std::size_t>(wire::Message::MAX));
+
+} // namespace
+
+std::string frameOf(std::span<const std::uint8_t> payload)
 {
     constexpr unsigned byteBits = 8;
     constexpr std::uint32_t byteMask = 0xff;
     std::string frame;
-    frame.reserve(framePrefixBytes + builder.GetSize());
+    frame.reserve(framePrefixBytes + payload.size());
     for (unsigned index = 0; index < framePrefixBytes; ++index) {
-        frame.push_back(static_cast<char>((builder.GetSize() >> (index * byteBits)) & byteMask));
+        frame.push_back(static_cast<char>((payload.size() >> (index * byteBits)) & byteMask));
     }
-    frame.append(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+    frame.append(reinterpret_cast<const char *>(payload.data()), payload.size());
     return frame;
 }
 
-static_assert(std::variant_size_v<peer_message> == static_cast<std::size_t>(wire::Message::MAX));
-
-} // namespace
-
 std::string encodeFrame(vm_id from, const peer_message &message)
 {
     FlatBufferBuilder builder;
     const Offset<void> body = std::visit(message_builder {builder}, message);
     const auto envelope = wire::CreateEnvelope(builder, from.value, typeOf(message), body);
     builder.Finish(envelope);
-    return framed(builder);
+    return frameOf({builder.GetBufferPointer(), builder.GetSize()});
 }
 
 } // namespace chivelock
--- /dev/null
+++ b/programs/chivelockd/gateway/addresses.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/** @file Addresses as text, and listening at them. */
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chivelock {
+
+/** @return the endpoint, or nothing if @p text is not an IP number with a port. */
+[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
+
+/** Opens and binds the acceptor. @return why it can't. */
+[[nodiscard]] boost::system::error_code
+listenAt(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address, std::uint16_t port);
+
+} // namespace chivelock
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -1,5 +1,7 @@
 #include "caller_server.h"
 
+#include "addresses.h"
+
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -231,21 +233,7 @@
 
 error_code caller_server::listen(const std::string &address, std::uint16_t port)
 {
-    error_code error;
-    const auto ip = asio::ip::make_address(address, error);
-    if (error) {
-        return error;
-    }
-    m_acceptor.open(tcp::v4(), error);
-    if (!error) {
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind({ip, port}, error);
-    }
-    if (!error) {
-        m_acceptor.listen(tcp::socket::max_listen_connections, error);
-    }
+    const error_code error = listenAt(m_acceptor, address, port);
     if (!error) {
         accept();
         sweep();
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -174,8 +174,6 @@
     if (auto opened = open(); !opened) {
         return opened;
     }
-    m_configReader->start();
-    m_leafReader->start();
     housekeep();
     m_thread = std::thread([this] {
         const auto work = asio::make_work_guard(m_reactor);
@@ -190,13 +188,7 @@
     m_callers = std::make_unique<caller_server>(m_reactor, *this, writeFault);
     m_callers->setLimits({}, m_settings.maxConnections);
     m_pages = std::make_unique<status_pages>(*this);
-    store_reader_settings reading;
-    reading.address = m_settings.storeAddress;
-    reading.wait = m_settings.storeWait;
-    reading.prefix = platform::configPrefix;
-    m_configReader = std::make_unique<store_reader>(m_reactor, reading, *this);
-    reading.prefix = platform::leafPrefix;
-    m_leafReader = std::make_unique<store_reader>(m_reactor, reading, *this);
+    m_feed = std::make_unique<store_feed>(m_reactor, m_settings, *this);
     error_code error = m_callers->listen(m_settings.callers.address, m_settings.callers.port);
     if (!error) {
         error = m_pages->readinessServer.listen(m_settings.readiness.address, m_settings.readiness.port);
@@ -204,6 +196,9 @@
     if (!error && m_settings.metrics) {
         error = m_pages->metricsServer.listen(m_settings.metrics->address, m_settings.metrics->port);
     }
+    if (!error) {
+        error = m_feed->start();
+    }
     if (error) {
         return tl::unexpected(kernel_error {std::string(serviceName), "can't listen: " + error.message()});
     }
@@ -393,60 +388,44 @@
     m_engine.onStandstill(gap);
     if (gap > longStandstill) {
         m_pool->closeIdle();
-        m_configReader->refresh();
-        m_leafReader->refresh();
+        m_feed->refresh();
     }
 }
 
 // ---- what the store says
 
-void gateway_service::onStoreContents(std::string_view prefix, std::vector<platform::store_event> items)
-{
-    if (prefix == platform::configPrefix) {
-        std::ranges::for_each(items, [this](const platform::store_event &item) { applyConfig(item); });
-        return;
-    }
-    std::vector<leaf_entry> entries;
-    for (const platform::store_event &item : items) {
-        if (auto entry = platform::decodeLeaf(item.key, item.value)) {
-            entries.push_back(*std::move(entry));
-        } else {
-            logEvent(log_level::Error, "leaf_entry_refused", {{"key", item.key}, {"cause", entry.error().reason}});
-        }
-    }
-    m_engine.leafs().replaceAll(entries, m_clock.now());
-    m_leafsKnown = true;
-    logEvent(log_level::Info,
-             "leafs_read",
-             {{"listed", std::uint64_t {entries.size()}}, {"known", std::uint64_t {m_engine.leafs().size()}}});
-}
-
-void gateway_service::onStoreChanges(std::string_view prefix, std::vector<platform::store_event> changes)
+void gateway_service::onStoreNews(std::string_view prefix, const std::vector<store_item> &items)
 {
     const bool isConfig = prefix == platform::configPrefix;
-    for (const platform::store_event &change : changes) {
+    for (const store_item &item : items) {
         if (isConfig) {
-            applyConfig(change);
+            applyConfig(item);
         } else {
-            applyLeafEvent(change);
+            applyLeafEvent(item);
         }
     }
+    m_leafsKnown = m_leafsKnown || !isConfig;
     flush();
 }
 
-void gateway_service::applyLeafEvent(const platform::store_event &event)
+void gateway_service::onFleetSize(std::size_t size)
+{
+    m_engine.setFleetSize(size);
+}
+
+void gateway_service::applyLeafEvent(const store_item &item)
 {
     const millis now = m_clock.now();
-    const std::string id(platform::leafIdFromKey(event.key));
-    if (event.deleted) {
+    const std::string id(platform::leafIdFromKey(item.key));
+    if (item.deleted) {
         if (m_engine.leafs().remove(id, now)) {
-            logEvent(log_level::Info, "leaf_missing", {{"leaf", id}, {"revision", event.revision}});
+            logEvent(log_level::Info, "leaf_missing", {{"leaf", id}, {"revision", item.revision}});
         }
         return;
     }
-    const auto entry = platform::decodeLeaf(event.key, event.value);
+    const auto entry = platform::decodeLeaf(item.key, item.value);
     if (!entry) {
-        logEvent(log_level::Error, "leaf_entry_refused", {{"key", event.key}, {"cause", entry.error().reason}});
+        logEvent(log_level::Error, "leaf_entry_refused", {{"key", item.key}, {"cause", entry.error().reason}});
         return;
     }
     if (m_engine.leafs().put(*entry, now)) {
@@ -455,18 +434,18 @@
                  {{"leaf", id},
                   {"service", entry->service.value},
                   {"address", entry->address},
-                  {"revision", event.revision}});
+                  {"revision", item.revision}});
     }
 }
 
-void gateway_service::applyConfig(const platform::store_event &event)
+void gateway_service::applyConfig(const store_item &item)
 {
-    if (event.key != platform::configKey || event.deleted) {
+    if (item.key != platform::configKey || item.deleted) {
         return;
     }
-    auto config = platform::decodeConfig(event.value);
+    auto config = platform::decodeConfig(item.value);
     if (!config) {
-        logEvent(log_level::Error, "config_refused", {{"revision", event.revision}, {"cause", config.error().reason}});
+        logEvent(log_level::Error, "config_refused", {{"revision", item.revision}, {"cause", config.error().reason}});
         return;
     }
     const std::uint64_t version = config->version;
@@ -478,7 +457,7 @@
     }
     logEvent(log_level::Info,
              taken ? "config_in_force" : "config_not_newer",
-             {{"version", version}, {"routes", std::uint64_t {routes}}, {"revision", event.revision}});
+             {{"version", version}, {"routes", std::uint64_t {routes}}, {"revision", item.revision}});
 }
 
 // ---- start and stop
@@ -496,6 +475,7 @@
         }
         m_stopping = true;
         m_stopBegan = m_clock.now();
+        m_feed->leave();
         logEvent(log_level::Info, "stopping", {{"callers", std::uint64_t {m_callers->sessions()}}});
         continueStop();
     });
@@ -561,7 +541,7 @@
         {"chivelock_leaf_sends_total", "Requests to leafs.", number(m_pool->counts().sent), {}},
         {"chivelock_leaf_connections_opened_total", "New connections.", number(m_pool->counts().opened), {}},
         {"chivelock_leaf_stray_answers_total", "Answers to other requests.", number(m_pool->counts().strayAnswers), {}},
-        {"chivelock_store_calls_total", "Calls to the store.", number(m_configReader->calls() + m_leafReader->calls()), {}},
+        {"chivelock_store_calls_total", "Calls to the store.", number(m_feed->storeCalls()), {}},
         {"chivelock_callers", "Open connections of callers.", number(m_callers->sessions()), {}},
         {"chivelock_exchanges", "Requests under way.", number(m_engine.openExchanges()), {}},
         {"chivelock_config_version", "Configuration in force.", number(version), {}},
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -8,7 +8,7 @@
 
 #include "caller_server.h"
 #include "leaf_pool.h"
-#include "store_reader.h"
+#include "store_feed.h"
 
 #include <gateway/gateway.h>
 #include <kernel/kernel.h>
@@ -22,7 +22,7 @@
 
 namespace chivelock {
 
-class gateway_service : public kernel_service, public request_listener, public send_listener, public store_listener
+class gateway_service : public kernel_service, public request_listener, public send_listener, public feed_listener
 {
 public:
     static constexpr std::string_view serviceName = "gateway";
@@ -52,8 +52,8 @@
     void onCallerLeft(session_id session) override;
     void onLeafReply(send_id id, gateway_reply reply) override;
     void onLeafFailure(send_id id, send_failure failure) override;
-    void onStoreContents(std::string_view prefix, std::vector<platform::store_event> items) override;
-    void onStoreChanges(std::string_view prefix, std::vector<platform::store_event> changes) override;
+    void onStoreNews(std::string_view prefix, const std::vector<store_item> &items) override;
+    void onFleetSize(std::size_t size) override;
 
     [[nodiscard]] tl::expected<void, kernel_error> open();
     void flush();
@@ -64,8 +64,8 @@
     void armTimer();
     void housekeep();
     void noticeStandstill(millis now);
-    void applyLeafEvent(const platform::store_event &event);
-    void applyConfig(const platform::store_event &event);
+    void applyLeafEvent(const store_item &item);
+    void applyConfig(const store_item &item);
     void continueStop();
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::string metricsPage() const;
@@ -77,8 +77,7 @@
     std::unique_ptr<caller_server> m_callers;
     std::unique_ptr<status_pages> m_pages;
     std::unique_ptr<leaf_pool> m_pool;
-    std::unique_ptr<store_reader> m_configReader;
-    std::unique_ptr<store_reader> m_leafReader;
+    std::unique_ptr<store_feed> m_feed;
     boost::asio::steady_timer m_dueTimer;
     boost::asio::steady_timer m_houseTimer;
     boost::asio::steady_timer m_stopTimer;
--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -1,5 +1,7 @@
 #include "leaf_pool.h"
 
+#include "addresses.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -26,20 +28,6 @@
 constexpr millis onceIdle(500); // for requests that must not run twice: a close that crosses one can't be made good
 constexpr unsigned mostStrayAnswers = 2; // late second answers on one connection before it is given up
 
-std::optional<tcp::endpoint> parseAddress(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    if (error) {
-        return std::nullopt;
-    }
-    return tcp::endpoint(ip, static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10)));
-}
-
 } // namespace
 
 /** One connection to one leaf. */
@@ -58,7 +46,7 @@
     {
         m_message = std::move(message);
         m_openedAt = boot_clock().now();
-        const auto endpoint = parseAddress(m_message.to->entry.address);
+        const auto endpoint = parseEndpoint(m_message.to->entry.address);
         error_code error;
         m_socket.open(tcp::v4(), error);
         if (!endpoint || error) {
--- /dev/null
+++ b/programs/chivelockd/gateway/peer_mesh.cpp
@@ -0,0 +1,247 @@
+#include "peer_mesh.h"
+
+#include "addresses.h"
+
+#include <wire/wire.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <vector>
+
+namespace chivelock {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readBytes = 16384;
+constexpr std::size_t mostUnsentBytes = 4U << 20U; // a process that does not read must not fill this one's memory
+constexpr millis connectLimit(300); // some round trips within a region
+constexpr link_id firstIncoming = link_id {1} << 40U; // apart from the numbers of dialled links
+
+} // namespace
+
+/** One connection, dialled or taken. */
+class peer_mesh::link : public std::enable_shared_from_this<link>
+{
+public:
+    link(peer_mesh &mesh, link_id id, tcp::socket socket)
+        : m_mesh(mesh)
+        , m_id(id)
+        , m_socket(std::move(socket))
+        , m_limit(mesh.m_reactor)
+    {
+    }
+
+    void open()
+    {
+        m_open = true;
+        error_code ignored; // without it messages are only slower
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        read();
+        write();
+    }
+
+    void dial(const std::string &address)
+    {
+        const auto endpoint = parseEndpoint(address);
+        if (!endpoint) {
+            asio::post(m_mesh.m_reactor, [self = shared_from_this()] { self->lose(); });
+            return;
+        }
+        m_limit.expires_after(std::chrono::milliseconds(connectLimit.ceiled()));
+        m_limit.async_wait([self = shared_from_this()](const error_code &stopped) {
+            if (!stopped && !self->m_open) {
+                self->lose();
+            }
+        });
+        m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code &failed) {
+            if (self->m_closed) {
+                return;
+            }
+            self->m_limit.cancel();
+            if (failed) {
+                self->lose();
+                return;
+            }
+            self->open();
+            self->m_mesh.m_listener.onLinkOpen(self->m_id);
+        });
+    }
+
+    void tell(const fleet_message &message)
+    {
+        m_waiting += encodeFleetFrame(message);
+        if (m_waiting.size() > mostUnsentBytes) {
+            asio::post(m_mesh.m_reactor, [self = shared_from_this()] { self->lose(); });
+            return;
+        }
+        write();
+    }
+
+    void close()
+    {
+        m_closed = true;
+        m_limit.cancel();
+        error_code ignored; // it is closed in any case
+        m_socket.close(ignored);
+    }
+
+private:
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_chunk),
+                                 [self = shared_from_this()](const error_code &error, std::size_t count) {
+                                     if (self->m_closed) {
+                                         return;
+                                     }
+                                     if (error || !self->take(count)) {
+                                         self->lose();
+                                         return;
+                                     }
+                                     if (!self->m_closed) {
+                                         self->read();
+                                     }
+                                 });
+    }
+
+    /** @return false if the peer speaks nonsense. */
+    bool take(std::size_t count)
+    {
+        m_frames.append(std::span(m_chunk).first(count));
+        while (!m_closed) {
+            const auto payload = m_frames.next();
+            if (!payload) {
+                return false;
+            }
+            if (!*payload) {
+                return true;
+            }
+            auto message = decodeFleetPayload(**payload);
+            if (!message) {
+                logEvent(log_level::Warning, "fleet_message_refused", {{"link", m_id}});
+                return false;
+            }
+            m_mesh.m_listener.onLinkMessage(m_id, *std::move(message));
+        }
+        return true;
+    }
+
+    void write()
+    {
+        if (!m_open || !m_inFlight.empty() || m_waiting.empty() || m_closed) {
+            return;
+        }
+        m_inFlight.swap(m_waiting);
+        asio::async_write(m_socket,
+                          asio::buffer(m_inFlight),
+                          [self = shared_from_this()](const error_code &error, std::size_t) {
+                              self->m_inFlight.clear();
+                              if (!error) {
+                                  self->write(); // a failure shows at the read as well
+                              }
+                          });
+    }
+
+    void lose()
+    {
+        if (m_closed) {
+            return;
+        }
+        const auto self = shared_from_this();
+        close();
+        m_mesh.m_links.erase(m_id);
+        m_mesh.m_listener.onLinkClosed(m_id);
+    }
+
+    peer_mesh &m_mesh;
+    link_id m_id;
+    tcp::socket m_socket;
+    asio::steady_timer m_limit;
+    std::array<std::uint8_t, readBytes> m_chunk {};
+    frame_reader m_frames;
+    std::string m_waiting;
+    std::string m_inFlight;
+    bool m_open = false;
+    bool m_closed = false;
+};
+
+peer_mesh::peer_mesh(asio::io_context &reactor, link_listener &listener)
+    : m_reactor(reactor)
+    , m_listener(listener)
+    , m_acceptor(reactor)
+    , m_nextIncoming(firstIncoming)
+{
+}
+
+peer_mesh::~peer_mesh()
+{
+    close();
+}
+
+error_code peer_mesh::listen(const std::string &address, std::uint16_t port)
+{
+    const error_code error = listenAt(m_acceptor, address, port);
+    if (!error) {
+        accept();
+    }
+    return error;
+}
+
+void peer_mesh::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        if (!error) {
+            const link_id id = m_nextIncoming++;
+            const auto made = std::make_shared<link>(*this, id, std::move(socket));
+            m_links.emplace(id, made);
+            made->open();
+        }
+        accept();
+    });
+}
+
+void peer_mesh::dial(link_id id, const std::string &address)
+{
+    const auto made = std::make_shared<link>(*this, id, tcp::socket(m_reactor));
+    m_links.emplace(id, made);
+    made->dial(address);
+}
+
+void peer_mesh::tell(link_id id, const fleet_message &message)
+{
+    const auto found = m_links.find(id);
+    if (found != m_links.end()) {
+        found->second->tell(message);
+    }
+}
+
+void peer_mesh::hangUp(link_id id)
+{
+    const auto found = m_links.find(id);
+    if (found != m_links.end()) {
+        const auto ended = found->second;
+        m_links.erase(found);
+        ended->close();
+    }
+}
+
+void peer_mesh::close()
+{
+    error_code ignored; // nothing depends on it
+    m_acceptor.close(ignored);
+    for (const auto &[id, one] : m_links) {
+        one->close();
+    }
+    m_links.clear();
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -0,0 +1,175 @@
+#include "store_feed.h"
+
+#include <platform/platform.h>
+
+namespace chivelock {
+
+namespace {
+
+constexpr millis tickInterval(100); // a quarter of the beat among processes
+
+std::string textOf(const listen_address &address)
+{
+    return address.address + ":" + std::to_string(address.port);
+}
+
+fleet_settings treeSettings(const gateway_daemon_settings &from)
+{
+    fleet_settings settings;
+    settings.address = textOf(from.peers);
+    settings.seeds = from.seeds;
+    settings.prefixes = {std::string(platform::configPrefix), std::string(platform::leafPrefix)};
+    return settings;
+}
+
+} // namespace
+
+store_feed::store_feed(boost::asio::io_context &reactor,
+                       const gateway_daemon_settings &settings,
+                       feed_listener &listener)
+    : m_address(settings.peers)
+    , m_listener(listener)
+    , m_node(treeSettings(settings), std::hash<std::string>()(settings.vmName))
+    , m_mesh(reactor, *this)
+    , m_prefixes(treeSettings(settings).prefixes)
+    , m_timer(reactor)
+{
+    for (const std::string &prefix : m_prefixes) {
+        store_reader_settings reading;
+        reading.address = settings.storeAddress;
+        reading.prefix = prefix;
+        reading.wait = settings.storeWait;
+        m_readers.push_back(std::make_unique<store_reader>(reactor, reading, *this));
+    }
+}
+
+boost::system::error_code store_feed::start()
+{
+    const boost::system::error_code error = m_mesh.listen(m_address.address, m_address.port);
+    if (!error) {
+        m_node.start(m_clock.now());
+        tick();
+    }
+    return error;
+}
+
+void store_feed::leave()
+{
+    m_mesh.close();
+}
+
+void store_feed::refresh()
+{
+    for (const auto &reader : m_readers) {
+        reader->refresh();
+    }
+}
+
+std::uint64_t store_feed::storeCalls() const
+{
+    std::uint64_t calls = 0;
+    for (const auto &reader : m_readers) {
+        calls += reader->calls();
+    }
+    return calls;
+}
+
+void store_feed::onLinkOpen(link_id link)
+{
+    m_node.onLinkOpen(link, m_clock.now());
+    flush();
+}
+
+void store_feed::onLinkClosed(link_id link)
+{
+    m_node.onLinkClosed(link, m_clock.now());
+    flush();
+}
+
+void store_feed::onLinkMessage(link_id link, fleet_message message)
+{
+    m_node.onMessage(link, std::move(message), m_clock.now());
+    flush();
+}
+
+void store_feed::onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision)
+{
+    m_node.onStoreContents(prefix, std::move(items), revision);
+    flush();
+}
+
+void store_feed::onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision)
+{
+    m_node.onStoreChanges(prefix, std::move(changes), revision);
+    flush();
+}
+
+void store_feed::onStoreState(std::string_view prefix, bool ok)
+{
+    m_node.onStoreState(prefix, ok, m_clock.now());
+    flush();
+}
+
+void store_feed::tick()
+{
+    const millis now = m_clock.now();
+    m_node.tick(now);
+    flush();
+    m_listener.onFleetSize(m_node.fleetSize(now));
+    m_timer.expires_after(std::chrono::milliseconds(tickInterval.ceiled()));
+    m_timer.async_wait([this](const boost::system::error_code &stopped) {
+        if (!stopped) {
+            tick();
+        }
+    });
+}
+
+void store_feed::flush()
+{
+    for (auto actions = m_node.takeActions(); !actions.empty(); actions = m_node.takeActions()) {
+        for (const fleet_action &action : actions) {
+            std::visit([this](const auto &one) { perform(one); }, action);
+        }
+    }
+}
+
+void store_feed::perform(const dial_action &action)
+{
+    m_mesh.dial(action.link, action.address);
+}
+
+void store_feed::perform(const hang_up_action &action)
+{
+    m_mesh.hangUp(action.link);
+}
+
+void store_feed::perform(const tell_action &action)
+{
+    m_mesh.tell(action.link, action.message);
+}
+
+void store_feed::perform(const read_action &action)
+{
+    for (std::size_t at = 0; at < m_prefixes.size(); ++at) {
+        if (!action.reading) {
+            m_readers[at]->stop();
+            continue;
+        }
+        const store_view &view = m_node.view(m_prefixes[at]);
+        m_readers[at]->start(view.known() ? std::optional(view.revision()) : std::nullopt);
+    }
+}
+
+void store_feed::perform(const news_action &action)
+{
+    m_listener.onStoreNews(action.prefix, action.items);
+}
+
+void store_feed::perform(const tree_note_action &action)
+{
+    logEvent(log_level::Info,
+             action.event,
+             {{"about", action.about}, {"input_ms", action.input.ceiled()}, {"fleet", std::uint64_t {m_node.fleetSize(m_clock.now())}}});
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/**
+ * @file
+ * What the platform's store says, however it gets here: read by this process or heard from another of the fleet.
+ * Connects the decisions of fleet/fleet.h with sockets.
+ */
+
+#include "peer_mesh.h"
+#include "store_reader.h"
+
+#include <fleet/fleet.h>
+#include <settings/settings.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace chivelock {
+
+/** Who uses the news. */
+class feed_listener
+{
+public:
+    feed_listener() = default;
+    feed_listener(const feed_listener &) = delete;
+    feed_listener &operator=(const feed_listener &) = delete;
+    virtual ~feed_listener() = default;
+
+    /** Items of one prefix that changed, oldest first; the first time all of them. */
+    virtual void onStoreNews(std::string_view prefix, const std::vector<store_item> &items) = 0;
+
+    /** How many processes the fleet has, as far as is known; told some times a second. */
+    virtual void onFleetSize(std::size_t size) = 0;
+};
+
+class store_feed : public link_listener, public store_listener
+{
+public:
+    store_feed(boost::asio::io_context &reactor, const gateway_daemon_settings &settings, feed_listener &listener);
+
+    [[nodiscard]] boost::system::error_code start();
+
+    /** Leaves the fleet: followers look for another process at once. */
+    void leave();
+
+    /** This process stood still for long. */
+    void refresh();
+
+    [[nodiscard]] std::uint64_t storeCalls() const;
+
+private:
+    void onLinkOpen(link_id link) override;
+    void onLinkClosed(link_id link) override;
+    void onLinkMessage(link_id link, fleet_message message) override;
+    void onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision) override;
+    void onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision) override;
+    void onStoreState(std::string_view prefix, bool ok) override;
+
+    void tick();
+    void flush();
+    void perform(const dial_action &action);
+    void perform(const hang_up_action &action);
+    void perform(const tell_action &action);
+    void perform(const read_action &action);
+    void perform(const news_action &action);
+    void perform(const tree_note_action &action);
+
+    boot_clock m_clock;
+    listen_address m_address;
+    feed_listener &m_listener;
+    fleet_node m_node;
+    peer_mesh m_mesh;
+    std::vector<std::string> m_prefixes;
+    std::vector<std::unique_ptr<store_reader>> m_readers; ///< one for each prefix
+    boost::asio::steady_timer m_timer;
+};
+
+} // namespace chivelock
--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -1,5 +1,7 @@
 #include "store_reader.h"
 
+#include "addresses.h"
+
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -33,16 +35,34 @@
 
 store_reader::~store_reader() = default;
 
-void store_reader::start()
+void store_reader::start(std::optional<std::uint64_t> revision)
 {
+    stop();
+    m_started = true;
+    m_watching = revision.has_value();
+    m_revision = revision.value_or(0);
     ask();
 }
 
-void store_reader::refresh()
+void store_reader::stop()
 {
+    m_started = false;
+    m_failures = 0;
+    m_turn += 1;
+    m_after.clear();
+    m_pages.clear();
     closeSocket();
+    m_timeout.cancel();
     m_pause.cancel();
-    ask();
+}
+
+void store_reader::refresh()
+{
+    if (m_started) {
+        closeSocket();
+        m_pause.cancel();
+        ask();
+    }
 }
 
 void store_reader::ask()
@@ -63,16 +83,13 @@
 
 void store_reader::connect()
 {
-    const std::size_t colon = m_settings.address.rfind(':');
-    error_code error;
-    const auto ip = asio::ip::make_address(m_settings.address.substr(0, colon), error);
-    if (error || colon == std::string::npos) {
+    const auto endpoint = parseEndpoint(m_settings.address);
+    if (!endpoint) {
         lose("bad_address");
         return;
     }
-    const auto port = static_cast<std::uint16_t>(std::strtoul(m_settings.address.c_str() + colon + 1, nullptr, 10));
     m_socket = std::make_unique<tcp::socket>(m_reactor);
-    m_socket->async_connect({ip, port}, [this, turn = m_turn](const error_code &failed) {
+    m_socket->async_connect(*endpoint, [this, turn = m_turn](const error_code &failed) {
         if (turn != m_turn) {
             return;
         }
@@ -171,7 +188,7 @@
     }
     m_watching = true;
     m_after.clear();
-    m_listener.onStoreContents(m_settings.prefix, std::exchange(m_pages, {}));
+    m_listener.onStoreContents(m_settings.prefix, std::exchange(m_pages, {}), m_revision);
     ask();
 }
 
@@ -185,7 +202,7 @@
     m_revision = std::max(m_revision, page->revision);
     const bool news = !page->events.empty();
     if (news) {
-        m_listener.onStoreChanges(m_settings.prefix, std::move(page->events));
+        m_listener.onStoreChanges(m_settings.prefix, std::move(page->events), m_revision);
         later(m_settings.gather);
     } else {
         ask();
@@ -201,6 +218,7 @@
         logEvent(log_level::Warning,
                  "store_lost",
                  {{"prefix", m_settings.prefix}, {"cause", std::string(cause)}, {"revision", m_revision}});
+        m_listener.onStoreState(m_settings.prefix, false);
     }
     m_failures = std::min(m_failures + 1, 8U);
     const millis delay = std::min(firstRetry * static_cast<double>(1U << (m_failures - 1)), mostRetry);
@@ -214,8 +232,9 @@
         logEvent(log_level::Info,
                  "store_regained",
                  {{"prefix", m_settings.prefix}, {"failures", std::uint64_t {m_failures}}, {"revision", m_revision}});
+        m_failures = 0;
+        m_listener.onStoreState(m_settings.prefix, true);
     }
-    m_failures = 0;
 }
 
 /** A store that is silent, or a connection that lost the answer, shows by nothing but time. */
@@ -233,7 +252,7 @@
 {
     m_pause.expires_after(std::chrono::microseconds(delay.micros()));
     m_pause.async_wait([this](const error_code &stopped) {
-        if (!stopped) {
+        if (!stopped && m_started) {
             ask();
         }
     });
--- a/programs/chivelockd/gateway/store_reader.h
+++ b/programs/chivelockd/gateway/store_reader.h
@@ -14,8 +14,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,11 +38,15 @@
     store_listener &operator=(const store_listener &) = delete;
     virtual ~store_listener() = default;
 
-    /** All items under the prefix. */
-    virtual void onStoreContents(std::string_view prefix, std::vector<platform::store_event> items) = 0;
+    /** All items under the prefix, as of @p revision or later. */
+    virtual void
+    onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision) = 0;
 
-    /** What changed since, oldest first. */
-    virtual void onStoreChanges(std::string_view prefix, std::vector<platform::store_event> changes) = 0;
+    /** What changed up to @p revision, oldest first. */
+    virtual void onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision) = 0;
+
+    /** Whether calls are answered; told when it changes. */
+    virtual void onStoreState(std::string_view prefix, bool ok) = 0;
 };
 
 class store_reader
@@ -53,7 +57,11 @@
     store_reader &operator=(const store_reader &) = delete;
     ~store_reader();
 
-    void start();
+    /** @param revision up to which everything is known already; none if the contents must be read first. */
+    void start(std::optional<std::uint64_t> revision);
+
+    /** Asks no more until the next start. */
+    void stop();
 
     /** Asks anew on a new connection: this process stood still, what it waits for may never come. */
     void refresh();
@@ -88,10 +96,11 @@
     std::string m_output;
     std::string m_input;
     std::vector<char> m_chunk;
+    bool m_started = false;
     bool m_watching = false; ///< the contents are known; only changes are asked for
     std::uint64_t m_revision = 0; ///< up to which everything is known
     std::string m_after; ///< last key of the pages read so far
-    std::vector<platform::store_event> m_pages;
+    std::vector<store_item> m_pages;
     std::uint64_t m_turn = 0; ///< rises when what is on its way is given up
     std::uint64_t m_calls = 0;
     unsigned m_failures = 0;
