What a leaf's queue would make late is not sent

Change: a leaf whose queue alone takes longer than the time that is left is not asked; a lookup that lacks too many shards for that reason is refused before anything ran. A reported load counts as fresh for twice the leaf's work time.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -468,6 +468,7 @@
         std::shared_ptr<leaf> to; ///< nullptr if none may be asked
         double cost = 0;
         bool full = false; ///< none because all that could be asked have no connection left
+        bool overloaded = false; ///< none because their queues are longer than the time that is left
     };
 
     void begin(exchange &work, millis now);
@@ -476,6 +477,8 @@
     [[nodiscard]] choice
     chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now);
     [[nodiscard]] double expectedCost(const leaf &candidate, const route_pace &pace, millis now);
+    [[nodiscard]] static bool
+    isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now);
     [[nodiscard]] bool mayAsk(const leaf &candidate, millis now) const;
     [[nodiscard]] unsigned connectionShare(const service_name &service) const;
     void sendCall(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -124,7 +124,7 @@
     } else if (chosen.full) {
         call.waiting = true;
     } else {
-        answerUnserved(work, "no_leaf", false, now);
+        answerUnserved(work, chosen.overloaded ? "overloaded" : "no_leaf", false, now);
     }
 }
 
@@ -133,6 +133,7 @@
     const millis ways = m_settings.callerRoundTrip * (waysBeforeArrival + waysBack) + answerMargin;
     const millis inTime = std::max(work.route->objective - ways, work.route->objective * leastUseOfObjective);
     work.cutoff = now + inTime;
+    bool overloaded = false;
     std::vector<choice> chosen;
     for (const service_name &shard : work.route->shards) {
         shard_call &call = work.calls.emplace_back();
@@ -142,10 +143,11 @@
         call.waiting = !one.to && one.full;
         call.missing = !one.to && !one.full;
         work.missing += call.missing ? 1 : 0;
+        overloaded = overloaded || (call.missing && one.overloaded);
     }
     // Known before anything ran: nobody's time is spent on an answer that can't be given.
     if (work.calls.size() - work.missing < work.neededParts()) {
-        answerUnserved(work, "too_few_shards", false, now);
+        answerUnserved(work, overloaded ? "shards_overloaded" : "too_few_shards", false, now);
         return;
     }
     for (std::size_t at = 0; at < chosen.size(); ++at) {
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -11,7 +11,8 @@
 constexpr millis failingHalfLife(3000);
 constexpr double refusingShare = 0.5; // of the objective, for a leaf that always refuses
 constexpr millis newConnectionCost(3); // a round trip, and a slot of the leaf for some milliseconds
-constexpr millis loadFresh(60); // a reported load is older than the work it speaks of after some work times
+constexpr double loadFreshWorks = 2; // a reported load is older than the work it speaks of after some work times
+constexpr millis leastLoadFresh(30);
 constexpr double otherZoneShare = 0.3; // of the typical time: what a byte saved between zones may cost in time
 constexpr millis otherZoneDelay(1); // there and back
 constexpr double coldShare = 0.6; // slower by that share of the typical time after its start
@@ -31,11 +32,18 @@
     return 1 + faded(candidate.slowness - 1, now - candidate.slownessAt, slownessHalfLife);
 }
 
+/** Time of one request at the leaf without its queue. */
+millis workTime(const leaf &candidate, const route_pace &pace, millis now)
+{
+    return pace.typical.estimate() * currentSlowness(candidate, now);
+}
+
 /** Time in the leaf's queue, in units of one request's time. */
-double queueFactor(const leaf &candidate, millis now)
+double queueFactor(const leaf &candidate, const route_pace &pace, millis now)
 {
     double atWork = static_cast<double>(candidate.open.size());
-    if (now - candidate.loadAt < loadFresh) {
+    const millis fresh = std::max(leastLoadFresh, workTime(candidate, pace, now) * loadFreshWorks);
+    if (now - candidate.loadAt < fresh) {
         atWork = std::max(atWork, static_cast<double>(candidate.load.running + candidate.load.waiting));
     }
     const double slots = std::max(1U, candidate.entry.slots);
@@ -48,7 +56,7 @@
 {
     const double typical = pace.typical.estimate().count();
     const double objective = pace.objective.count();
-    double cost = typical * currentSlowness(candidate, now) * (1 + queueFactor(candidate, now));
+    double cost = workTime(candidate, pace, now).count() * (1 + queueFactor(candidate, pace, now));
     cost += objective * faded(candidate.failing, now - candidate.failingAt, failingHalfLife);
     cost += objective * refusingShare * faded(candidate.refusing, now - candidate.refusingAt, failingHalfLife);
     if (candidate.keptConnections == 0) {
@@ -69,6 +77,16 @@
     return cost * (1 + tieShare * m_random.uniform());
 }
 
+/**
+ * A leaf that gets more than it can do answers nobody in time: each request waits for those before it, and all are late
+ * alike. What would not be answered in time because of its queue is not sent, so that what is sent is.
+ */
+bool gateway_engine::isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now)
+{
+    const double queue = queueFactor(candidate, pace, now);
+    return queue > 0 && workTime(candidate, pace, now) * (1 + queue) > timeLeft;
+}
+
 bool gateway_engine::mayAsk(const leaf &candidate, millis now) const
 {
     if (candidate.misdirected || now < candidate.downUntil) {
@@ -95,6 +113,7 @@
 gateway_engine::chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now)
 {
     choice best;
+    const millis timeLeft = (now < work.cutoff ? std::min(work.cutoff, work.limit) : work.limit) - now;
     const unsigned share = connectionShare(call.service);
     for (const std::shared_ptr<leaf> &candidate : m_leafs.of(call.service)) {
         const bool tried = std::ranges::find(call.tried, candidate) != call.tried.end();
@@ -108,6 +127,10 @@
         if (forHedge && candidate->stalledSince() < now) {
             continue; // a second request would only wait beside the first
         }
+        if (isOverloaded(*candidate, *work.pace, timeLeft, now)) {
+            best.overloaded = true;
+            continue;
+        }
         const double cost = expectedCost(*candidate, *work.pace, now);
         if (!best.to || cost < best.cost) {
             best.to = candidate;
