--- /dev/null
+++ b/libs/gateway/tests/gateway_world.h
@@ -0,0 +1,267 @@
+#pragma once
+
+/** @file An engine among fake leafs in virtual time; every leaf run is recorded. */
+
+#include <gateway/gateway.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chivelock::testing {
+
+/** How a fake leaf behaves. */
+struct fake_behaviour {
+    millis work {10};
+    bool silent = false; ///< takes requests and never answers
+    bool refusesConnections = false;
+    bool refuses = false; ///< says that it did not run the request
+    bool breaks = false; ///< runs the request and ends the connection without an answer
+    bool wrongInstance = false;
+    unsigned status = 200;
+    bool stamped = true;
+    unsigned slots = 0; ///< requests at a time; 0 for any number
+    unsigned queue = 12; ///< requests that wait for a slot before the leaf refuses
+};
+
+/** The engine, its leafs and what became of requests. */
+class gateway_world
+{
+public:
+    struct answered {
+        answer_action answer;
+        millis at;
+    };
+
+    explicit gateway_world(gateway_settings settings = {})
+        : engine(std::move(settings), 7)
+    {
+        engine.setFleetSize(1);
+    }
+
+    static gateway_route gatherRoute(std::size_t shards, double coverage)
+    {
+        gateway_route route;
+        route.name = "all";
+        route.host = "h";
+        route.pathPrefix = "/all/";
+        route.idempotent = true;
+        route.timeout = millis(600);
+        route.objective = millis(100);
+        route.maxAttempts = 2;
+        route.topRecords = 4;
+        route.minCoverage = coverage;
+        for (std::size_t at = 0; at < shards; ++at) {
+            route.shards.push_back({shardName(at)});
+        }
+        return route;
+    }
+
+    static gateway_route singleRoute(bool idempotent)
+    {
+        gateway_route route;
+        route.name = "one";
+        route.host = "h";
+        route.pathPrefix = "/one/";
+        route.idempotent = idempotent;
+        route.timeout = millis(2000);
+        route.objective = millis(400);
+        route.maxAttempts = 2;
+        route.split = {{{"single"}, 1}};
+        return route;
+    }
+
+    static std::string shardName(std::size_t at)
+    {
+        return "shard" + std::to_string(at);
+    }
+
+    void publish(std::vector<gateway_route> routes)
+    {
+        gateway_config config;
+        config.version = ++m_version;
+        config.routes = std::move(routes);
+        std::set<std::string> named;
+        for (const gateway_route &route : config.routes) {
+            std::ranges::for_each(route.shards, [&](const auto &one) { named.insert(one.value); });
+            std::ranges::for_each(route.split, [&](const auto &one) { named.insert(one.service.value); });
+        }
+        for (const std::string &name : named) {
+            config.services.push_back({{name}, 100});
+        }
+        engine.applyConfig(std::move(config));
+    }
+
+    /** @return the leaf's id. */
+    std::string addLeaf(const std::string &service, fake_behaviour behaviour = {})
+    {
+        leaf_entry entry;
+        entry.id = service + "-" + std::to_string(m_nextLeaf++);
+        entry.service = {service};
+        entry.slots = behaviour.slots == 0 ? 2 : behaviour.slots;
+        engine.leafs().put(entry, now);
+        behaviours[entry.id] = behaviour;
+        return entry.id;
+    }
+
+    void addShards(std::size_t shards, std::size_t leafsEach)
+    {
+        for (std::size_t at = 0; at < shards; ++at) {
+            for (std::size_t one = 0; one < leafsEach; ++one) {
+                addLeaf(shardName(at));
+            }
+        }
+    }
+
+    exchange_id ask(const std::string &target, millis patience = millis(2000))
+    {
+        const std::string id = "q" + std::to_string(++m_asked);
+        const exchange_id exchange = engine.arrive({id, "h", target, patience}, now);
+        act();
+        return exchange;
+    }
+
+    void leave(exchange_id exchange)
+    {
+        engine.onCallerLeft(exchange, now);
+        act();
+    }
+
+    void run(millis time)
+    {
+        const millis end = now + time;
+        while (true) {
+            const millis reply = m_coming.empty() ? millis::never() : m_coming.begin()->first;
+            const millis next = std::min(reply, engine.nextDue());
+            if (next > end) {
+                break;
+            }
+            now = std::max(now, next);
+            if (reply <= now) {
+                const auto first = m_coming.begin();
+                const std::function<void()> deliver = first->second;
+                m_coming.erase(first);
+                deliver();
+            } else {
+                engine.advance(now);
+            }
+            act();
+        }
+        now = end;
+        engine.advance(now);
+        act();
+    }
+
+    /** The answer to an exchange. @pre it has one. */
+    [[nodiscard]] const answered &answerOf(exchange_id exchange) const
+    {
+        return answers.at(exchange);
+    }
+
+    [[nodiscard]] std::size_t runsAt(const std::string &service) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            runs, [&](const auto &one) { return one.leafId.starts_with(service + "-"); }));
+    }
+
+    struct leaf_run {
+        std::string leafId;
+        exchange_id exchange = 0;
+        millis at;
+    };
+
+    gateway_engine engine;
+    millis now {10000};
+    std::map<std::string, fake_behaviour> behaviours;
+    std::map<exchange_id, answered> answers;
+    std::vector<leaf_run> runs; ///< begun by leafs
+    std::vector<leaf_run> arrivals; ///< begun or refused by leafs
+    std::vector<std::pair<send_id, millis>> cancels;
+
+private:
+    void act()
+    {
+        for (auto actions = engine.takeActions(); !actions.empty(); actions = engine.takeActions()) {
+            for (gateway_action &action : actions) {
+                if (auto *sent = std::get_if<send_action>(&action)) {
+                    onSend(*sent);
+                } else if (auto *cancelled = std::get_if<cancel_action>(&action)) {
+                    cancels.emplace_back(cancelled->id, now);
+                } else if (auto *answer = std::get_if<answer_action>(&action)) {
+                    const exchange_id exchange = answer->exchange;
+                    answers[exchange] = {std::move(*answer), now};
+                }
+            }
+        }
+    }
+
+    void onSend(const send_action &sent)
+    {
+        const std::string id = sent.to->entry.id;
+        const fake_behaviour behaviour = behaviours.at(id);
+        const send_id send = sent.id;
+        if (behaviour.refusesConnections) {
+            later(millis(0.2), [this, send] { engine.onSendFailed(send, send_failure::NotSent, now); });
+            return;
+        }
+        arrivals.push_back({id, sent.exchange, now});
+        std::vector<millis> &slots = m_slots[id];
+        std::erase_if(slots, [this](millis end) { return end <= now; });
+        const bool full = behaviour.slots > 0 && slots.size() >= behaviour.slots + behaviour.queue;
+        if (behaviour.refuses || behaviour.wrongInstance || full) {
+            later(millis(0.4), [this, send, behaviour, waiting = slots.size()] {
+                gateway_reply reply;
+                reply.status = behaviour.wrongInstance ? 421 : 503;
+                reply.notRun = true;
+                reply.wrongInstance = behaviour.wrongInstance;
+                reply.load = leaf_load {behaviour.slots, static_cast<unsigned>(waiting), behaviour.slots};
+                engine.onReply(send, std::move(reply), now);
+            });
+            return;
+        }
+        runs.push_back({id, sent.exchange, now});
+        if (behaviour.silent) {
+            return;
+        }
+        const millis wait = waitForSlot(slots, behaviour);
+        slots.push_back(now + wait + behaviour.work);
+        later(wait + behaviour.work, [this, send, id, behaviour] {
+            if (behaviour.breaks) {
+                engine.onSendFailed(send, send_failure::Broken, now);
+                return;
+            }
+            gateway_reply reply;
+            reply.status = behaviour.status;
+            reply.stamp = behaviour.stamped ? "stamp-" + id : "";
+            reply.body = (id + std::string(recordBytes, '.')).substr(0, recordBytes);
+            engine.onReply(send, std::move(reply), now);
+        });
+    }
+
+    /** The slot that is free first serves next. */
+    millis waitForSlot(std::vector<millis> slots, const fake_behaviour &behaviour) const
+    {
+        if (behaviour.slots == 0 || slots.size() < behaviour.slots) {
+            return {};
+        }
+        std::ranges::sort(slots);
+        return slots[slots.size() - behaviour.slots] - now;
+    }
+
+    void later(millis after, std::function<void()> what)
+    {
+        m_coming.emplace(now + after, std::move(what));
+    }
+
+    std::uint64_t m_version = 0;
+    unsigned m_nextLeaf = 0;
+    unsigned m_asked = 0;
+    std::multimap<millis, std::function<void()>> m_coming;
+    std::map<std::string, std::vector<millis>> m_slots; ///< when the requests at a leaf end
+};
+
+} // namespace chivelock::testing
