Routes and leafs are libraries of their own

Change: libs/routing (what operators publish), libs/leafs (directory, pace, health, budget), libs/gateway (requests); tests moved along, three added.

--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -28,23 +28,6 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(longest_prefix_of_the_host_decides)
-{
-    gateway_config config;
-    config.routes.resize(2);
-    config.routes[0].host = "a.example";
-    config.routes[0].pathPrefix = "/x/";
-    config.routes[0].name = "short";
-    config.routes[1].host = "a.example";
-    config.routes[1].pathPrefix = "/x/y/";
-    config.routes[1].name = "long";
-    const route_table table(config);
-    BOOST_TEST(table.find("A.example:80", "/x/y/z")->name == "long");
-    BOOST_TEST(table.find("a.example", "/x/yz?q=/x/y/")->name == "short");
-    BOOST_TEST(table.find("a.example", "/x") == nullptr);
-    BOOST_TEST(table.find("b.example", "/x/y/") == nullptr);
-}
-
 BOOST_AUTO_TEST_CASE(greatest_records_of_all_parts_in_falling_order)
 {
     const std::string a = "0000000000000003" "0000000000000001";
@@ -383,26 +366,6 @@
     BOOST_TEST(std::ranges::count(world.arrivals, leaving, &gateway_world::leaf_run::leafId) == 0);
 }
 
-// Symptom: nothing can be served for seconds after the store was away.
-// Sequence: entries lapse while the store is down; it comes back without them; the leafs register again.
-// Cause: their absence was taken for their end at once.
-BOOST_AUTO_TEST_CASE(lapsed_entries_are_kept_until_their_time_to_return_is_over)
-{
-    leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
-    directory.put(entry, millis(0));
-    directory.replaceAll({}, millis(1000));
-    BOOST_TEST(directory.expire(millis(3100)) == 0U);
-    BOOST_TEST(directory.of({"s"}).size() == 1U);
-    directory.put(entry, millis(3150));
-    BOOST_TEST(directory.expire(millis(9000)) == 0U);
-    directory.remove("a", millis(9000));
-    BOOST_TEST(directory.expire(millis(11250)) == 1U);
-    BOOST_TEST(directory.of({"s"}).empty());
-}
-
 // Symptom: leafs work for callers who have gone.
 // Sequence: a caller leaves while a leaf is at work on its request.
 // Cause: the send was not given up.
--- /dev/null
+++ b/libs/leafs/include/leafs/leafs.h
@@ -0,0 +1,194 @@
+#pragma once
+
+/**
+ * @file
+ * What one process knows of leafs: who there is, how fast they are, which of them are in trouble, and how many extra
+ * requests may be sent to a service. Pure: events come in with the time.
+ */
+
+#include <base/base.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace chivelock {
+
+/** What a leaf says of itself in the platform's store. */
+struct leaf_entry {
+    std::string id; ///< new with each start of the leaf
+    service_name service;
+    std::string address; ///< IP number and port
+    zone_name zone;
+    unsigned slots = 1; ///< requests that it processes at a time
+    bool draining = false;
+    millis coldFor; ///< how much longer it is slow after its start
+};
+
+/** Follows a quantile of a stream of times without keeping them: each value moves the estimate a small step. */
+class quantile_tracker
+{
+public:
+    quantile_tracker(double share, millis first)
+        : m_share(share)
+        , m_estimate(first)
+    {
+    }
+
+    void add(millis value);
+
+    [[nodiscard]] millis estimate() const
+    {
+        return m_estimate;
+    }
+
+private:
+    double m_share;
+    millis m_estimate;
+};
+
+/** How long leafs take for the requests of one route. */
+struct route_pace {
+    explicit route_pace(millis objective);
+
+    void add(millis value);
+
+    /** After this time without an answer a second leaf is worth asking. */
+    [[nodiscard]] millis hedgeAfter() const;
+
+    quantile_tracker typical; ///< median
+    quantile_tracker slow; ///< few answers take longer
+    millis objective;
+};
+
+/**
+ * Extra sends that one VM may make to one service. The fleet's limit is a share of the requests for the service plus a
+ * fixed number in each window. Without shared state each VM keeps to the same share of its own requests and to its part
+ * of the fixed number, so that the sum over the fleet stays inside the limit whatever the others do.
+ */
+class retry_budget
+{
+public:
+    retry_budget(double ratio, millis window)
+        : m_ratio(ratio)
+        , m_window(window)
+    {
+    }
+
+    void countRequest(millis now);
+
+    /** @param fixedPart extra sends allowed in each window besides the share of requests.
+     *  @param reserve share of the allowance that stays untouched. @return whether the extra send may be made. */
+    [[nodiscard]] bool tryTake(double fixedPart, double reserve, millis now);
+
+private:
+    struct slice {
+        std::int64_t index = 0;
+        double requests = 0;
+        double extras = 0;
+    };
+
+    slice &current(millis now);
+
+    double m_ratio;
+    millis m_window;
+    std::deque<slice> m_slices;
+};
+
+/** What a leaf tells of its load in an answer. */
+struct leaf_load {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+using send_id = std::uint64_t;
+
+/** What this process knows of one leaf. */
+struct leaf {
+    explicit leaf(leaf_entry described)
+        : entry(std::move(described))
+    {
+    }
+
+    struct open_send {
+        send_id id = 0;
+        millis sentAt;
+        millis expectedBy; ///< later than that is a sign of a stall
+    };
+
+    leaf_entry entry;
+    millis coldUntil;
+    millis drainSeenAt = millis::never(); ///< when this process learned that it leaves
+    millis removeAt = millis::never(); ///< entry is missing from the store; it is forgotten then
+    bool misdirected = false; ///< another instance answered at its address
+    std::vector<open_send> open;
+    millis lastReplyAt = millis() - millis::never();
+    double slowness = 1; ///< its times over what is typical
+    millis slownessAt; ///< when that was last measured
+    double failing = 0; ///< share of failures among recent answers
+    millis failingAt;
+    double refusing = 0; ///< share of refusals among recent answers
+    millis refusingAt;
+    unsigned keptConnections = 0; ///< idle ones, ready for the next request
+    unsigned failuresInRow = 0; ///< without any answer between
+    millis downUntil = millis() - millis::never();
+    leaf_load load;
+    millis loadAt = millis() - millis::never();
+
+    /** Since when it has been silent on a request that should have been answered; never if it is not. */
+    [[nodiscard]] millis stalledSince() const;
+
+    /** It will leave or is gone from the store; only asked where nobody else is. */
+    [[nodiscard]] bool isLeaving() const
+    {
+        return entry.draining || removeAt < millis::never();
+    }
+};
+
+/** Leafs by id and by service, as the platform's store tells of them. */
+class leaf_directory
+{
+public:
+    /** @param hold how long a leaf whose entry is missing stays usable: entries lapse while the store is away. */
+    explicit leaf_directory(millis hold)
+        : m_hold(hold)
+    {
+    }
+
+    /** @return true if something changed that matters. */
+    bool put(const leaf_entry &entry, millis now);
+
+    /** The entry is missing from the store. @return false for an unknown id. */
+    bool remove(std::string_view id, millis now);
+
+    /** Removes all that are not in @p entries, puts the others. */
+    void replaceAll(std::span<const leaf_entry> entries, millis now);
+
+    /** Forgets leafs whose hold is over. @return how many. */
+    std::size_t expire(millis now);
+
+    [[nodiscard]] std::span<const std::shared_ptr<leaf>> of(const service_name &service) const;
+    [[nodiscard]] std::shared_ptr<leaf> find(std::string_view id) const;
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_byId.size();
+    }
+
+private:
+    void unlink(const leaf &gone);
+
+    millis m_hold;
+    std::map<std::string, std::shared_ptr<leaf>, std::less<>> m_byId;
+    std::unordered_map<service_name, std::vector<std::shared_ptr<leaf>>> m_byService;
+    millis m_nextExpiry = millis::never();
+};
+
+} // namespace chivelock
--- a/libs/gateway/src/retry_budget.cpp
+++ b/libs/leafs/src/retry_budget.cpp
@@ -1,4 +1,4 @@
-#include <gateway/gateway.h>
+#include <leafs/leafs.h>
 
 #include <algorithm>
 #include <numeric>
--- /dev/null
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -0,0 +1,69 @@
+#define BOOST_TEST_MODULE leafs
+#include <boost/test/included/unit_test.hpp>
+
+#include <leafs/leafs.h>
+
+using namespace chivelock;
+
+// Symptom: nothing can be served for seconds after the store was away.
+// Sequence: entries lapse while the store is down; it comes back without them; the leafs register again.
+// Cause: their absence was taken for their end at once.
+BOOST_AUTO_TEST_CASE(lapsed_entries_are_kept_until_their_time_to_return_is_over)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(0));
+    directory.replaceAll({}, millis(1000));
+    BOOST_TEST(directory.expire(millis(3100)) == 0U);
+    BOOST_TEST(directory.of({"s"}).size() == 1U);
+    directory.put(entry, millis(3150));
+    BOOST_TEST(directory.expire(millis(9000)) == 0U);
+    directory.remove("a", millis(9000));
+    BOOST_TEST(directory.expire(millis(11250)) == 1U);
+    BOOST_TEST(directory.of({"s"}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_quantile_is_followed_without_keeping_values)
+{
+    quantile_tracker median(0.5, millis(100));
+    quantile_tracker slow(0.9, millis(1));
+    seeded_random random(1);
+    for (int at = 0; at < 5000; ++at) {
+        const millis value(10 + 20 * random.uniform());
+        median.add(value);
+        slow.add(value);
+    }
+    BOOST_TEST(median.estimate().count() > 17);
+    BOOST_TEST(median.estimate().count() < 23);
+    BOOST_TEST(slow.estimate().count() > 24);
+    BOOST_TEST(slow.estimate().count() < 32);
+}
+
+BOOST_AUTO_TEST_CASE(the_budget_slides_with_its_window)
+{
+    retry_budget budget(0.2, millis(10000));
+    for (int at = 0; at < 100; ++at) {
+        budget.countRequest(millis(100 * at));
+    }
+    unsigned taken = 0;
+    while (budget.tryTake(1, 0, millis(10000))) {
+        ++taken;
+    }
+    BOOST_TEST(taken >= 19U);
+    BOOST_TEST(taken <= 21U);
+    BOOST_TEST(!budget.tryTake(0, 0, millis(30000)));
+}
+
+// Symptom: a leaf that serves one long request is passed over as if it stood still.
+// Sequence: one request takes long, others are answered meanwhile.
+// Cause: only the oldest open request was looked at.
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_shows_that_a_leaf_is_at_work)
+{
+    leaf one({});
+    one.open = {{1, millis(0), millis(30)}};
+    BOOST_TEST((one.stalledSince() == millis(30)));
+    one.lastReplyAt = millis(40);
+    BOOST_TEST((one.stalledSince() == millis::never()));
+}
--- a/libs/gateway/src/route_table.cpp
+++ b/libs/routing/src/route_table.cpp
@@ -1,4 +1,4 @@
-#include <gateway/gateway.h>
+#include <routing/routing.h>
 
 #include <algorithm>
 #include <cctype>
