--- /dev/null
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -0,0 +1,162 @@
+#include <delegation/delegation.h>
+
+#include <wire/wire.h>
+
+#include <delegation_generated.h>
+
+#include <algorithm>
+
+namespace chivelock {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+struct message_writer {
+    FlatBufferBuilder &builder;
+
+    Offset<delegation_wire::Envelope> operator()(const delegate_request &message) const
+    {
+        std::vector<std::string> shards;
+        std::ranges::transform(
+            message.work.shards, std::back_inserter(shards), [](const auto &shard) { return shard.value; });
+        const auto requestId = builder.CreateString(message.requestId);
+        const auto before = builder.CreateString(message.beforeTime);
+        const auto after = builder.CreateString(message.afterTime);
+        const auto route = builder.CreateString(message.work.route);
+        const auto shardNames = builder.CreateVectorOfStrings(shards);
+        const auto table = delegation_wire::CreateRequest(builder,
+                                                          message.id,
+                                                          requestId,
+                                                          before,
+                                                          after,
+                                                          message.toHead,
+                                                          route,
+                                                          shardNames,
+                                                          static_cast<std::uint32_t>(message.work.topRecords),
+                                                          message.work.maxAttempts,
+                                                          message.work.objective.micros(),
+                                                          message.work.speakIn.micros(),
+                                                          message.work.cutoffIn.micros(),
+                                                          message.work.limitIn.micros());
+        return wrap(delegation_wire::Message::Request, table.Union());
+    }
+
+    Offset<delegation_wire::Envelope> operator()(const delegate_progress &message) const
+    {
+        std::vector<Offset<delegation_wire::Part>> parts;
+        for (const delegated_part &part : message.progress.parts) {
+            const auto digest = builder.CreateString(part.stamp);
+            parts.push_back(delegation_wire::CreatePart(builder, part.shard, digest));
+        }
+        std::vector<Offset<delegation_wire::Lost>> lost;
+        for (const lost_shard &shard : message.progress.lost) {
+            lost.push_back(delegation_wire::CreateLost(builder, shard.shard, shard.attempts));
+        }
+        const auto &bytes = message.progress.records;
+        const auto allParts = builder.CreateVector(parts);
+        const auto records = builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+        const auto allLost = builder.CreateVector(lost);
+        const auto twice = builder.CreateVector(message.progress.askedTwice);
+        const auto table = delegation_wire::CreateProgress(
+            builder, message.id, allParts, records, allLost, twice, message.progress.last);
+        return wrap(delegation_wire::Message::Progress, table.Union());
+    }
+
+    Offset<delegation_wire::Envelope> operator()(const delegate_cancel &message) const
+    {
+        return wrap(delegation_wire::Message::Cancel,
+                    delegation_wire::CreateCancel(builder, message.id, message.callerLeft).Union());
+    }
+
+private:
+    [[nodiscard]] Offset<delegation_wire::Envelope> wrap(delegation_wire::Message type, Offset<void> message) const
+    {
+        return delegation_wire::CreateEnvelope(builder, type, message);
+    }
+};
+
+std::string textOf(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+delegate_request readRequest(const delegation_wire::Request &from)
+{
+    delegate_request message;
+    message.id = from.id();
+    message.requestId = textOf(from.request_id());
+    message.beforeTime = textOf(from.before_time());
+    message.afterTime = textOf(from.after_time());
+    message.toHead = from.to_head();
+    message.work.route = textOf(from.route());
+    message.work.topRecords = from.top_records();
+    message.work.maxAttempts = from.max_attempts();
+    message.work.objective = millis::fromMicros(from.objective_micros());
+    message.work.speakIn = millis::fromMicros(from.speak_micros());
+    message.work.cutoffIn = millis::fromMicros(from.cutoff_micros());
+    message.work.limitIn = millis::fromMicros(from.limit_micros());
+    if (from.shards() != nullptr) {
+        for (const auto *shard : *from.shards()) {
+            message.work.shards.push_back({textOf(shard)});
+        }
+    }
+    return message;
+}
+
+delegate_progress readProgress(const delegation_wire::Progress &from)
+{
+    delegate_progress message;
+    message.id = from.id();
+    message.progress.last = from.last();
+    if (from.parts() != nullptr) {
+        for (const auto *part : *from.parts()) {
+            message.progress.parts.push_back({part->shard(), textOf(part->digest())});
+        }
+    }
+    if (from.records() != nullptr) {
+        message.progress.records.assign(from.records()->begin(), from.records()->end());
+    }
+    if (from.lost() != nullptr) {
+        for (const auto *lost : *from.lost()) {
+            message.progress.lost.push_back({lost->shard(), lost->attempts()});
+        }
+    }
+    if (from.asked_twice() != nullptr) {
+        message.progress.askedTwice.assign(from.asked_twice()->begin(), from.asked_twice()->end());
+    }
+    return message;
+}
+
+} // namespace
+
+std::string encodeDelegationFrame(const delegation_message &message)
+{
+    FlatBufferBuilder builder;
+    builder.Finish(std::visit(message_writer {builder}, message));
+    return frameOf({builder.GetBufferPointer(), builder.GetSize()});
+}
+
+tl::expected<delegation_message, delegation_wire_error> decodeDelegationPayload(std::span<const std::uint8_t> bytes)
+{
+    const std::vector<std::uint64_t> aligned = alignedCopy(bytes);
+    const auto *payload = reinterpret_cast<const std::uint8_t *>(aligned.data());
+    flatbuffers::Verifier verifier(payload, bytes.size());
+    if (bytes.empty() || !delegation_wire::VerifyEnvelopeBuffer(verifier)) {
+        return tl::unexpected(delegation_wire_error::Malformed);
+    }
+    const delegation_wire::Envelope &envelope = *delegation_wire::GetEnvelope(payload);
+    switch (envelope.message_type()) {
+    case delegation_wire::Message::Request:
+        return readRequest(*envelope.message_as_Request());
+    case delegation_wire::Message::Progress:
+        return readProgress(*envelope.message_as_Progress());
+    case delegation_wire::Message::Cancel:
+        return delegate_cancel {envelope.message_as_Cancel()->id(), envelope.message_as_Cancel()->caller_left()};
+    default:
+        return tl::unexpected(delegation_wire_error::UnknownMessage);
+    }
+}
+
+} // namespace chivelock
--- /dev/null
+++ b/libs/delegation/tests/test_delegation.cpp
@@ -0,0 +1,61 @@
+#define BOOST_TEST_MODULE delegation
+#include <boost/test/included/unit_test.hpp>
+
+#include <delegation/delegation.h>
+
+using namespace chivelock;
+
+namespace {
+
+template<typename message_type>
+message_type thereAndBack(const message_type &message)
+{
+    constexpr std::ptrdiff_t prefix = 4;
+    const std::string frame = encodeDelegationFrame(message);
+    const std::vector<std::uint8_t> payload(frame.begin() + prefix, frame.end());
+    return std::get<message_type>(decodeDelegationPayload(payload).value());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_comes_back_whole)
+{
+    delegate_request request;
+    request.id = 7;
+    request.requestId = "q";
+    request.beforeTime = "GET / HTTP/1.1\r\n";
+    request.afterTime = std::string("\r\n\0x", 4);
+    request.work.route = "r";
+    request.work.shards = {{"a"}, {"b"}};
+    request.work.topRecords = 10;
+    request.work.maxAttempts = 2;
+    request.work.cutoffIn = millis(80.5);
+    const delegate_request read = thereAndBack(request);
+    BOOST_TEST(read.afterTime == request.afterTime);
+    BOOST_TEST(read.work.shards[1].value == "b");
+    BOOST_TEST((read.work.cutoffIn == millis(80.5)));
+    BOOST_TEST(read.work.maxAttempts == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(progress_and_cancel_come_back_whole)
+{
+    delegate_progress progress;
+    progress.id = 8;
+    progress.progress.parts = {{1, "digest"}};
+    progress.progress.records = std::string("\0\xff", 2);
+    progress.progress.lost = {{2, 1}};
+    progress.progress.askedTwice = {3};
+    progress.progress.last = true;
+    const delegate_progress read = thereAndBack(progress);
+    BOOST_TEST(read.progress.parts[0].stamp == "digest");
+    BOOST_TEST(read.progress.records == progress.progress.records);
+    BOOST_TEST(read.progress.lost[0].attempts == 1U);
+    BOOST_TEST(read.progress.askedTwice[0] == 3U);
+    BOOST_TEST(read.progress.last);
+    BOOST_TEST(thereAndBack(delegate_cancel {9, true}).callerLeft);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_are_refused)
+{
+    BOOST_TEST(!decodeDelegationPayload(std::vector<std::uint8_t>(40, 0x5A)).has_value());
+}
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -83,16 +83,25 @@
     std::uint64_t revision = 0;
 };
 
+/** A process of the fleet. */
+struct fleet_member {
+    std::string address;
+    zone_name zone;
+    auto operator<=>(const fleet_member &) const = default;
+};
+
 /** To a process further up: pass on to me what you hear. */
 struct follow_request {
     std::string address; ///< at which the sender takes followers itself
     std::uint32_t subtree = 1; ///< processes that hear through the sender, itself among them
     std::vector<known_revision> known;
+    std::vector<fleet_member> members; ///< the subtree
 };
 
 /** Upwards: still here. */
 struct follow_beat {
     std::uint32_t subtree = 1;
+    std::vector<fleet_member> members; ///< the subtree; empty if it is as told before
 };
 
 /** Downwards: still here, and how I know what I pass on. */
@@ -102,6 +111,7 @@
     std::uint32_t fleetSize = 1;
     std::vector<std::string> path; ///< addresses from the top down to the sender
     std::vector<std::string> elsewhere; ///< whom to ask instead, if not accepted
+    std::vector<fleet_member> members; ///< of the fleet; empty if they are as told before
 };
 
 /** Downwards: news of one prefix. */
@@ -131,8 +141,10 @@
 /** Names one connection to another process of the fleet, as long as it lasts. */
 using link_id = std::uint64_t;
 
+
 struct fleet_settings {
     std::string address; ///< of this process, as others know it
+    zone_name zone;
     std::vector<std::string> seeds; ///< processes to ask first, the same list for all; may be stale
     std::vector<std::string> prefixes; ///< of the store that are followed
     std::size_t fanOut = 8; ///< followers of one process: passing a configuration on to more fills a small VM's link
@@ -140,6 +152,7 @@
     millis silence {1100}; ///< without one, the process above counts as lost: two beats and some delay
     millis seekFor {400}; ///< for a new process above; some round trips, far below what configuration may lag
     millis firstSeekFor {1500}; ///< after the start, when all start together and none listens yet
+    std::size_t mostMembers = 256; ///< that are told of: a message of some kilobytes, and far more than are asked for help
     millis mergeInterval {3000}; ///< between a reader's looks for another reader to follow
 };
 
@@ -170,6 +183,11 @@
     std::vector<store_item> items;
 };
 
+/** The processes of the fleet, this one among them; at most @ref fleet_settings::mostMembers. */
+struct members_action {
+    std::vector<fleet_member> members;
+};
+
 /** A change of what this process believes of the tree; for the log. */
 struct tree_note_action {
     std::string_view event;
@@ -177,8 +195,8 @@
     millis input; ///< silence, or time spent
 };
 
-using fleet_action
-    = std::variant<dial_action, hang_up_action, tell_action, read_action, news_action, tree_note_action>;
+using fleet_action = std::
+    variant<dial_action, hang_up_action, tell_action, read_action, news_action, members_action, tree_note_action>;
 
 /** This process's place in the tree. */
 class fleet_node
@@ -234,6 +252,8 @@
         std::string address;
         std::uint32_t subtree = 1;
         millis heardAt;
+        std::vector<fleet_member> members;
+        bool membersTold = false; ///< it knows the fleet as it is now
     };
 
     void seek(millis now);
@@ -252,6 +272,9 @@
     void beat(millis now);
     void judgeUpstream(millis now);
     void dropSilentFollowers(millis now);
+    [[nodiscard]] std::vector<fleet_member> subtreeMembers() const;
+    void refreshMembers();
+    void setMembers(std::vector<fleet_member> members);
     [[nodiscard]] upstream_state ownState(bool accepted) const;
     [[nodiscard]] bool ownStoreOk() const;
     [[nodiscard]] std::uint32_t subtree() const;
@@ -277,6 +300,8 @@
     upstream_state m_upstreamState;
     millis m_upstreamBadUntil = millis::never(); ///< leaves one whose store is lost then
     std::map<link_id, follower> m_followers;
+    std::vector<fleet_member> m_members; ///< of the fleet, sorted
+    std::vector<fleet_member> m_toldUpstream; ///< subtree as the process above knows it
     std::uint32_t m_size = 1;
     std::uint32_t m_rememberedSize = 1; ///< the greatest of late
     millis m_rememberedUntil;
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -12,6 +12,18 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
+Offset<flatbuffers::Vector<Offset<fleet_wire::Member>>> membersOf(FlatBufferBuilder &builder,
+                                                                  std::span<const fleet_member> members)
+{
+    std::vector<Offset<fleet_wire::Member>> offsets;
+    for (const fleet_member &one : members) {
+        const auto address = builder.CreateString(one.address);
+        const auto zone = builder.CreateSharedString(one.zone.value);
+        offsets.push_back(fleet_wire::CreateMember(builder, address, zone));
+    }
+    return builder.CreateVector(offsets);
+}
+
 /** Writes one alternative; the union's type follows from it. */
 struct message_writer {
     FlatBufferBuilder &builder;
@@ -25,22 +37,25 @@
         }
         const auto address = builder.CreateString(message.address);
         const auto all = builder.CreateVector(known);
+        const auto members = membersOf(builder, message.members);
         return wrap(fleet_wire::Message::Follow,
-                    fleet_wire::CreateFollow(builder, address, message.subtree, all).Union());
+                    fleet_wire::CreateFollow(builder, address, message.subtree, all, members).Union());
     }
 
     Offset<fleet_wire::Envelope> operator()(const follow_beat &message) const
     {
-        return wrap(fleet_wire::Message::Beat, fleet_wire::CreateBeat(builder, message.subtree).Union());
+        const auto members = membersOf(builder, message.members);
+        return wrap(fleet_wire::Message::Beat, fleet_wire::CreateBeat(builder, message.subtree, members).Union());
     }
 
     Offset<fleet_wire::Envelope> operator()(const upstream_state &message) const
     {
         const auto path = builder.CreateVectorOfStrings(message.path);
         const auto elsewhere = builder.CreateVectorOfStrings(message.elsewhere);
+        const auto members = membersOf(builder, message.members);
         return wrap(fleet_wire::Message::State,
                     fleet_wire::CreateState(
-                        builder, message.accepted, message.storeOk, message.fleetSize, path, elsewhere)
+                        builder, message.accepted, message.storeOk, message.fleetSize, path, elsewhere, members)
                         .Union());
     }
 
@@ -79,9 +94,20 @@
     return result;
 }
 
+std::vector<fleet_member> readMembers(const flatbuffers::Vector<Offset<fleet_wire::Member>> *from)
+{
+    std::vector<fleet_member> members;
+    if (from != nullptr) {
+        for (const auto *one : *from) {
+            members.push_back({textOf(one->address()), {textOf(one->zone())}});
+        }
+    }
+    return members;
+}
+
 follow_request readFollow(const fleet_wire::Follow &from)
 {
-    follow_request message {textOf(from.address()), from.subtree(), {}};
+    follow_request message {textOf(from.address()), from.subtree(), {}, readMembers(from.members())};
     if (from.known() != nullptr) {
         for (const auto *known : *from.known()) {
             message.known.push_back({textOf(known->prefix()), known->revision()});
@@ -103,7 +129,12 @@
 
 upstream_state readState(const fleet_wire::State &from)
 {
-    return {from.accepted(), from.store_ok(), from.fleet_size(), textsOf(from.path()), textsOf(from.elsewhere())};
+    return {from.accepted(),
+            from.store_ok(),
+            from.fleet_size(),
+            textsOf(from.path()),
+            textsOf(from.elsewhere()),
+            readMembers(from.members())};
 }
 
 } // namespace
@@ -128,7 +159,7 @@
     case fleet_wire::Message::Follow:
         return readFollow(*envelope.message_as_Follow());
     case fleet_wire::Message::Beat:
-        return follow_beat {envelope.message_as_Beat()->subtree()};
+        return follow_beat {envelope.message_as_Beat()->subtree(), readMembers(envelope.message_as_Beat()->members())};
     case fleet_wire::Message::State:
         return readState(*envelope.message_as_State());
     case fleet_wire::Message::Items:
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -105,6 +105,7 @@
     noteSize(subtree(), now);
     note("reads_store", std::string(why), millis());
     m_actions.emplace_back(read_action {true});
+    refreshMembers();
     tellFollowers();
 }
 
@@ -116,7 +117,7 @@
         return;
     }
     found->second.open = true;
-    follow_request request {m_settings.address, subtree(), {}};
+    follow_request request {m_settings.address, subtree(), {}, subtreeMembers()};
     for (const auto &[prefix, view] : m_views) {
         request.known.push_back({prefix, view.known() ? view.revision() : 0});
     }
@@ -125,7 +126,9 @@
 
 void fleet_node::onLinkClosed(link_id link, millis now)
 {
-    m_followers.erase(link);
+    if (m_followers.erase(link) > 0) {
+        refreshMembers();
+    }
     m_candidates.erase(link);
     if (link == m_upstream && m_phase == phase::Following) {
         loseUpstream("closed", now);
@@ -142,6 +145,7 @@
         m_upstreamState = state;
         m_upstreamHeardAt = now;
         noteSize(state.fleetSize, now);
+        setMembers(state.members);
         if (contains(state.path, m_settings.address)) {
             loseUpstream("circle", now);
         }
@@ -180,7 +184,9 @@
     m_upstreamState = state;
     m_upstreamHeardAt = now;
     m_upstreamBadUntil = millis::never();
+    m_toldUpstream = subtreeMembers();
     noteSize(state.fleetSize, now);
+    setMembers(state.members);
     note("follows", m_upstreamAddress, millis());
     tellFollowers();
 }
@@ -229,9 +235,12 @@
         m_actions.emplace_back(tell_action {link, std::move(refusal)});
         return;
     }
-    m_followers[link] = {request.address, request.subtree, now};
-    m_actions.emplace_back(tell_action {link, ownState(true)});
+    m_followers[link] = {request.address, request.subtree, now, request.members, true};
+    upstream_state welcome = ownState(true);
+    welcome.members = m_members;
+    m_actions.emplace_back(tell_action {link, std::move(welcome)});
     sendMissing(link, request);
+    refreshMembers();
 }
 
 void fleet_node::sendMissing(link_id link, const follow_request &request)
@@ -258,6 +267,10 @@
         if (found != m_followers.end()) {
             found->second.subtree = sign->subtree;
             found->second.heardAt = now;
+            if (!sign->members.empty()) {
+                found->second.members = sign->members;
+                refreshMembers();
+            }
         }
     } else if (const auto *state = std::get_if<upstream_state>(&message)) {
         onState(link, *state, now);
@@ -350,7 +363,11 @@
 void fleet_node::beat(millis now)
 {
     if (m_phase == phase::Following) {
-        m_actions.emplace_back(tell_action {m_upstream, follow_beat {subtree()}});
+        std::vector<fleet_member> members = subtreeMembers();
+        const bool changed = members != m_toldUpstream;
+        m_toldUpstream = members;
+        m_actions.emplace_back(
+            tell_action {m_upstream, follow_beat {subtree(), changed ? std::move(members) : decltype(members)()}});
     } else if (m_phase == phase::Reading) {
         noteSize(subtree(), now);
     }
@@ -359,9 +376,44 @@
 
 void fleet_node::tellFollowers()
 {
+    for (auto &[link, one] : m_followers) {
+        upstream_state state = ownState(true);
+        if (!std::exchange(one.membersTold, true)) {
+            state.members = m_members;
+        }
+        m_actions.emplace_back(tell_action {link, std::move(state)});
+    }
+}
+
+std::vector<fleet_member> fleet_node::subtreeMembers() const
+{
+    std::vector<fleet_member> members = {{m_settings.address, m_settings.zone}};
     for (const auto &[link, one] : m_followers) {
-        m_actions.emplace_back(tell_action {link, ownState(true)});
+        std::ranges::copy(one.members, std::back_inserter(members));
+    }
+    std::ranges::sort(members);
+    members.resize(std::min(members.size(), m_settings.mostMembers));
+    return members;
+}
+
+/** The process at the top knows the fleet by its followers; the others hear of it from above. */
+void fleet_node::refreshMembers()
+{
+    if (m_phase == phase::Reading) {
+        setMembers(subtreeMembers());
+    }
+}
+
+void fleet_node::setMembers(std::vector<fleet_member> members)
+{
+    if (members.empty() || members == m_members) {
+        return;
+    }
+    m_members = std::move(members);
+    for (auto &[link, one] : m_followers) {
+        one.membersTold = false;
     }
+    m_actions.emplace_back(members_action {m_members});
 }
 
 void fleet_node::dropSilentFollowers(millis now)
@@ -375,6 +427,7 @@
             ++at;
         }
     }
+    refreshMembers();
 }
 
 std::vector<fleet_action> fleet_node::takeActions()
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -97,6 +97,11 @@
         return *m_nodes[at].node;
     }
 
+    [[nodiscard]] std::size_t membersAt(std::size_t at) const
+    {
+        return m_nodes[at].members;
+    }
+
     [[nodiscard]] millis now() const
     {
         return m_now;
@@ -123,6 +128,7 @@
         bool frozen = false;
         bool storeCut = false;
         bool reading = false;
+        std::size_t members = 0;
         std::uint64_t readUpTo = 0;
     };
 
@@ -178,6 +184,8 @@
                 send(at, told->link, told->message);
             } else if (const auto *ended = std::get_if<hang_up_action>(&action)) {
                 onHangUp(at, ended->link);
+            } else if (const auto *known = std::get_if<members_action>(&action)) {
+                m_nodes[at].members = known->members.size();
             } else if (const auto *read = std::get_if<read_action>(&action)) {
                 m_nodes[at].reading = read->reading;
                 const store_view &view = m_nodes[at].node->view(prefix);
@@ -346,6 +354,19 @@
     BOOST_TEST(fleet.readers() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(all_know_who_there_is)
+{
+    fake_fleet_of_nodes fleet(20, 3);
+    fleet.write("a", "1");
+    fleet.run(millis(10000));
+    for (std::size_t at = 0; at < 20; ++at) {
+        BOOST_TEST(fleet.membersAt(at) == 20U);
+    }
+    fleet.freeze(7, true);
+    fleet.run(millis(10000));
+    BOOST_TEST(fleet.membersAt(3) == 19U);
+}
+
 BOOST_AUTO_TEST_CASE(news_in_any_order_never_goes_back)
 {
     store_view view;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -118,7 +118,78 @@
     millis input; ///< the time that decided: silence, or what the leaf took
 };
 
-using gateway_action = std::variant<send_action, cancel_action, answer_action, note_action>;
+// ---- shards that another VM asks for
+
+/** Another VM of the fleet that can be reached now. */
+struct helper_vm {
+    std::string address;
+    zone_name zone;
+};
+
+/** Names one piece of work handed to another VM, among those of the VM that hands it out. */
+using delegation_id = std::uint64_t;
+
+/** What another VM is to do: one leaf of each shard, with the hedges and retries that this takes. */
+struct delegated_work {
+    std::string route; ///< name, by which both know how long leafs take
+    std::vector<service_name> shards;
+    std::size_t topRecords = 0;
+    unsigned maxAttempts = 1; ///< for each shard
+    millis objective; ///< of the route
+    millis speakIn; ///< a first word is due then at the latest, also if nothing has come
+    millis cutoffIn; ///< what has come is told then, and the rest as it comes
+    millis limitIn; ///< nothing is of use any more then
+};
+
+/** A shard that answered. */
+struct delegated_part {
+    std::uint32_t shard = 0; ///< index into @ref delegated_work::shards
+    std::string stamp;
+};
+
+/** A shard that was given up. */
+struct lost_shard {
+    std::uint32_t shard = 0;
+    std::uint32_t attempts = 0; ///< leafs that may have run it
+};
+
+/** What has come since the last word. */
+struct delegated_progress {
+    std::vector<delegated_part> parts;
+    std::string records; ///< the greatest of these parts, merged
+    std::vector<lost_shard> lost;
+    std::vector<std::uint32_t> askedTwice; ///< shards of which a second leaf is asked: told before it is asked
+    bool last = false;
+};
+
+/** Hand work to another VM. */
+struct delegate_action {
+    delegation_id id = 0;
+    exchange_id exchange = 0;
+    std::string helper; ///< address
+    delegated_work work;
+};
+
+/** The outcome is not needed any more. */
+struct delegate_cancel_action {
+    delegation_id id = 0;
+    std::string helper;
+    bool callerLeft = false;
+};
+
+/** Word to the VM for which an exchange was taken. */
+struct progress_action {
+    exchange_id exchange = 0;
+    delegated_progress progress;
+};
+
+using gateway_action = std::variant<send_action,
+                                    cancel_action,
+                                    answer_action,
+                                    note_action,
+                                    delegate_action,
+                                    delegate_cancel_action,
+                                    progress_action>;
 
 /** Figures of the gateway; those without a source are engineering choices with their reason. */
 struct gateway_settings {
@@ -128,6 +199,7 @@
     millis retryWindow {10000};
     millis drainLimit {3000}; ///< a leaving leaf may be asked no later than this after the store knew
     millis callerRoundTrip {6}; ///< to a caller and back, for the moment of answering in time
+    std::size_t shardsAtOnce = 25; ///< more than that are shared with other VMs: asking them takes this one too long
     millis removalHold {2200}; ///< how long a leaf stays usable whose entry lapsed while the store was away
 };
 
@@ -168,6 +240,23 @@
     /** Takes a request. Its answer comes as an action, perhaps at once. */
     exchange_id arrive(const caller_request &request, millis now);
 
+    /** Takes work of another VM; what comes of it is told by @ref progress_action. */
+    exchange_id arriveDelegated(std::string requestId, const delegated_work &work, millis now);
+
+    /** VMs that can be reached now, for shards whose leafs are near them. */
+    void setHelpers(std::vector<helper_vm> helpers)
+    {
+        m_helpers = std::move(helpers);
+    }
+
+    void onProgress(delegation_id id, delegated_progress progress, millis now);
+
+    /** The connection to the helper is gone, or never was. */
+    void onHelperLost(std::string_view address, millis now);
+
+    /** An exchange that was taken for another VM is not needed any more. */
+    void onUnneeded(exchange_id id);
+
     void onReply(send_id id, gateway_reply reply, millis now);
     void onSendFailed(send_id id, send_failure failure, millis now);
     void onCallerLeft(exchange_id id, millis now);
@@ -204,9 +293,24 @@
         bool idempotent = true;
     };
 
+    /** Shards of one exchange in another VM's hands. */
+    struct delegation {
+        exchange_id exchange = 0;
+        std::string helper;
+        std::vector<std::size_t> calls; ///< of the exchange, in the order of the work's shards
+        millis takeOverAt;
+        bool heard = false;
+    };
+
+    enum class due_kind : std::uint8_t {
+        Exchange,
+        Send,
+        Delegation
+    };
+
     struct due {
         millis at;
-        bool isSend = false;
+        due_kind kind = due_kind::Exchange;
         std::uint64_t id = 0;
         bool operator>(const due &other) const
         {
@@ -241,13 +345,24 @@
     void retryWaiting(exchange &work, millis now);
     void advanceExchange(exchange &work, millis now);
     void finishGatherIfDone(exchange &work, millis now);
+    void advanceDue(const due &next, millis now);
+    void addCalls(exchange &work, std::span<const service_name> shards);
+    [[nodiscard]] std::vector<std::vector<std::size_t>>
+    planHelpers(const exchange &work, std::vector<std::string> &helpers, millis now);
+    [[nodiscard]] std::vector<std::string> helpersIn(const zone_name &zone, millis now) const;
+    void delegateCalls(exchange &work, const std::string &helper, std::vector<std::size_t> calls, millis now);
+    void takeOver(delegation_id id, std::string_view cause, millis now);
+    void resumeCall(exchange &work, std::size_t call, unsigned attempts, std::string_view cause, millis now);
+    void dropDelegations(exchange &work, bool callerLeft);
+    void tellProgress(exchange &work, bool last);
+    void sendUnsent(exchange &work, millis now);
     void answer(exchange &work, exchange_outcome outcome, std::string_view cause, millis now);
     void answerMerged(exchange &work, std::string_view cause, millis now);
     void answerUnserved(exchange &work, std::string_view cause, bool timedOut, millis now);
     void answerWithout(const caller_request &request, exchange_outcome outcome, std::string_view cause, exchange_id id);
     void erase(exchange_id id);
     void schedule(exchange &work, millis now);
-    void closeSend(const send &ended, millis now);
+    static void closeSend(const send &ended);
     void noteLeafReply(leaf &from, const send &ended, const gateway_reply &reply, millis now);
     void noteLeafFailure(leaf &from, send_failure failure, millis now);
     void note(const exchange &work,
@@ -270,6 +385,9 @@
     std::unordered_map<std::string, std::vector<double>> m_shareCredits; ///< by route, for a smooth split
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<send_id, send> m_sends;
+    std::vector<helper_vm> m_helpers;
+    std::unordered_map<std::string, millis> m_distrustedUntil; ///< helpers that did not answer in time
+    std::unordered_map<delegation_id, delegation> m_delegations;
     std::priority_queue<due, std::vector<due>, std::greater<>> m_due;
     std::uint64_t m_nextId = 1;
     std::vector<gateway_action> m_actions;
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -117,7 +117,7 @@
     work.sendBy = now + work.route->objective * holdShare;
     shard_call &call = work.calls.emplace_back();
     call.service = pickShare(*work.route);
-    budgetOf(call.service).countRequest(now);
+    budgetOf(call.service).countRequest(1, now);
     const choice chosen = chooseLeaf(work, call, false, now);
     if (chosen.to) {
         sendCall(work, 0, chosen.to, now);
@@ -133,13 +133,10 @@
     const millis ways = m_settings.callerRoundTrip * (waysBeforeArrival + waysBack) + answerMargin;
     const millis inTime = std::max(work.route->objective - ways, work.route->objective * leastUseOfObjective);
     work.cutoff = now + inTime;
+    addCalls(work, work.route->shards);
     bool overloaded = false;
-    std::vector<choice> chosen;
-    for (const service_name &shard : work.route->shards) {
-        shard_call &call = work.calls.emplace_back();
-        call.service = shard;
-        budgetOf(shard).countRequest(now);
-        choice &one = chosen.emplace_back(chooseLeaf(work, call, false, now));
+    for (shard_call &call : work.calls) {
+        const choice one = chooseLeaf(work, call, false, now);
         call.waiting = !one.to && one.full;
         call.missing = !one.to && !one.full;
         work.missing += call.missing ? 1 : 0;
@@ -150,9 +147,38 @@
         answerUnserved(work, overloaded ? "shards_overloaded" : "too_few_shards", false, now);
         return;
     }
-    for (std::size_t at = 0; at < chosen.size(); ++at) {
-        if (chosen[at].to) {
-            sendCall(work, at, chosen[at].to, now);
+    std::vector<std::string> helpers;
+    std::vector<std::vector<std::size_t>> plan = planHelpers(work, helpers, now);
+    for (std::size_t at = 0; at < plan.size(); ++at) {
+        delegateCalls(work, helpers[at], std::move(plan[at]), now);
+    }
+    sendUnsent(work, now);
+}
+
+void gateway_engine::addCalls(exchange &work, std::span<const service_name> shards)
+{
+    for (const service_name &shard : shards) {
+        work.calls.emplace_back().service = shard;
+    }
+}
+
+/** Sends what no other VM has in hand. */
+void gateway_engine::sendUnsent(exchange &work, millis now)
+{
+    for (std::size_t at = 0; at < work.calls.size(); ++at) {
+        shard_call &call = work.calls[at];
+        if (call.delegated) {
+            continue;
+        }
+        budgetOf(call.service).countRequest(1, now);
+        if (call.missing || call.waiting) {
+            continue;
+        }
+        const choice chosen = chooseLeaf(work, call, false, now);
+        if (chosen.to) {
+            sendCall(work, at, chosen.to, now);
+        } else {
+            call.waiting = true;
         }
     }
 }
@@ -179,7 +205,7 @@
     call.waiting = false;
     call.nextHedge = work.route->idempotent ? now + hedgeAfter : millis::never();
     work.sends += 1;
-    m_due.push({one.closeAt, true, one.id});
+    m_due.push({one.closeAt, due_kind::Send, one.id});
     m_actions.emplace_back(
         send_action {one.id, work.id, to, work.limit, connectionShare(call.service), !work.route->idempotent});
     m_sends.emplace(one.id, std::move(one));
@@ -193,7 +219,7 @@
     }
     const send ended = std::move(found->second);
     m_sends.erase(found);
-    closeSend(ended, now);
+    closeSend(ended);
     noteLeafReply(*ended.to, ended, reply, now);
     const auto owner = m_exchanges.find(ended.exchange);
     if (owner == m_exchanges.end()) {
@@ -230,7 +256,7 @@
     }
     const send ended = std::move(found->second);
     m_sends.erase(found);
-    closeSend(ended, now);
+    closeSend(ended);
     noteLeafFailure(*ended.to, failure, now);
     const auto owner = m_exchanges.find(ended.exchange);
     if (owner == m_exchanges.end()) {
@@ -309,7 +335,7 @@
         answerUnserved(work, cause, false, now);
         return;
     }
-    if (work.calls.size() - work.missing < work.neededParts()) {
+    if (!work.isDelegated() && work.calls.size() - work.missing < work.neededParts()) {
         answerUnserved(work, cause, false, now);
         return;
     }
@@ -334,6 +360,9 @@
             call.nextHedge = now + lookAgain;
             continue;
         }
+        if (work.isDelegated() && work.hedges == 0) {
+            tellProgress(work, false); // the VM that waits must know before a second leaf is asked
+        }
         work.hedges += 1;
         note(work, "hedge", "silent", chosen.to.get(), call.service, work.pace->hedgeAfter(), now);
         sendCall(work, at, chosen.to, now);
@@ -363,6 +392,12 @@
         return;
     }
     const bool allKnown = work.done + work.missing == work.calls.size();
+    if (work.isDelegated()) {
+        if (allKnown || now >= work.cutoff) {
+            tellProgress(work, allKnown);
+        }
+        return;
+    }
     const bool enough = work.done >= work.neededParts();
     if (enough && (allKnown || now >= work.cutoff)) {
         answerMerged(work, allKnown ? (work.missing == 0 ? "whole" : "shards_missing") : "time", now);
@@ -375,6 +410,9 @@
         answerUnserved(work, "time", true, now);
         return;
     }
+    if (work.isDelegated() && (now >= work.cutoff || (!work.spoke && now >= work.speakBy))) {
+        tellProgress(work, false);
+    }
     retryWaiting(work, now);
     if (!work.ended && work.sends == 0 && now >= work.sendBy) {
         answerUnserved(work, "leafs_full", false, now);
@@ -393,25 +431,37 @@
     while (!m_due.empty() && m_due.top().at <= now) {
         const due next = m_due.top();
         m_due.pop();
-        if (next.isSend) {
-            const auto late = m_sends.find(next.id);
-            if (late != m_sends.end() && late->second.closeAt <= now) {
-                m_actions.emplace_back(cancel_action {next.id});
-                onSendFailed(next.id, send_failure::TimedOut, now);
-            }
-            continue;
-        }
-        const auto found = m_exchanges.find(next.id);
-        if (found == m_exchanges.end() || found->second->scheduled != next.at) {
-            continue; // it was scheduled anew for another time
+        advanceDue(next, now);
+    }
+}
+
+void gateway_engine::advanceDue(const due &next, millis now)
+{
+    if (next.kind == due_kind::Send) {
+        const auto late = m_sends.find(next.id);
+        if (late != m_sends.end() && late->second.closeAt <= now) {
+            m_actions.emplace_back(cancel_action {next.id});
+            onSendFailed(next.id, send_failure::TimedOut, now);
         }
-        exchange &work = *found->second;
-        work.scheduled = millis::never();
-        advanceExchange(work, now);
-        schedule(work, now);
-        if (work.ended) {
-            erase(work.id);
+        return;
+    }
+    if (next.kind == due_kind::Delegation) {
+        const auto late = m_delegations.find(next.id);
+        if (late != m_delegations.end() && !late->second.heard) {
+            takeOver(next.id, "helper_silent", now);
         }
+        return;
+    }
+    const auto found = m_exchanges.find(next.id);
+    if (found == m_exchanges.end() || found->second->scheduled != next.at) {
+        return; // it was scheduled anew for another time
+    }
+    exchange &work = *found->second;
+    work.scheduled = millis::never();
+    advanceExchange(work, now);
+    schedule(work, now);
+    if (work.ended) {
+        erase(work.id);
     }
 }
 
@@ -425,6 +475,9 @@
     if (work.cutoff > now) {
         next = std::min(next, work.cutoff);
     }
+    if (!work.spoke && work.speakBy > now) {
+        next = std::min(next, work.speakBy);
+    }
     for (const shard_call &call : work.calls) {
         if (call.done || call.missing) {
             continue;
@@ -436,7 +489,7 @@
         return;
     }
     work.scheduled = next;
-    m_due.push({next, false, work.id});
+    m_due.push({next, due_kind::Exchange, work.id});
 }
 
 millis gateway_engine::nextDue() const
@@ -451,6 +504,7 @@
 
 void gateway_engine::erase(exchange_id id)
 {
+    dropDelegations(*m_exchanges.at(id), false);
     m_exchanges.erase(id);
 }
 
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -23,11 +23,11 @@
 
 void gateway_engine::answerMerged(exchange &work, std::string_view cause, millis now)
 {
-    std::vector<std::string_view> parts;
+    std::vector<std::string_view> parts(work.mergedRecords.begin(), work.mergedRecords.end());
     answer_action merged;
     for (const shard_call &call : work.calls) {
         if (call.done) {
-            parts.emplace_back(call.part.body);
+            parts.emplace_back(call.part.body); // empty for a part that another VM brought
             merged.stamps.push_back(call.part.stamp);
         }
     }
@@ -38,6 +38,10 @@
 
 void gateway_engine::answerUnserved(exchange &work, std::string_view cause, bool timedOut, millis now)
 {
+    if (work.isDelegated()) {
+        tellProgress(work, true);
+        return;
+    }
     answer_action result;
     result.timedOut = timedOut;
     exchange_outcome outcome = work.mayHaveRun() ? exchange_outcome::Failed : exchange_outcome::Refused;
@@ -127,9 +131,10 @@
         one.exchange = 0;
         if (one.idempotent) {
             one.closeAt = std::min(one.closeAt, now + cancelAfter);
-            m_due.push({one.closeAt, true, sendId});
+            m_due.push({one.closeAt, due_kind::Send, sendId});
         }
     }
+    dropDelegations(*found->second, true);
     note(*found->second, "caller_left", "closed", nullptr, {}, now - found->second->arrivedAt, now);
     m_exchanges.erase(found);
 }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -20,6 +20,8 @@
     bool waiting = false; ///< not sent yet: no leaf has a free connection
     bool done = false; ///< has its part
     bool missing = false; ///< given up
+    bool delegated = false; ///< in another VM's hands
+    bool told = false; ///< its end was told to the VM for which it is
     gateway_reply part;
 };
 
@@ -29,6 +31,7 @@
     std::string requestId;
     std::shared_ptr<const route_table> table; ///< keeps the route alive, and the shards of one version together
     const gateway_route *route = nullptr;
+    std::optional<gateway_route> ownRoute; ///< of work for another VM: it knows the route, this one what to do
     route_pace *pace = nullptr;
     millis arrivedAt;
     millis limit; ///< final answer then at the latest
@@ -38,12 +41,21 @@
     std::vector<shard_call> calls;
     std::size_t done = 0;
     std::size_t missing = 0;
+    millis speakBy = millis::never(); ///< the VM for which it is must have heard of it by then
+    bool spoke = false; ///< the VM for which it is has heard of it
+    std::vector<delegation_id> delegations;
+    std::vector<std::string> mergedRecords; ///< of parts that other VMs brought
     std::optional<gateway_reply> failure; ///< of a request to one leaf: the last failing answer
     unsigned sends = 0;
     unsigned hedges = 0;
     unsigned retries = 0;
     bool ended = false;
 
+    [[nodiscard]] bool isDelegated() const
+    {
+        return ownRoute.has_value();
+    }
+
     [[nodiscard]] bool mayHaveRun() const;
 
     /** Shards that a merged answer needs. */
--- /dev/null
+++ b/libs/gateway/src/helpers.cpp
@@ -0,0 +1,350 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace chivelock {
+
+namespace {
+
+constexpr std::size_t leastWorthHanding = 3; // shards; for fewer, the message costs as much as it saves
+constexpr double helperBudgetShare = 0.75; // of a request counts for the VM that asks the leafs, the rest for the one
+                                           // that may have to take over: together one request
+constexpr double silentAfter = 1.3; // of the time by which the first word is due: a busy VM speaks late
+constexpr millis hopMargin(3); // for the message there and back, and the reading of it on a busy small VM
+constexpr millis distrustFor(1500); // a frozen VM costs one lookup in this time, not each
+
+std::vector<std::vector<std::size_t>> chunked(std::span<const std::size_t> calls, std::size_t pieces)
+{
+    std::vector<std::vector<std::size_t>> result(pieces);
+    for (std::size_t at = 0; at < calls.size(); ++at) {
+        result[at % pieces].push_back(calls[at]);
+    }
+    return result;
+}
+
+std::size_t piecesFor(std::size_t calls, std::size_t atOnce)
+{
+    return (calls + atOnce - 1) / atOnce;
+}
+
+} // namespace
+
+std::vector<std::string> gateway_engine::helpersIn(const zone_name &zone, millis now) const
+{
+    std::vector<std::string> result;
+    for (const helper_vm &helper : m_helpers) {
+        const auto distrusted = m_distrustedUntil.find(helper.address);
+        const bool trusted = distrusted == m_distrustedUntil.end() || distrusted->second <= now;
+        if (helper.zone == zone && trusted) {
+            result.push_back(helper.address);
+        }
+    }
+    return result;
+}
+
+/**
+ * Who asks which leafs. Leafs of the own zone are asked from here; those of other zones by a VM next to them, since one
+ * message with the merged parts replaces a request and an answer for each shard on the way between zones. If there
+ * are more than this VM can ask quickly, others share the work.
+ * @param helpers is filled with one address for each group that is returned.
+ */
+std::vector<std::vector<std::size_t>>
+gateway_engine::planHelpers(const exchange &work, std::vector<std::string> &helpers, millis now)
+{
+    std::vector<std::vector<std::size_t>> plan;
+    if (m_helpers.empty()) {
+        return plan;
+    }
+    std::vector<std::size_t> local;
+    std::map<zone_name, std::vector<std::size_t>> byZone;
+    for (std::size_t at = 0; at < work.calls.size(); ++at) {
+        const shard_call &call = work.calls[at];
+        if (call.missing || call.waiting) {
+            continue;
+        }
+        std::set<zone_name> zones;
+        for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
+            if (mayAsk(*one, now) && !one->isLeaving() && one->stalledSince() > now) {
+                zones.insert(one->entry.zone);
+            }
+        }
+        if (zones.empty() || zones.contains(m_settings.zone)) {
+            local.push_back(at);
+            continue;
+        }
+        std::ranges::for_each(zones, [&](const zone_name &zone) { byZone[zone].push_back(at); });
+    }
+    std::set<std::size_t> taken;
+    const auto addGroup = [&](const zone_name &zone, std::vector<std::size_t> calls, std::size_t keep) {
+        std::vector<std::string> near = helpersIn(zone, now);
+        const std::size_t pieces = std::min(piecesFor(calls.size(), m_settings.shardsAtOnce), near.size() + keep);
+        if (pieces <= keep || calls.size() < leastWorthHanding) {
+            return;
+        }
+        std::vector<std::vector<std::size_t>> groups = chunked(calls, pieces);
+        const std::size_t first = m_random.below(near.size());
+        for (std::size_t at = keep; at < groups.size(); ++at) {
+            taken.insert(groups[at].begin(), groups[at].end());
+            helpers.push_back(near[(first + at) % near.size()]);
+            plan.push_back(std::move(groups[at]));
+        }
+    };
+    // The zone that has most first: fewer messages.
+    while (!byZone.empty()) {
+        const auto most = std::ranges::max_element(byZone, {}, [](const auto &one) { return one.second.size(); });
+        const std::vector<std::size_t> calls = most->second;
+        addGroup(most->first, calls, 0);
+        byZone.erase(most);
+        for (auto &[zone, rest] : byZone) {
+            std::erase_if(rest, [&](std::size_t call) { return taken.contains(call); });
+        }
+        std::erase_if(byZone, [](const auto &one) { return one.second.empty(); });
+    }
+    addGroup(m_settings.zone, local, 1);
+    return plan;
+}
+
+void gateway_engine::delegateCalls(exchange &work, const std::string &helper, std::vector<std::size_t> calls, millis now)
+{
+    delegate_action action;
+    action.id = m_nextId++;
+    action.exchange = work.id;
+    action.helper = helper;
+    action.work.route = work.route->name;
+    action.work.topRecords = work.route->topRecords;
+    action.work.maxAttempts = work.route->maxAttempts;
+    action.work.objective = work.route->objective;
+    action.work.speakIn = work.pace->hedgeAfter();
+    action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
+    action.work.limitIn = std::max(work.limit - now - hopMargin, hopMargin);
+    for (const std::size_t at : calls) {
+        shard_call &call = work.calls[at];
+        call.delegated = true;
+        call.mayHaveRun = 1;
+        budgetOf(call.service).countRequest(1 - helperBudgetShare, now);
+        action.work.shards.push_back(call.service);
+    }
+    delegation made;
+    made.exchange = work.id;
+    made.helper = helper;
+    made.calls = std::move(calls);
+    made.takeOverAt = now + action.work.speakIn * silentAfter + hopMargin * 2;
+    m_due.push({made.takeOverAt, due_kind::Delegation, action.id});
+    work.delegations.push_back(action.id);
+    work.sends += 1;
+    m_delegations.emplace(action.id, std::move(made));
+    m_actions.emplace_back(std::move(action));
+}
+
+void gateway_engine::onProgress(delegation_id id, delegated_progress progress, millis now)
+{
+    const auto found = m_delegations.find(id);
+    if (found == m_delegations.end()) {
+        return;
+    }
+    found->second.heard = true;
+    const std::vector<std::size_t> calls = found->second.calls;
+    exchange &work = *m_exchanges.at(found->second.exchange);
+    if (progress.last) {
+        m_delegations.erase(found);
+        std::erase(work.delegations, id);
+    }
+    const auto valid = [&](std::uint32_t shard) { return shard < calls.size(); };
+    for (const std::uint32_t shard : progress.askedTwice) {
+        if (valid(shard)) {
+            work.calls[calls[shard]].mayHaveRun = 2;
+        }
+    }
+    for (delegated_part &part : progress.parts) {
+        if (valid(part.shard) && !work.calls[calls[part.shard]].done && !work.calls[calls[part.shard]].missing) {
+            shard_call &call = work.calls[calls[part.shard]];
+            call.done = true;
+            call.delegated = false;
+            call.part.stamp = std::move(part.stamp);
+            work.done += 1;
+        }
+    }
+    work.mergedRecords.push_back(std::move(progress.records));
+    for (const lost_shard &lost : progress.lost) {
+        if (valid(lost.shard) && work.calls[calls[lost.shard]].delegated && !work.ended) {
+            resumeCall(work, calls[lost.shard], lost.attempts, "helper_gave_up", now);
+        }
+    }
+    finishGatherIfDone(work, now);
+    schedule(work, now);
+    if (work.ended) {
+        erase(work.id);
+    }
+}
+
+/** Another VM no longer has the shard in hand; this one goes on if it may. */
+void gateway_engine::resumeCall(exchange &work,
+                                std::size_t at,
+                                unsigned attempts,
+                                std::string_view cause,
+                                millis now)
+{
+    shard_call &call = work.calls[at];
+    call.delegated = false;
+    call.mayHaveRun = attempts;
+    call.sends = attempts;
+    if (call.done || call.missing) {
+        return;
+    }
+    if (attempts > 0) {
+        retryCall(work, at, cause, now);
+        return;
+    }
+    const choice chosen = chooseLeaf(work, call, false, now);
+    if (chosen.to) {
+        sendCall(work, at, chosen.to, now);
+    } else {
+        failCall(work, at, cause, now);
+    }
+}
+
+void gateway_engine::takeOver(delegation_id id, std::string_view cause, millis now)
+{
+    const auto found = m_delegations.find(id);
+    if (found == m_delegations.end()) {
+        return;
+    }
+    const delegation ended = std::move(found->second);
+    m_delegations.erase(found);
+    m_distrustedUntil[ended.helper] = now + distrustFor;
+    m_actions.emplace_back(delegate_cancel_action {id, ended.helper, false});
+    exchange &work = *m_exchanges.at(ended.exchange);
+    std::erase(work.delegations, id);
+    note(work, "helper_given_up", cause, nullptr, {ended.helper}, now - work.arrivedAt, now);
+    for (const std::size_t at : ended.calls) {
+        if (work.calls[at].delegated && !work.ended) {
+            resumeCall(work, at, work.calls[at].mayHaveRun, cause, now);
+        }
+    }
+    schedule(work, now);
+    if (work.ended) {
+        erase(work.id);
+    }
+}
+
+void gateway_engine::onHelperLost(std::string_view address, millis now)
+{
+    std::vector<delegation_id> lost;
+    for (const auto &[id, one] : m_delegations) {
+        if (one.helper == address) {
+            lost.push_back(id);
+        }
+    }
+    std::ranges::for_each(lost, [&](delegation_id id) { takeOver(id, "helper_lost", now); });
+}
+
+void gateway_engine::dropDelegations(exchange &work, bool callerLeft)
+{
+    for (const delegation_id id : work.delegations) {
+        const auto found = m_delegations.find(id);
+        if (found != m_delegations.end()) {
+            m_actions.emplace_back(delegate_cancel_action {id, found->second.helper, callerLeft});
+            m_delegations.erase(found);
+        }
+    }
+    work.delegations.clear();
+}
+
+// ---- the other side
+
+exchange_id gateway_engine::arriveDelegated(std::string requestId, const delegated_work &asked, millis now)
+{
+    auto work = std::make_unique<exchange>();
+    gateway_route &route = work->ownRoute.emplace();
+    route.name = asked.route;
+    route.idempotent = true;
+    route.objective = asked.objective;
+    route.timeout = asked.limitIn;
+    route.maxAttempts = asked.maxAttempts;
+    route.shards = asked.shards;
+    route.topRecords = asked.topRecords;
+    route.minCoverage = 0;
+    work->id = m_nextId++;
+    work->requestId = std::move(requestId);
+    work->table = m_table;
+    work->route = &*work->ownRoute;
+    work->pace = &paceOf(route);
+    work->arrivedAt = now;
+    work->cutoff = now + asked.cutoffIn;
+    work->speakBy = now + asked.speakIn;
+    work->limit = now + asked.limitIn;
+    addCalls(*work, route.shards);
+    const exchange_id id = work->id;
+    exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
+    for (std::size_t at = 0; at < kept.calls.size(); ++at) {
+        shard_call &call = kept.calls[at];
+        budgetOf(call.service).countRequest(helperBudgetShare, now);
+        const choice chosen = chooseLeaf(kept, call, false, now);
+        if (chosen.to) {
+            sendCall(kept, at, chosen.to, now);
+        } else if (chosen.full) {
+            call.waiting = true;
+        } else {
+            call.missing = true;
+            kept.missing += 1;
+        }
+    }
+    if (kept.missing > 0 && kept.missing < kept.calls.size()) {
+        tellProgress(kept, false); // the VM that waits may know a leaf that this one does not
+    }
+    finishGatherIfDone(kept, now);
+    schedule(kept, now);
+    if (kept.ended) {
+        erase(id);
+    }
+    return id;
+}
+
+/** Tells what has come since the last word; nothing if nothing has, unless it is the first or the last. */
+void gateway_engine::tellProgress(exchange &work, bool last)
+{
+    progress_action action;
+    action.exchange = work.id;
+    action.progress.last = last;
+    std::vector<std::string_view> parts;
+    for (std::size_t at = 0; at < work.calls.size(); ++at) {
+        shard_call &call = work.calls[at];
+        const auto shard = static_cast<std::uint32_t>(at);
+        if (call.done && !call.told) {
+            call.told = true;
+            action.progress.parts.push_back({shard, call.part.stamp});
+            parts.emplace_back(call.part.body);
+        } else if (call.missing && !call.told) {
+            call.told = true;
+            action.progress.lost.push_back({shard, call.mayHaveRun});
+        } else if (!call.done && !call.missing) {
+            // Counted as asked twice from the first word on: the VM that waits can't know of what follows it.
+            action.progress.askedTwice.push_back(shard);
+        }
+    }
+    action.progress.records = mergeRecords(parts, work.route->topRecords);
+    work.ended = work.ended || last;
+    const bool news = !action.progress.parts.empty() || !action.progress.lost.empty();
+    if (news || last || !work.spoke) {
+        work.spoke = true;
+        m_actions.emplace_back(std::move(action));
+    }
+}
+
+void gateway_engine::onUnneeded(exchange_id id)
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    for (auto &[sendId, one] : m_sends) {
+        if (one.exchange == id) {
+            one.exchange = 0; // its answer still tells of the leaf
+        }
+    }
+    erase(id);
+}
+
+} // namespace chivelock
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -53,9 +53,8 @@
     return m_paces.try_emplace(route.name, route.objective).first->second;
 }
 
-void gateway_engine::closeSend(const send &ended, millis now)
+void gateway_engine::closeSend(const send &ended)
 {
-    (void)now;
     std::erase_if(ended.to->open, [&](const leaf::open_send &one) { return one.id == ended.id; });
 }
 
--- a/libs/leafs/src/retry_budget.cpp
+++ b/libs/leafs/src/retry_budget.cpp
@@ -23,9 +23,9 @@
     return m_slices.back();
 }
 
-void retry_budget::countRequest(millis now)
+void retry_budget::countRequest(double weight, millis now)
 {
-    current(now).requests += 1;
+    current(now).requests += weight;
 }
 
 bool retry_budget::tryTake(double fixedPart, double reserve, millis now)
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -64,6 +64,8 @@
     listen_address readiness;
     std::optional<listen_address> metrics;
     listen_address peers; ///< other processes of the fleet
+    std::uint16_t helperPort = 0; ///< for VMs that ask leafs for each other; the same on all
+    double cpuShare = 1; ///< of a core that this VM has
     std::vector<std::string> seeds; ///< addresses of a few of them; may be stale
     bool fleetStarts = false; ///< all processes start for the first time, so none can tell the others anything yet
     std::string storeAddress; ///< IP number and port
--- a/libs/settings/src/gateway_settings.cpp
+++ b/libs/settings/src/gateway_settings.cpp
@@ -14,11 +14,12 @@
     "vm": {"type": "string", "minLength": 1},
     "zone": {"type": "string", "minLength": 1, "maxLength": 64},
     "listen": {
-      "type": "object", "required": ["callers", "readiness", "peers"],
+      "type": "object", "required": ["callers", "readiness", "peers", "helper_port"],
       "properties": {
         "callers": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
         "readiness": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
         "peers": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+        "helper_port": {"type": "integer", "minimum": 1, "maximum": 65535},
         "metrics": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}
       }},
     "store": {
@@ -29,6 +30,7 @@
       }},
     "seeds": {"type": "array", "items": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}},
     "fleet_starts": {"type": "boolean"},
+    "cpu_share": {"type": "number", "exclusiveMinimum": 0},
     "log": {"enum": ["debug", "info", "warning", "error"]},
     "log_lines_per_s": {"type": "integer", "minimum": 10, "maximum": 100000},
     "limits": {
@@ -85,6 +87,8 @@
         settings.peers = readAddress(listen.at("peers"));
         take(document, "seeds", settings.seeds);
         take(document, "fleet_starts", settings.fleetStarts);
+        take(document, "cpu_share", settings.cpuShare);
+        take(listen, "helper_port", settings.helperPort);
         if (listen.contains("metrics")) {
             settings.metrics = readAddress(listen.at("metrics"));
         }
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -23,6 +23,11 @@
 constexpr millis endBeforeGrace(200);
 constexpr unsigned noticesToEnd = 3; // the platform takes a VM out after two; one more in case one crossed the signal
 
+// A leaf request costs some 60 microseconds of a core, all included: a core does a hundred in 6 ms, beside leafs that
+// take 4 to 15 ms. Handing work out pays from about eight requests on.
+constexpr double shardsPerCore = 100;
+constexpr std::size_t leastShardsAtOnce = 8;
+
 gateway_settings engineSettings(const gateway_daemon_settings &from)
 {
     gateway_settings settings;
@@ -32,6 +37,7 @@
     settings.retryWindow = from.retryWindow;
     settings.drainLimit = from.drainLimit;
     settings.callerRoundTrip = from.callerRoundTrip;
+    settings.shardsAtOnce = std::max(leastShardsAtOnce, static_cast<std::size_t>(from.cpuShare * shardsPerCore));
     constexpr double holdShare = 0.73; // of the drain limit; the rest is for the store's word to arrive
     settings.removalHold = from.drainLimit * holdShare;
     return settings;
@@ -57,9 +63,10 @@
 
 } // namespace
 
-/** A caller's request whose answer is owed. */
+/** A request whose answer is owed, to a caller or to another VM. */
 struct gateway_service::pending {
     session_id session = 0;
+    std::optional<asked_work> asker; ///< the other VM's work, if it is for one
     std::string requestId;
     std::shared_ptr<const platform::leaf_request_text> text;
     bool toHead = false;
@@ -189,6 +196,8 @@
     m_callers->setLimits({}, m_settings.maxConnections);
     m_pages = std::make_unique<status_pages>(*this);
     m_feed = std::make_unique<store_feed>(m_reactor, m_settings, *this);
+    helper_settings helping {m_settings.peers.address, m_settings.helperPort, m_settings.zone};
+    m_helperLinks = std::make_unique<helper_links>(m_reactor, std::move(helping), *this);
     error_code error = m_callers->listen(m_settings.callers.address, m_settings.callers.port);
     if (!error) {
         error = m_pages->readinessServer.listen(m_settings.readiness.address, m_settings.readiness.port);
@@ -196,6 +205,9 @@
     if (!error && m_settings.metrics) {
         error = m_pages->metricsServer.listen(m_settings.metrics->address, m_settings.metrics->port);
     }
+    if (!error) {
+        error = m_helperLinks->start();
+    }
     if (!error) {
         error = m_feed->start();
     }
@@ -344,6 +356,107 @@
               {"input_ms", action.input.ceiled()}});
 }
 
+// ---- shards that another VM asks for
+
+void gateway_service::perform(delegate_action action)
+{
+    const auto found = m_pending.find(action.exchange);
+    if (found == m_pending.end()) {
+        return;
+    }
+    m_counts.handedOut += 1;
+    delegate_request request;
+    request.id = action.id;
+    request.requestId = found->second.requestId;
+    request.beforeTime = found->second.text->beforeTime;
+    request.afterTime = found->second.text->afterTime;
+    request.toHead = found->second.toHead;
+    request.work = std::move(action.work);
+    if (!m_helperLinks->ask(action.helper, request)) {
+        m_engine.onHelperLost(action.helper, m_clock.now());
+    }
+}
+
+void gateway_service::perform(const delegate_cancel_action &action)
+{
+    m_helperLinks->cancel(action.helper, {action.id, action.callerLeft});
+}
+
+void gateway_service::perform(progress_action action)
+{
+    const auto found = m_pending.find(action.exchange);
+    if (found == m_pending.end() || !found->second.asker) {
+        return;
+    }
+    const asked_work asker = *found->second.asker;
+    if (action.progress.last) {
+        m_askedWork.erase(asker);
+        m_pending.erase(found);
+    }
+    m_helperLinks->tellProgress(asker.first, {asker.second, std::move(action.progress)});
+}
+
+void gateway_service::onHelpers(std::vector<helper_vm> helpers)
+{
+    m_engine.setHelpers(std::move(helpers));
+}
+
+void gateway_service::onHelperLost(const std::string &address)
+{
+    m_engine.onHelperLost(address, m_clock.now());
+    flush();
+}
+
+void gateway_service::onProgress(delegation_id id, delegated_progress progress)
+{
+    m_engine.onProgress(id, std::move(progress), m_clock.now());
+    flush();
+}
+
+void gateway_service::onDelegated(link_id from, delegate_request request)
+{
+    const millis now = m_clock.now();
+    m_counts.takenIn += 1;
+    const exchange_id id = m_engine.arriveDelegated(request.requestId, request.work, now);
+    pending &kept = m_pending[id];
+    kept.asker = asked_work(from, request.id);
+    kept.requestId = std::move(request.requestId);
+    kept.toHead = request.toHead;
+    kept.arrivedAt = now;
+    kept.text = std::make_shared<platform::leaf_request_text>(
+        platform::leaf_request_text {std::move(request.beforeTime), std::move(request.afterTime)});
+    m_askedWork[*kept.asker] = id;
+    flush();
+}
+
+void gateway_service::onDelegatedCancelled(link_id from, delegation_id id, bool callerLeft)
+{
+    const auto found = m_askedWork.find({from, id});
+    if (found == m_askedWork.end()) {
+        return;
+    }
+    const exchange_id exchange = found->second;
+    m_askedWork.erase(found);
+    m_pending.erase(exchange);
+    if (callerLeft) {
+        m_engine.onCallerLeft(exchange, m_clock.now());
+    } else {
+        m_engine.onUnneeded(exchange);
+    }
+    flush();
+}
+
+void gateway_service::onAskerLost(link_id from)
+{
+    std::vector<delegation_id> lost;
+    for (const auto &[work, exchange] : m_askedWork) {
+        if (work.first == from) {
+            lost.push_back(work.second);
+        }
+    }
+    std::ranges::for_each(lost, [&](delegation_id id) { onDelegatedCancelled(from, id, true); });
+}
+
 void gateway_service::armTimer()
 {
     const millis due = m_engine.nextDue();
@@ -408,6 +521,11 @@
     flush();
 }
 
+void gateway_service::onFleetMembers(const std::vector<fleet_member> &members)
+{
+    m_helperLinks->setMembers(members);
+}
+
 void gateway_service::onFleetSize(std::size_t size)
 {
     m_engine.setFleetSize(size);
@@ -541,6 +659,8 @@
         {"chivelock_leaf_sends_total", "Requests to leafs.", number(m_pool->counts().sent), {}},
         {"chivelock_leaf_connections_opened_total", "New connections.", number(m_pool->counts().opened), {}},
         {"chivelock_leaf_stray_answers_total", "Answers to other requests.", number(m_pool->counts().strayAnswers), {}},
+        {"chivelock_work_handed_out_total", "Shards of a request given to another VM.", number(m_counts.handedOut), {}},
+        {"chivelock_work_taken_in_total", "Shards of a request taken for another VM.", number(m_counts.takenIn), {}},
         {"chivelock_store_calls_total", "Calls to the store.", number(m_feed->storeCalls()), {}},
         {"chivelock_callers", "Open connections of callers.", number(m_callers->sessions()), {}},
         {"chivelock_exchanges", "Requests under way.", number(m_engine.openExchanges()), {}},
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -7,6 +7,7 @@
  */
 
 #include "caller_server.h"
+#include "helper_links.h"
 #include "leaf_pool.h"
 #include "store_feed.h"
 
@@ -15,14 +16,14 @@
 #include <metrics/metrics.h>
 #include <settings/settings.h>
 
-#include <atomic>
+#include <map>
 #include <memory>
 #include <thread>
 #include <unordered_map>
 
 namespace chivelock {
 
-class gateway_service : public kernel_service, public request_listener, public send_listener, public feed_listener
+class gateway_service : public kernel_service, public request_listener, public send_listener, public feed_listener, public helper_listener
 {
 public:
     static constexpr std::string_view serviceName = "gateway";
@@ -46,6 +47,8 @@
 
 private:
     struct pending;
+    using asked_work = std::pair<link_id, delegation_id>;
+
     class status_pages;
 
     void onRequest(session_id session, http_request request) override;
@@ -54,6 +57,13 @@
     void onLeafFailure(send_id id, send_failure failure) override;
     void onStoreNews(std::string_view prefix, const std::vector<store_item> &items) override;
     void onFleetSize(std::size_t size) override;
+    void onFleetMembers(const std::vector<fleet_member> &members) override;
+    void onHelpers(std::vector<helper_vm> helpers) override;
+    void onHelperLost(const std::string &address) override;
+    void onProgress(delegation_id id, delegated_progress progress) override;
+    void onDelegated(link_id from, delegate_request request) override;
+    void onDelegatedCancelled(link_id from, delegation_id id, bool callerLeft) override;
+    void onAskerLost(link_id from) override;
 
     [[nodiscard]] tl::expected<void, kernel_error> open();
     void flush();
@@ -61,6 +71,9 @@
     void perform(const cancel_action &action);
     void perform(const answer_action &action);
     void perform(const note_action &action);
+    void perform(delegate_action action);
+    void perform(const delegate_cancel_action &action);
+    void perform(progress_action action);
     void armTimer();
     void housekeep();
     void noticeStandstill(millis now);
@@ -78,6 +91,7 @@
     std::unique_ptr<status_pages> m_pages;
     std::unique_ptr<leaf_pool> m_pool;
     std::unique_ptr<store_feed> m_feed;
+    std::unique_ptr<helper_links> m_helperLinks;
     boost::asio::steady_timer m_dueTimer;
     boost::asio::steady_timer m_houseTimer;
     boost::asio::steady_timer m_stopTimer;
@@ -85,6 +99,7 @@
     millis m_nextHousekeeping;
     std::unordered_map<exchange_id, pending> m_pending;
     std::unordered_map<session_id, exchange_id> m_bySession;
+    std::map<asked_work, exchange_id> m_askedWork; ///< of other VMs, in hand here
     bool m_leafsKnown = false;
     bool m_stopping = false;
     bool m_closing = false;
@@ -102,6 +117,8 @@
         std::uint64_t partial = 0;
         std::uint64_t callersLeft = 0;
         std::uint64_t standstills = 0;
+        std::uint64_t handedOut = 0;
+        std::uint64_t takenIn = 0;
     } m_counts;
     std::thread m_thread;
 };
--- /dev/null
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/**
+ * @file
+ * Links to VMs that ask leafs for this one, and from those for which this one asks. Keeps a few open: some in each zone.
+ */
+
+#include "peer_mesh.h"
+
+#include <delegation/delegation.h>
+#include <fleet/fleet.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chivelock {
+
+/** Work of other VMs, and what becomes of own work in their hands. */
+class helper_listener
+{
+public:
+    helper_listener() = default;
+    helper_listener(const helper_listener &) = delete;
+    helper_listener &operator=(const helper_listener &) = delete;
+    virtual ~helper_listener() = default;
+
+    /** VMs that can be reached now. */
+    virtual void onHelpers(std::vector<helper_vm> helpers) = 0;
+    virtual void onHelperLost(const std::string &address) = 0;
+    virtual void onProgress(delegation_id id, delegated_progress progress) = 0;
+
+    /** @param from link of the VM that asks; answers go there. */
+    virtual void onDelegated(link_id from, delegate_request request) = 0;
+    virtual void onDelegatedCancelled(link_id from, delegation_id id, bool callerLeft) = 0;
+    virtual void onAskerLost(link_id from) = 0;
+};
+
+/** Where this VM is and listens. */
+struct helper_settings {
+    std::string address; ///< IP number
+    std::uint16_t port = 0; ///< the same on all VMs
+    zone_name zone;
+};
+
+class helper_links : public link_listener
+{
+public:
+    helper_links(boost::asio::io_context &reactor, helper_settings settings, helper_listener &listener);
+
+    [[nodiscard]] boost::system::error_code start();
+    void stop();
+
+    /** The fleet as it is known now. */
+    void setMembers(const std::vector<fleet_member> &members);
+
+    /** @return false if there is no link to the helper. */
+    [[nodiscard]] bool ask(const std::string &address, const delegate_request &request);
+    void cancel(const std::string &address, const delegate_cancel &message);
+    void tellProgress(link_id asker, const delegate_progress &progress);
+
+private:
+    struct helper {
+        zone_name zone;
+        link_id link = 0;
+        bool open = false;
+        millis redialAt;
+        unsigned failures = 0;
+    };
+
+    void onLinkOpen(link_id link) override;
+    void onLinkClosed(link_id link) override;
+    bool onLinkFrame(link_id link, std::span<const std::uint8_t> payload) override;
+
+    [[nodiscard]] std::map<std::string, helper>::iterator findByLink(link_id link);
+    void tellHelpers();
+    void dialDue();
+
+    helper_settings m_settings;
+    helper_listener &m_listener;
+    boot_clock m_clock;
+    peer_mesh m_mesh;
+    boost::asio::steady_timer m_timer;
+    std::map<std::string, helper> m_helpers; ///< by address with port
+    link_id m_nextLink = 1;
+};
+
+} // namespace chivelock
--- a/programs/chivelockd/gateway/peer_mesh.cpp
+++ b/programs/chivelockd/gateway/peer_mesh.cpp
@@ -74,9 +74,9 @@
         });
     }
 
-    void tell(const fleet_message &message)
+    void tell(std::string_view frame)
     {
-        m_waiting += encodeFleetFrame(message);
+        m_waiting += frame;
         if (m_waiting.size() > mostUnsentBytes) {
             asio::post(m_mesh.m_reactor, [self = shared_from_this()] { self->lose(); });
             return;
@@ -122,12 +122,10 @@
             if (!*payload) {
                 return true;
             }
-            auto message = decodeFleetPayload(**payload);
-            if (!message) {
-                logEvent(log_level::Warning, "fleet_message_refused", {{"link", m_id}});
+            if (!m_mesh.m_listener.onLinkFrame(m_id, **payload)) {
+                logEvent(log_level::Warning, "peer_message_refused", {{"link", m_id}});
                 return false;
             }
-            m_mesh.m_listener.onLinkMessage(m_id, *std::move(message));
         }
         return true;
     }
@@ -216,11 +214,11 @@
     made->dial(address);
 }
 
-void peer_mesh::tell(link_id id, const fleet_message &message)
+void peer_mesh::tell(link_id id, std::string_view frame)
 {
     const auto found = m_links.find(id);
     if (found != m_links.end()) {
-        found->second->tell(message);
+        found->second->tell(frame);
     }
 }
 
--- a/programs/chivelockd/gateway/peer_mesh.h
+++ b/programs/chivelockd/gateway/peer_mesh.h
@@ -8,7 +8,9 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
+#include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace chivelock {
@@ -28,7 +30,8 @@
     /** A link is gone or could not be made; not told of links that this side closed. */
     virtual void onLinkClosed(link_id link) = 0;
 
-    virtual void onLinkMessage(link_id link, fleet_message message) = 0;
+    /** @param payload one frame without its length. @return false if it is no message; the link is closed then. */
+    [[nodiscard]] virtual bool onLinkFrame(link_id link, std::span<const std::uint8_t> payload) = 0;
 };
 
 class peer_mesh
@@ -42,7 +45,8 @@
     [[nodiscard]] boost::system::error_code listen(const std::string &address, std::uint16_t port);
 
     void dial(link_id link, const std::string &address);
-    void tell(link_id link, const fleet_message &message);
+    /** @param frame whole, with its length. */
+    void tell(link_id link, std::string_view frame);
     void hangUp(link_id link);
 
     /** Ends all links and takes no new ones. */
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -20,6 +20,7 @@
 {
     fleet_settings settings;
     settings.address = textOf(from.peers);
+    settings.zone = from.zone;
     settings.seeds = from.seeds;
     settings.prefixes = {std::string(platform::configPrefix), std::string(platform::leafPrefix)};
     if (!from.fleetStarts) {
@@ -92,10 +93,15 @@
     flush();
 }
 
-void store_feed::onLinkMessage(link_id link, fleet_message message)
+bool store_feed::onLinkFrame(link_id link, std::span<const std::uint8_t> payload)
 {
-    m_node.onMessage(link, std::move(message), m_clock.now());
+    auto message = decodeFleetPayload(payload);
+    if (!message) {
+        return false;
+    }
+    m_node.onMessage(link, *std::move(message), m_clock.now());
     flush();
+    return true;
 }
 
 void store_feed::onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision)
@@ -151,7 +157,7 @@
 
 void store_feed::perform(const tell_action &action)
 {
-    m_mesh.tell(action.link, action.message);
+    m_mesh.tell(action.link, encodeFleetFrame(action.message));
 }
 
 void store_feed::perform(const read_action &action)
@@ -171,6 +177,11 @@
     m_listener.onStoreNews(action.prefix, action.items);
 }
 
+void store_feed::perform(const members_action &action)
+{
+    m_listener.onFleetMembers(action.members);
+}
+
 void store_feed::perform(const tree_note_action &action)
 {
     logEvent(log_level::Info,
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -33,6 +33,9 @@
 
     /** How many processes the fleet has, as far as is known; told some times a second. */
     virtual void onFleetSize(std::size_t size) = 0;
+
+    /** Who the fleet is, when it changes. */
+    virtual void onFleetMembers(const std::vector<fleet_member> &members) = 0;
 };
 
 class store_feed : public link_listener, public store_listener
@@ -53,7 +56,7 @@
 private:
     void onLinkOpen(link_id link) override;
     void onLinkClosed(link_id link) override;
-    void onLinkMessage(link_id link, fleet_message message) override;
+    bool onLinkFrame(link_id link, std::span<const std::uint8_t> payload) override;
     void onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision) override;
     void onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision) override;
     void onStoreState(std::string_view prefix, bool ok) override;
@@ -65,6 +68,7 @@
     void perform(const tell_action &action);
     void perform(const read_action &action);
     void perform(const news_action &action);
+    void perform(const members_action &action);
     void perform(const tree_note_action &action);
 
     boot_clock m_clock;
