--- a/libs/delegation/src/delegation_codec.cpp
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -35,7 +35,6 @@
                                                           route,
                                                           shardNames,
                                                           static_cast<std::uint32_t>(message.work.topRecords),
-                                                          message.work.maxAttempts,
                                                           message.work.objective.micros(),
                                                           message.work.speakIn.micros(),
                                                           message.work.cutoffIn.micros(),
@@ -52,15 +51,20 @@
         }
         std::vector<Offset<delegation_wire::Lost>> lost;
         for (const lost_shard &shard : message.progress.lost) {
-            lost.push_back(delegation_wire::CreateLost(builder, shard.shard, shard.attempts));
+            lost.push_back(delegation_wire::CreateLost(builder, shard.shard, shard.mayHaveRun, shard.reachedLeaf));
+        }
+        std::vector<Offset<delegation_wire::Pending>> pending;
+        for (const pending_shard &shard : message.progress.pending) {
+            const auto leafId = builder.CreateString(shard.leafId);
+            pending.push_back(delegation_wire::CreatePending(builder, shard.shard, leafId));
         }
         const auto &bytes = message.progress.records;
         const auto allParts = builder.CreateVector(parts);
         const auto records = builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
         const auto allLost = builder.CreateVector(lost);
-        const auto twice = builder.CreateVector(message.progress.askedTwice);
+        const auto allPending = builder.CreateVector(pending);
         const auto table = delegation_wire::CreateProgress(
-            builder, message.id, allParts, records, allLost, twice, message.progress.last);
+            builder, message.id, allParts, records, allLost, allPending, message.progress.last);
         return wrap(delegation_wire::Message::Progress, table.Union());
     }
 
@@ -92,7 +96,6 @@
     message.toHead = from.to_head();
     message.work.route = textOf(from.route());
     message.work.topRecords = from.top_records();
-    message.work.maxAttempts = from.max_attempts();
     message.work.objective = millis::fromMicros(from.objective_micros());
     message.work.speakIn = millis::fromMicros(from.speak_micros());
     message.work.cutoffIn = millis::fromMicros(from.cutoff_micros());
@@ -120,11 +123,13 @@
     }
     if (from.lost() != nullptr) {
         for (const auto *lost : *from.lost()) {
-            message.progress.lost.push_back({lost->shard(), lost->attempts()});
+            message.progress.lost.push_back({lost->shard(), lost->may_have_run(), lost->reached_leaf()});
         }
     }
-    if (from.asked_twice() != nullptr) {
-        message.progress.askedTwice.assign(from.asked_twice()->begin(), from.asked_twice()->end());
+    if (from.pending() != nullptr) {
+        for (const auto *pending : *from.pending()) {
+            message.progress.pending.push_back({pending->shard(), textOf(pending->leaf())});
+        }
     }
     return message;
 }
--- a/libs/delegation/tests/test_delegation.cpp
+++ b/libs/delegation/tests/test_delegation.cpp
@@ -28,13 +28,12 @@
     request.work.route = "r";
     request.work.shards = {{"a"}, {"b"}};
     request.work.topRecords = 10;
-    request.work.maxAttempts = 2;
     request.work.cutoffIn = millis(80.5);
     const delegate_request read = thereAndBack(request);
     BOOST_TEST(read.afterTime == request.afterTime);
     BOOST_TEST(read.work.shards[1].value == "b");
     BOOST_TEST((read.work.cutoffIn == millis(80.5)));
-    BOOST_TEST(read.work.maxAttempts == 2U);
+    BOOST_TEST(read.work.topRecords == 10U);
 }
 
 BOOST_AUTO_TEST_CASE(progress_and_cancel_come_back_whole)
@@ -43,14 +42,15 @@
     progress.id = 8;
     progress.progress.parts = {{1, "digest"}};
     progress.progress.records = std::string("\0\xff", 2);
-    progress.progress.lost = {{2, 1}};
-    progress.progress.askedTwice = {3};
+    progress.progress.lost = {{2, true, false}};
+    progress.progress.pending = {{3, "leaf"}};
     progress.progress.last = true;
     const delegate_progress read = thereAndBack(progress);
     BOOST_TEST(read.progress.parts[0].stamp == "digest");
     BOOST_TEST(read.progress.records == progress.progress.records);
-    BOOST_TEST(read.progress.lost[0].attempts == 1U);
-    BOOST_TEST(read.progress.askedTwice[0] == 3U);
+    BOOST_TEST(read.progress.lost[0].mayHaveRun);
+    BOOST_TEST(!read.progress.lost[0].reachedLeaf);
+    BOOST_TEST(read.progress.pending[0].leafId == "leaf");
     BOOST_TEST(read.progress.last);
     BOOST_TEST(thereAndBack(delegate_cancel {9, true}).callerLeft);
 }
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -129,12 +129,14 @@
 /** Names one piece of work handed to another VM, among those of the VM that hands it out. */
 using delegation_id = std::uint64_t;
 
-/** What another VM is to do: one leaf of each shard, with the hedges and retries that this takes. */
+/**
+ * What another VM is to do: ask one leaf of each shard, once. Hedges and retries stay with the VM that hands it out: it
+ * alone counts how many leafs may run a request, so that the count holds whatever is lost between the two.
+ */
 struct delegated_work {
     std::string route; ///< name, by which both know how long leafs take
     std::vector<service_name> shards;
     std::size_t topRecords = 0;
-    unsigned maxAttempts = 1; ///< for each shard
     millis objective; ///< of the route
     millis speakIn; ///< a first word is due then at the latest, also if nothing has come
     millis cutoffIn; ///< what has come is told then, and the rest as it comes
@@ -150,7 +152,14 @@
 /** A shard that was given up. */
 struct lost_shard {
     std::uint32_t shard = 0;
-    std::uint32_t attempts = 0; ///< leafs that may have run it
+    bool mayHaveRun = false;
+    bool reachedLeaf = false; ///< a leaf got it, also if that refused it
+};
+
+/** A shard whose leaf is silent so far. */
+struct pending_shard {
+    std::uint32_t shard = 0;
+    std::string leafId;
 };
 
 /** What has come since the last word. */
@@ -158,7 +167,7 @@
     std::vector<delegated_part> parts;
     std::string records; ///< the greatest of these parts, merged
     std::vector<lost_shard> lost;
-    std::vector<std::uint32_t> askedTwice; ///< shards of which a second leaf is asked: told before it is asked
+    std::vector<pending_shard> pending; ///< told once, when the first word is due
     bool last = false;
 };
 
@@ -352,9 +361,14 @@
     [[nodiscard]] std::vector<std::string> helpersIn(const zone_name &zone, millis now) const;
     void delegateCalls(exchange &work, const std::string &helper, std::vector<std::size_t> calls, millis now);
     void takeOver(delegation_id id, std::string_view cause, millis now);
-    void resumeCall(exchange &work, std::size_t call, unsigned attempts, std::string_view cause, millis now);
+    void resumeCall(exchange &work, std::size_t call, const lost_shard &lost, millis now);
+    void notePending(exchange &work, std::size_t call, const pending_shard &pending, millis now);
+    void askElsewhere(exchange &work, std::size_t call, std::string_view cause, millis now);
     void dropDelegations(exchange &work, bool callerLeft);
-    void tellProgress(exchange &work, bool last);
+    void takeParts(exchange &work, delegated_progress &progress, std::span<const std::size_t> calls);
+    exchange_id refuseDelegated(exchange &work, millis now);
+    void tellProgress(exchange &work, bool last, millis now);
+    void tellAlone(const exchange &work, std::uint32_t shard);
     void sendUnsent(exchange &work, millis now);
     void answer(exchange &work, exchange_outcome outcome, std::string_view cause, millis now);
     void answerMerged(exchange &work, std::string_view cause, millis now);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -117,7 +117,7 @@
     work.sendBy = now + work.route->objective * holdShare;
     shard_call &call = work.calls.emplace_back();
     call.service = pickShare(*work.route);
-    budgetOf(call.service).countRequest(1, now);
+    budgetOf(call.service).countRequest(now);
     const choice chosen = chooseLeaf(work, call, false, now);
     if (chosen.to) {
         sendCall(work, 0, chosen.to, now);
@@ -170,7 +170,7 @@
         if (call.delegated) {
             continue;
         }
-        budgetOf(call.service).countRequest(1, now);
+        budgetOf(call.service).countRequest(now);
         if (call.missing || call.waiting) {
             continue;
         }
@@ -203,7 +203,8 @@
     call.mayHaveRun += 1;
     call.sends += 1;
     call.waiting = false;
-    call.nextHedge = work.route->idempotent ? now + hedgeAfter : millis::never();
+    const bool mayHedge = work.route->idempotent && !work.isDelegated();
+    call.nextHedge = mayHedge ? now + hedgeAfter : millis::never();
     work.sends += 1;
     m_due.push({one.closeAt, due_kind::Send, one.id});
     m_actions.emplace_back(
@@ -230,6 +231,7 @@
     call.open -= 1;
     const bool notRun = reply.notRun || reply.wrongInstance;
     call.mayHaveRun -= notRun ? 1 : 0;
+    call.reachedLeaf = true;
     if (!call.done && !call.missing) {
         if (notRun) {
             // It may be asked again if nobody else is left: what it refused it has not begun.
@@ -266,6 +268,7 @@
     shard_call &call = work.calls[ended.call];
     call.open -= 1;
     call.mayHaveRun -= failure == send_failure::NotSent ? 1 : 0;
+    call.reachedLeaf = call.reachedLeaf || failure != send_failure::NotSent;
     if (!call.done && !call.missing) {
         retryCall(work, ended.call, failure == send_failure::NotSent ? "not_sent" : "connection_broken", now);
     }
@@ -303,9 +306,13 @@
 void gateway_engine::retryCall(exchange &work, std::size_t at, std::string_view cause, millis now)
 {
     shard_call &call = work.calls[at];
-    if (call.open > 0) {
+    if (call.open > 0 || call.delegated) {
         return; // another send may still bring it
     }
+    if (work.isDelegated()) {
+        askElsewhere(work, at, cause, now);
+        return;
+    }
     constexpr unsigned refusalsBeyondAttempts = 2; // sends that did not run are no attempts, yet have an end too
     const bool mayRunAgain = call.mayHaveRun == 0 || work.route->idempotent;
     const bool attemptsLeft = call.mayHaveRun < work.route->maxAttempts
@@ -348,7 +355,8 @@
     constexpr millis lookAgain(10); // when no second leaf is free: pauses end after some tens of milliseconds
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         shard_call &call = work.calls[at];
-        if (call.done || call.missing || call.open == 0 || now < call.nextHedge) {
+        const bool underWay = call.open > 0 || call.delegated;
+        if (call.done || call.missing || !underWay || now < call.nextHedge) {
             continue;
         }
         if (call.mayHaveRun >= work.route->maxAttempts) {
@@ -360,9 +368,6 @@
             call.nextHedge = now + lookAgain;
             continue;
         }
-        if (work.isDelegated() && work.hedges == 0) {
-            tellProgress(work, false); // the VM that waits must know before a second leaf is asked
-        }
         work.hedges += 1;
         note(work, "hedge", "silent", chosen.to.get(), call.service, work.pace->hedgeAfter(), now);
         sendCall(work, at, chosen.to, now);
@@ -393,8 +398,8 @@
     }
     const bool allKnown = work.done + work.missing == work.calls.size();
     if (work.isDelegated()) {
-        if (allKnown || now >= work.cutoff) {
-            tellProgress(work, allKnown);
+        if (allKnown || work.pendingTold || now >= work.cutoff) {
+            tellProgress(work, allKnown, now);
         }
         return;
     }
@@ -410,8 +415,8 @@
         answerUnserved(work, "time", true, now);
         return;
     }
-    if (work.isDelegated() && (now >= work.cutoff || (!work.spoke && now >= work.speakBy))) {
-        tellProgress(work, false);
+    if (work.isDelegated() && (now >= work.cutoff || (!work.pendingTold && now >= work.speakBy))) {
+        tellProgress(work, false, now);
     }
     retryWaiting(work, now);
     if (!work.ended && work.sends == 0 && now >= work.sendBy) {
@@ -475,7 +480,7 @@
     if (work.cutoff > now) {
         next = std::min(next, work.cutoff);
     }
-    if (!work.spoke && work.speakBy > now) {
+    if (!work.pendingTold && work.speakBy > now) {
         next = std::min(next, work.speakBy);
     }
     for (const shard_call &call : work.calls) {
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -39,7 +39,7 @@
 void gateway_engine::answerUnserved(exchange &work, std::string_view cause, bool timedOut, millis now)
 {
     if (work.isDelegated()) {
-        tellProgress(work, true);
+        tellProgress(work, true, now);
         return;
     }
     answer_action result;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -20,7 +20,9 @@
     bool waiting = false; ///< not sent yet: no leaf has a free connection
     bool done = false; ///< has its part
     bool missing = false; ///< given up
+    bool reachedLeaf = false; ///< a leaf got it, also if that refused it
     bool delegated = false; ///< in another VM's hands
+    bool pendingTold = false; ///< the VM for which it is may ask a second leaf
     bool told = false; ///< its end was told to the VM for which it is
     gateway_reply part;
 };
@@ -43,6 +45,7 @@
     std::size_t missing = 0;
     millis speakBy = millis::never(); ///< the VM for which it is must have heard of it by then
     bool spoke = false; ///< the VM for which it is has heard of it
+    bool pendingTold = false; ///< and knows which shards are still out
     std::vector<delegation_id> delegations;
     std::vector<std::string> mergedRecords; ///< of parts that other VMs brought
     std::optional<gateway_reply> failure; ///< of a request to one leaf: the last failing answer
--- a/libs/gateway/src/helpers.cpp
+++ b/libs/gateway/src/helpers.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::size_t leastWorthHanding = 3; // shards; for fewer, the message costs as much as it saves
-constexpr double helperBudgetShare = 0.75; // of a request counts for the VM that asks the leafs, the rest for the one
-                                           // that may have to take over: together one request
 constexpr double silentAfter = 1.3; // of the time by which the first word is due: a busy VM speaks late
 constexpr millis hopMargin(3); // for the message there and back, and the reading of it on a busy small VM
 constexpr millis distrustFor(1500); // a frozen VM costs one lookup in this time, not each
@@ -114,7 +112,6 @@
     action.helper = helper;
     action.work.route = work.route->name;
     action.work.topRecords = work.route->topRecords;
-    action.work.maxAttempts = work.route->maxAttempts;
     action.work.objective = work.route->objective;
     action.work.speakIn = work.pace->hedgeAfter();
     action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
@@ -123,7 +120,7 @@
         shard_call &call = work.calls[at];
         call.delegated = true;
         call.mayHaveRun = 1;
-        budgetOf(call.service).countRequest(1 - helperBudgetShare, now);
+        budgetOf(call.service).countRequest(now);
         action.work.shards.push_back(call.service);
     }
     delegation made;
@@ -152,56 +149,86 @@
         std::erase(work.delegations, id);
     }
     const auto valid = [&](std::uint32_t shard) { return shard < calls.size(); };
-    for (const std::uint32_t shard : progress.askedTwice) {
-        if (valid(shard)) {
-            work.calls[calls[shard]].mayHaveRun = 2;
+    takeParts(work, progress, calls);
+    for (const lost_shard &lost : progress.lost) {
+        if (valid(lost.shard) && work.calls[calls[lost.shard]].delegated && !work.ended) {
+            resumeCall(work, calls[lost.shard], lost, now);
+        }
+    }
+    for (const pending_shard &pending : progress.pending) {
+        if (valid(pending.shard)) {
+            notePending(work, calls[pending.shard], pending, now);
         }
     }
+    if (!work.ended) {
+        hedgeDue(work, now);
+    }
+    finishGatherIfDone(work, now);
+    schedule(work, now);
+    if (work.ended) {
+        erase(work.id);
+    }
+}
+
+/**
+ * Records of several shards come merged and can't be told apart again. If one of the shards was answered otherwise in
+ * the meantime, its records would count twice in the answer; a helper therefore tells shards of which a second leaf may
+ * be asked one by one, and what overlaps is left out.
+ */
+void gateway_engine::takeParts(exchange &work, delegated_progress &progress, std::span<const std::size_t> calls)
+{
+    const auto isOpen = [&](const delegated_part &part) {
+        return part.shard < calls.size() && !work.calls[calls[part.shard]].done && !work.calls[calls[part.shard]].missing;
+    };
+    const bool allOpen = std::ranges::all_of(progress.parts, isOpen);
     for (delegated_part &part : progress.parts) {
-        if (valid(part.shard) && !work.calls[calls[part.shard]].done && !work.calls[calls[part.shard]].missing) {
+        if (!allOpen && isOpen(part)) {
+            progress.lost.push_back({part.shard, true, true});
+        }
+        if (allOpen) {
             shard_call &call = work.calls[calls[part.shard]];
-            call.done = true;
             call.delegated = false;
+            call.done = true;
             call.part.stamp = std::move(part.stamp);
             work.done += 1;
         }
     }
-    work.mergedRecords.push_back(std::move(progress.records));
-    for (const lost_shard &lost : progress.lost) {
-        if (valid(lost.shard) && work.calls[calls[lost.shard]].delegated && !work.ended) {
-            resumeCall(work, calls[lost.shard], lost.attempts, "helper_gave_up", now);
-        }
+    if (allOpen) {
+        work.mergedRecords.push_back(std::move(progress.records));
     }
-    finishGatherIfDone(work, now);
-    schedule(work, now);
-    if (work.ended) {
-        erase(work.id);
+}
+
+/** The leaf that the helper asked is silent: this VM, which counts the attempts, may ask another. */
+void gateway_engine::notePending(exchange &work, std::size_t at, const pending_shard &pending, millis now)
+{
+    shard_call &call = work.calls[at];
+    if (call.done || call.missing || !call.delegated) {
+        return;
+    }
+    if (std::shared_ptr<leaf> asked = m_leafs.find(pending.leafId)) {
+        call.tried.push_back(std::move(asked));
     }
+    call.nextHedge = std::min(call.nextHedge, now);
 }
 
 /** Another VM no longer has the shard in hand; this one goes on if it may. */
-void gateway_engine::resumeCall(exchange &work,
-                                std::size_t at,
-                                unsigned attempts,
-                                std::string_view cause,
-                                millis now)
+void gateway_engine::resumeCall(exchange &work, std::size_t at, const lost_shard &lost, millis now)
 {
     shard_call &call = work.calls[at];
     call.delegated = false;
-    call.mayHaveRun = attempts;
-    call.sends = attempts;
-    if (call.done || call.missing) {
+    call.mayHaveRun -= lost.mayHaveRun ? 0 : 1;
+    if (call.done || call.missing || call.open > 0) {
         return;
     }
-    if (attempts > 0) {
-        retryCall(work, at, cause, now);
+    if (lost.mayHaveRun || lost.reachedLeaf) {
+        retryCall(work, at, "helper_gave_up", now);
         return;
     }
     const choice chosen = chooseLeaf(work, call, false, now);
     if (chosen.to) {
         sendCall(work, at, chosen.to, now);
     } else {
-        failCall(work, at, cause, now);
+        failCall(work, at, "no_leaf", now);
     }
 }
 
@@ -220,7 +247,8 @@
     note(work, "helper_given_up", cause, nullptr, {ended.helper}, now - work.arrivedAt, now);
     for (const std::size_t at : ended.calls) {
         if (work.calls[at].delegated && !work.ended) {
-            resumeCall(work, at, work.calls[at].mayHaveRun, cause, now);
+            // Whether a leaf got it is not known: it counts as run and as arrived.
+            resumeCall(work, at, {0, true, true}, now);
         }
     }
     schedule(work, now);
@@ -262,7 +290,7 @@
     route.idempotent = true;
     route.objective = asked.objective;
     route.timeout = asked.limitIn;
-    route.maxAttempts = asked.maxAttempts;
+    route.maxAttempts = 1;
     route.shards = asked.shards;
     route.topRecords = asked.topRecords;
     route.minCoverage = 0;
@@ -276,11 +304,13 @@
     work->speakBy = now + asked.speakIn;
     work->limit = now + asked.limitIn;
     addCalls(*work, route.shards);
+    if (!m_table) {
+        return refuseDelegated(*work, now); // just started: it knows no leafs yet
+    }
     const exchange_id id = work->id;
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
     for (std::size_t at = 0; at < kept.calls.size(); ++at) {
         shard_call &call = kept.calls[at];
-        budgetOf(call.service).countRequest(helperBudgetShare, now);
         const choice chosen = chooseLeaf(kept, call, false, now);
         if (chosen.to) {
             sendCall(kept, at, chosen.to, now);
@@ -292,7 +322,7 @@
         }
     }
     if (kept.missing > 0 && kept.missing < kept.calls.size()) {
-        tellProgress(kept, false); // the VM that waits may know a leaf that this one does not
+        tellProgress(kept, false, now); // the VM that waits may know a leaf that this one does not
     }
     finishGatherIfDone(kept, now);
     schedule(kept, now);
@@ -302,37 +332,77 @@
     return id;
 }
 
+exchange_id gateway_engine::refuseDelegated(exchange &work, millis now)
+{
+    std::ranges::for_each(work.calls, [](shard_call &call) { call.missing = true; });
+    tellProgress(work, true, now);
+    return work.id;
+}
+
+/** A leaf that could not be reached at all got nothing, so another one is the first. Anything else is for the VM that
+ *  counts the attempts to decide. */
+void gateway_engine::askElsewhere(exchange &work, std::size_t at, std::string_view cause, millis now)
+{
+    constexpr unsigned mostTries = 3;
+    shard_call &call = work.calls[at];
+    const bool first = !call.reachedLeaf && call.sends < mostTries;
+    const choice chosen = first ? chooseLeaf(work, call, false, now) : choice();
+    if (chosen.to) {
+        sendCall(work, at, chosen.to, now);
+        return;
+    }
+    failCall(work, at, cause, now);
+    if (!work.ended) {
+        tellProgress(work, false, now);
+    }
+}
+
 /** Tells what has come since the last word; nothing if nothing has, unless it is the first or the last. */
-void gateway_engine::tellProgress(exchange &work, bool last)
+void gateway_engine::tellProgress(exchange &work, bool last, millis now)
 {
-    progress_action action;
-    action.exchange = work.id;
-    action.progress.last = last;
+    const bool pendingDue = !work.pendingTold && now >= work.speakBy;
+    work.pendingTold = work.pendingTold || pendingDue;
+    delegated_progress word;
+    word.last = last;
     std::vector<std::string_view> parts;
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         shard_call &call = work.calls[at];
         const auto shard = static_cast<std::uint32_t>(at);
         if (call.done && !call.told) {
             call.told = true;
-            action.progress.parts.push_back({shard, call.part.stamp});
+            if (call.pendingTold) {
+                tellAlone(work, shard);
+                continue;
+            }
+            word.parts.push_back({shard, call.part.stamp});
             parts.emplace_back(call.part.body);
         } else if (call.missing && !call.told) {
             call.told = true;
-            action.progress.lost.push_back({shard, call.mayHaveRun});
-        } else if (!call.done && !call.missing) {
-            // Counted as asked twice from the first word on: the VM that waits can't know of what follows it.
-            action.progress.askedTwice.push_back(shard);
+            word.lost.push_back({shard, call.mayHaveRun > 0, call.reachedLeaf});
+        } else if (pendingDue && !call.done && !call.missing && !call.tried.empty()) {
+            call.pendingTold = true;
+            word.pending.push_back({shard, call.tried.back()->entry.id});
         }
     }
-    action.progress.records = mergeRecords(parts, work.route->topRecords);
+    word.records = mergeRecords(parts, work.route->topRecords);
     work.ended = work.ended || last;
-    const bool news = !action.progress.parts.empty() || !action.progress.lost.empty();
+    const bool news = !word.parts.empty() || !word.lost.empty() || !word.pending.empty();
     if (news || last || !work.spoke) {
         work.spoke = true;
-        m_actions.emplace_back(std::move(action));
+        m_actions.emplace_back(progress_action {work.id, std::move(word)});
     }
 }
 
+void gateway_engine::tellAlone(const exchange &work, std::uint32_t shard)
+{
+    const gateway_reply &part = work.calls[shard].part;
+    delegated_progress word;
+    word.parts.push_back({shard, part.stamp});
+    const std::vector<std::string_view> parts = {part.body};
+    word.records = mergeRecords(parts, work.route->topRecords);
+    m_actions.emplace_back(progress_action {work.id, std::move(word)});
+}
+
 void gateway_engine::onUnneeded(exchange_id id)
 {
     const auto found = m_exchanges.find(id);
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -43,7 +43,7 @@
 
 bool gateway_engine::takeBudget(const service_name &service, double reserve, millis now)
 {
-    constexpr double safety = 0.8; // of the fixed part: VMs that restart have forgotten what they spent
+    constexpr double safety = 0.75; // of the fixed part: VMs that restart have forgotten what they spent
     const double fixedPart = m_settings.retrySlack * safety / static_cast<double>(std::max<std::size_t>(1, m_fleetSize));
     return budgetOf(service).tryTake(fixedPart, reserve, now);
 }
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -81,8 +81,7 @@
     {
     }
 
-    /** @param weight the part of the request that counts here, if two VMs may send for it. */
-    void countRequest(double weight, millis now);
+    void countRequest(millis now);
 
     /** @param fixedPart extra sends allowed in each window besides the share of requests.
      *  @param reserve share of the allowance that stays untouched. @return whether the extra send may be made. */
--- a/libs/leafs/src/retry_budget.cpp
+++ b/libs/leafs/src/retry_budget.cpp
@@ -23,9 +23,9 @@
     return m_slices.back();
 }
 
-void retry_budget::countRequest(double weight, millis now)
+void retry_budget::countRequest(millis now)
 {
-    current(now).requests += weight;
+    current(now).requests += 1;
 }
 
 bool retry_budget::tryTake(double fixedPart, double reserve, millis now)
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -45,7 +45,7 @@
 {
     retry_budget budget(0.2, millis(10000));
     for (int at = 0; at < 100; ++at) {
-        budget.countRequest(1, millis(100 * at));
+        budget.countRequest(millis(100 * at));
     }
     unsigned taken = 0;
     while (budget.tryTake(1, 0, millis(10000))) {
