A reader is believed only once the store has answered it; a store gone silent is noticed within a third of the time

Change: a process that begins to read says so only after the first answer, which it asks for without waiting; watches end after 0.3 of the time in which a configuration must be in force (before: 0.7 of the calm time); patience with a reader in trouble is a share of that time too, and the word of trouble is passed on at once. Test: all seeds turned away.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -153,6 +153,9 @@
     millis seekFor {400}; ///< for a new process above; some round trips, far below what configuration may lag
     millis firstSeekFor {1500}; ///< after the start, when all start together and none listens yet
     std::size_t mostMembers = 256; ///< that are told of: a message of some kilobytes, and far more than are asked for help
+    millis seedPatience {300}; ///< with a process above whose store is lost, of one that is a seed itself
+    millis leastPatience {450}; ///< the same of others: between these two, each its own time, so that a store that
+    millis mostPatience {1050}; ///< is down for all is not called by all at once
     millis mergeInterval {3000}; ///< between a reader's looks for another reader to follow
 };
 
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -13,11 +13,6 @@
 constexpr std::size_t mostReferrals = 12; // some levels of the tree, two tries at each
 constexpr std::size_t referralsAtOnce = 2;
 constexpr double silentFollowerBeats = 6;
-// A store that turns the reader away may serve others: processes named as seeds try at once, the rest one by one, so
-// that a store that is down for all does not get a call from each of them in the same second.
-constexpr millis leastPatience(1500);
-constexpr millis mostPatience(5000);
-
 bool contains(std::span<const std::string> list, std::string_view one)
 {
     return std::ranges::find(list, one) != list.end();
@@ -31,7 +26,7 @@
 {
     for (const std::string &prefix : m_settings.prefixes) {
         m_views[prefix];
-        m_readOk[prefix] = true;
+        m_readOk[prefix] = false;
     }
 }
 
@@ -100,7 +95,8 @@
     dropCandidates(0);
     m_phase = phase::Reading;
     m_upstream = 0;
-    std::ranges::for_each(m_readOk, [](auto &one) { one.second = true; });
+    // Nobody is told that the store can be read before it has answered: those below would wait in vain.
+    std::ranges::for_each(m_readOk, [](auto &one) { one.second = false; });
     m_nextMerge = now + m_settings.mergeInterval * (1 + m_random.uniform());
     noteSize(subtree(), now);
     note("reads_store", std::string(why), millis());
@@ -142,10 +138,14 @@
 void fleet_node::onState(link_id link, const upstream_state &state, millis now)
 {
     if (link == m_upstream && m_phase == phase::Following) {
+        const bool changed = m_upstreamState.storeOk != state.storeOk;
         m_upstreamState = state;
         m_upstreamHeardAt = now;
         noteSize(state.fleetSize, now);
         setMembers(state.members);
+        if (changed) {
+            tellFollowers();
+        }
         if (contains(state.path, m_settings.address)) {
             loseUpstream("circle", now);
         }
@@ -211,8 +211,8 @@
     }
     if (m_upstreamBadUntil == millis::never()) {
         const bool isSeed = contains(m_settings.seeds, m_settings.address);
-        const millis patience = leastPatience + (mostPatience - leastPatience) * m_random.uniform();
-        m_upstreamBadUntil = isSeed ? now : now + patience;
+        const millis spread = (m_settings.mostPatience - m_settings.leastPatience) * m_random.uniform();
+        m_upstreamBadUntil = now + (isSeed ? m_settings.seedPatience : m_settings.leastPatience + spread);
     }
     if (now >= m_upstreamBadUntil) {
         m_actions.emplace_back(hang_up_action {m_upstream});
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -69,6 +69,7 @@
         m_nodes[at].storeCut = cut;
         if (m_nodes[at].node->isReading()) {
             m_nodes[at].node->onStoreState(prefix, !cut, m_now);
+            m_nodes[at].answered = !cut;
             collect(at);
         }
     }
@@ -128,6 +129,7 @@
         bool frozen = false;
         bool storeCut = false;
         bool reading = false;
+        bool answered = false;
         std::size_t members = 0;
         std::uint64_t readUpTo = 0;
     };
@@ -156,7 +158,14 @@
     void readStore(std::size_t at)
     {
         member &one = m_nodes[at];
-        if (!one.reading || one.storeCut || one.readUpTo == m_revision) {
+        if (!one.reading || one.storeCut) {
+            return;
+        }
+        if (!std::exchange(one.answered, true)) {
+            one.node->onStoreState(prefix, true, m_now);
+            collect(at);
+        }
+        if (one.readUpTo == m_revision) {
             return;
         }
         std::vector<store_item> items;
@@ -188,11 +197,9 @@
                 m_nodes[at].members = known->members.size();
             } else if (const auto *read = std::get_if<read_action>(&action)) {
                 m_nodes[at].reading = read->reading;
+                m_nodes[at].answered = false;
                 const store_view &view = m_nodes[at].node->view(prefix);
                 m_nodes[at].readUpTo = view.known() ? view.revision() : 0;
-                if (read->reading && m_nodes[at].storeCut) {
-                    m_nodes[at].node->onStoreState(prefix, false, m_now);
-                }
             }
         }
     }
@@ -339,6 +346,23 @@
 // Symptom: a VM that is cut off from its peers serves an old configuration.
 // Sequence: the links to all peers go silent, the store can be reached.
 // Cause: without anyone to follow, a process must read for itself.
+// Symptom: VMs that the store serves handle requests by an old configuration for eight seconds.
+// Sequence: the store turns all seeds away, the reader among them, without a sign; each that takes over claims to read
+// until its own call times out.
+// Cause: a reader was believed before the store had answered it.
+BOOST_AUTO_TEST_CASE(a_store_that_turns_all_seeds_away_is_read_by_the_rest)
+{
+    fake_fleet_of_nodes fleet(20, 4);
+    fleet.write("a", "1");
+    fleet.run(millis(3000));
+    for (std::size_t seed = 0; seed < 3; ++seed) {
+        fleet.cutFromStore(seed, true);
+    }
+    fleet.write("b", "2");
+    fleet.run(millis(1600));
+    BOOST_TEST(fleet.holders("b") >= 17U);
+}
+
 BOOST_AUTO_TEST_CASE(both_sides_of_a_cut_read_and_join_again)
 {
     fake_fleet_of_nodes fleet(8);
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -69,7 +69,8 @@
     std::vector<std::string> seeds; ///< addresses of a few of them; may be stale
     bool fleetStarts = false; ///< all processes start for the first time, so none can tell the others anything yet
     std::string storeAddress; ///< IP number and port
-    millis storeWait {3000}; ///< how long the store holds a watch; bounds how long a lost answer goes unnoticed
+    millis applyLimit {3000}; ///< from the store's word to a configuration in force everywhere
+    millis storeWait {900}; ///< how long the store holds a watch; bounds how long a lost answer goes unnoticed
     millis grace {6000}; ///< from SIGTERM to SIGKILL
     std::size_t maxConnections = 1000; ///< of callers at a time
     std::uint32_t logLinesPerSecond = 500;
--- a/libs/settings/src/gateway_settings.cpp
+++ b/libs/settings/src/gateway_settings.cpp
@@ -41,7 +41,7 @@
         "retry_window_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
         "drain_ms": {"type": "number", "exclusiveMinimum": 0},
         "grace_s": {"type": "number", "exclusiveMinimum": 0},
-        "stable_ms": {"type": "number", "minimum": 500},
+        "apply_ms": {"type": "number", "minimum": 500},
         "connections": {"type": "integer", "minimum": 16},
         "caller_round_trip_ms": {"type": "number", "minimum": 0, "maximum": 1000}
       }}
@@ -64,13 +64,13 @@
 }
 
 /**
- * The store's answer to a watch may be lost without a sign. The next call tells, so a watch must end well before what
- * it held back had to be in force: within the time that counts as calm after a trouble.
+ * A reader that the store has left without a sign notices when its watch is not answered; then another must read and
+ * tell all, within the time in which a configuration has to be in force. A third of it is for the notice.
  */
-millis waitWithin(millis stable)
+millis waitWithin(millis apply)
 {
-    constexpr double share = 0.7;
-    return stable * share;
+    constexpr double share = 0.3;
+    return apply * share;
 }
 
 } // namespace
@@ -93,9 +93,8 @@
             settings.metrics = readAddress(listen.at("metrics"));
         }
         const json &limits = document.at("limits");
-        if (limits.contains("stable_ms")) {
-            settings.storeWait = waitWithin(millis(limits.at("stable_ms").get<double>()));
-        }
+        take(limits, "apply_ms", settings.applyLimit);
+        settings.storeWait = waitWithin(settings.applyLimit);
         take(document.at("store"), "address", settings.storeAddress);
         take(document.at("store"), "wait_ms", settings.storeWait);
         settings.log = levelFrom(document.value("log", "info"));
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -11,6 +11,12 @@
 // After a restart callers wait already: whoever follows nobody by then reads for itself. Some round trips.
 constexpr millis restartSeekFor(250);
 
+// Shares of the time in which a configuration must be in force. A third of it passes until the reader notices that the
+// store has left it; the rest is for one more seed to fail, then each process by itself, and the reading.
+constexpr double seedPatienceShare = 0.08;
+constexpr double leastPatienceShare = 0.15;
+constexpr double mostPatienceShare = 0.33;
+
 std::string textOf(const listen_address &address)
 {
     return address.address + ":" + std::to_string(address.port);
@@ -23,6 +29,9 @@
     settings.zone = from.zone;
     settings.seeds = from.seeds;
     settings.prefixes = {std::string(platform::configPrefix), std::string(platform::leafPrefix)};
+    settings.seedPatience = from.applyLimit * seedPatienceShare;
+    settings.leastPatience = from.applyLimit * leastPatienceShare;
+    settings.mostPatience = from.applyLimit * mostPatienceShare;
     if (!from.fleetStarts) {
         settings.firstSeekFor = restartSeekFor;
     }
--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -16,9 +16,10 @@
 
 constexpr std::size_t readBytes = 65536;
 constexpr std::size_t mostBodyBytes = 16 << 20; // a page of a megabyte in base64, many times over
-constexpr millis answerLimit(700); // far above the few milliseconds that the store takes, below a second
+constexpr millis answerLimit(500); // far above the few milliseconds that the store takes
+constexpr millis firstWait(50);
 constexpr millis firstRetry(200);
-constexpr millis mostRetry(1000); // a store that is back is read again within about a second
+constexpr millis mostRetry(2000); // a store that is back is read again within about that time
 
 } // namespace
 
@@ -39,6 +40,7 @@
 {
     stop();
     m_started = true;
+    m_answered = false;
     m_watching = revision.has_value();
     m_revision = revision.value_or(0);
     ask();
@@ -67,13 +69,15 @@
 
 void store_reader::ask()
 {
-    const std::string target = m_watching ? platform::watchTarget(m_settings.prefix, m_revision, m_settings.wait)
+    // The first call tells whether the store serves this VM at all: it must not be held for long.
+    const millis wait = m_answered ? m_settings.wait : std::min(firstWait, m_settings.wait);
+    const std::string target = m_watching ? platform::watchTarget(m_settings.prefix, m_revision, wait)
                                           : platform::rangeTarget(m_settings.prefix, m_after);
     m_output = "GET " + target + " HTTP/1.1\r\nHost: " + m_settings.address + "\r\n\r\n";
     m_input.clear();
     m_reader.expect(false, mostBodyBytes);
     m_turn += 1;
-    armTimeout(m_watching ? m_settings.wait + answerLimit : answerLimit);
+    armTimeout(m_watching ? wait + answerLimit : answerLimit);
     if (m_socket) {
         write();
     } else {
@@ -164,6 +168,9 @@
         return;
     }
     regained();
+    if (!m_started) {
+        return; // the word made this process follow another one
+    }
     if (m_watching) {
         onWatch(response);
     } else {
@@ -218,8 +225,13 @@
         logEvent(log_level::Warning,
                  "store_lost",
                  {{"prefix", m_settings.prefix}, {"cause", std::string(cause)}, {"revision", m_revision}});
+    }
+    if (std::exchange(m_answered, false) || m_failures == 0) {
         m_listener.onStoreState(m_settings.prefix, false);
     }
+    if (!m_started) {
+        return; // the word made this process follow another one
+    }
     m_failures = std::min(m_failures + 1, 8U);
     const millis delay = std::min(firstRetry * static_cast<double>(1U << (m_failures - 1)), mostRetry);
     constexpr double jitter = 0.3; // so that VMs that lost the store together do not come back together
@@ -233,6 +245,8 @@
                  "store_regained",
                  {{"prefix", m_settings.prefix}, {"failures", std::uint64_t {m_failures}}, {"revision", m_revision}});
         m_failures = 0;
+    }
+    if (!std::exchange(m_answered, true)) {
         m_listener.onStoreState(m_settings.prefix, true);
     }
 }
--- a/programs/chivelockd/gateway/store_reader.h
+++ b/programs/chivelockd/gateway/store_reader.h
@@ -25,7 +25,7 @@
 struct store_reader_settings {
     std::string address; ///< IP number and port of the store
     std::string prefix;
-    millis wait {3000}; ///< how long the store holds a watch without news
+    millis wait {900}; ///< how long the store holds a watch without news; a store gone silent is not noticed sooner
     millis gather {150}; ///< pause after news, so that one call brings what changes together
 };
 
@@ -45,7 +45,7 @@
     /** What changed up to @p revision, oldest first. */
     virtual void onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision) = 0;
 
-    /** Whether calls are answered; told when it changes. */
+    /** Whether calls are answered; told after the first call and when it changes. */
     virtual void onStoreState(std::string_view prefix, bool ok) = 0;
 };
 
@@ -103,7 +103,8 @@
     std::vector<store_item> m_pages;
     std::uint64_t m_turn = 0; ///< rises when what is on its way is given up
     std::uint64_t m_calls = 0;
-    unsigned m_failures = 0;
+    unsigned m_failures = 0; ///< since the last answer
+    bool m_answered = false; ///< since the start or the last failure
     seeded_random m_random;
 };
 
