A soak of real processes over loopback; store probed by one prefix; beliefs about leafs are logged

From an id no line named the leaf that a request failed at.

A process that begins to read asks for one prefix until the store answers; readers of a trouble look for one to follow soon after it. send_in_vain and leaf_* lines.

--- a/libs/base/src/base.cpp
+++ b/libs/base/src/base.cpp
@@ -4,9 +4,9 @@
 #include <unistd.h>
 
 #include <chrono>
-#include <ctime>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 
 namespace chivelock {
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -61,8 +61,8 @@
     std::array<char, 40> text {};
     const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
     constexpr int millisPerSecond = 1000;
-    const int rest
-        = std::snprintf(text.data() + length, text.size() - length, ".%03d", static_cast<int>(sinceEpoch % millisPerSecond));
+    const int rest = std::snprintf(
+        text.data() + length, text.size() - length, ".%03d", static_cast<int>(sinceEpoch % millisPerSecond));
     return {text.data(), length + static_cast<std::size_t>(rest)};
 }
 
@@ -136,7 +136,8 @@
             writeAll();
             if (const std::uint64_t now = dropped; now != told) {
                 write({log_level::Warning,
-                       "time=" + timeNow() + " level=warning event=log_lines_dropped count=" + std::to_string(now - told)});
+                       "time=" + timeNow()
+                           + " level=warning event=log_lines_dropped count=" + std::to_string(now - told)});
                 told = now;
             }
         }
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -141,7 +141,6 @@
 /** Names one connection to another process of the fleet, as long as it lasts. */
 using link_id = std::uint64_t;
 
-
 struct fleet_settings {
     std::string address; ///< of this process, as others know it
     zone_name zone;
@@ -152,7 +151,8 @@
     millis silence {1100}; ///< without one, the process above counts as lost: two beats and some delay
     millis seekFor {400}; ///< for a new process above; some round trips, far below what configuration may lag
     millis firstSeekFor {1500}; ///< after the start, when all start together and none listens yet
-    std::size_t mostMembers = 256; ///< that are told of: a message of some kilobytes, and far more than are asked for help
+    std::size_t mostMembers =
+        256; ///< that are told of: a message of some kilobytes, and far more than are asked for help
     millis seedPatience {300}; ///< with a process above whose store is lost, of one that is a seed itself
     millis leastPatience {450}; ///< the same of others: between these two, each its own time, so that a store that
     millis mostPatience {1050}; ///< is down for all is not called by all at once
@@ -198,8 +198,8 @@
     millis input; ///< silence, or time spent
 };
 
-using fleet_action = std::
-    variant<dial_action, hang_up_action, tell_action, read_action, news_action, members_action, tree_note_action>;
+using fleet_action =
+    std::variant<dial_action, hang_up_action, tell_action, read_action, news_action, members_action, tree_note_action>;
 
 /** This process's place in the tree. */
 class fleet_node
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -71,7 +71,8 @@
 
 void fleet_node::dial(const std::string &address)
 {
-    const bool known = std::ranges::any_of(m_candidates, [&](const auto &one) { return one.second.address == address; });
+    const bool known =
+        std::ranges::any_of(m_candidates, [&](const auto &one) { return one.second.address == address; });
     if (known || address == m_settings.address || address.empty()) {
         return;
     }
@@ -328,9 +329,9 @@
     if (m_phase != phase::Reading) {
         return;
     }
-    if (!ok) {
-        m_nextMerge = std::min(m_nextMerge, now + m_settings.beat);
-    }
+    // In trouble another reader is wanted at once. Out of it, many may read who began in the trouble: all but one stop.
+    const millis soon = m_settings.beat * (1 + 2 * m_random.uniform());
+    m_nextMerge = std::min(m_nextMerge, now + soon);
     tellFollowers();
 }
 
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -59,6 +59,8 @@
     TimedOut ///< silence until the deadline: it may have run
 };
 
+[[nodiscard]] std::string_view toString(send_failure failure);
+
 /** Ask a leaf. */
 struct send_action {
     send_id id = 0;
@@ -107,9 +109,9 @@
     millis elapsed;
 };
 
-/** A decision that touches a request while it is under way; for the log. */
+/** A decision that touches a request while it is under way, or what is believed of a leaf; for the log. */
 struct note_action {
-    std::string requestId;
+    std::string requestId; ///< empty for a belief
     std::string_view event;
     std::string_view cause;
     std::string leafId;
@@ -336,11 +338,9 @@
     void begin(exchange &work, millis now);
     void beginSingle(exchange &work, millis now);
     void beginGather(exchange &work, millis now);
-    [[nodiscard]] choice
-    chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now);
+    [[nodiscard]] choice chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now);
     [[nodiscard]] double expectedCost(const leaf &candidate, const route_pace &pace, millis now);
-    [[nodiscard]] static bool
-    isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now);
+    [[nodiscard]] static bool isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now);
     [[nodiscard]] bool mayAsk(const leaf &candidate, millis now) const;
     [[nodiscard]] unsigned connectionShare(const service_name &service) const;
     void sendCall(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
@@ -386,6 +386,7 @@
               const service_name &service,
               millis input,
               millis now);
+    void noteBelief(std::string_view event, std::string_view cause, const leaf &about, millis input);
     [[nodiscard]] const service_name &pickShare(const gateway_route &route);
     void answerSingle(exchange &work, gateway_reply reply, millis now);
 
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -22,6 +22,19 @@
 
 } // namespace
 
+std::string_view toString(send_failure failure)
+{
+    switch (failure) {
+    case send_failure::NotSent:
+        return "not_sent";
+    case send_failure::Broken:
+        return "connection_broken";
+    case send_failure::TimedOut:
+        return "silent";
+    }
+    return "unknown";
+}
+
 std::string_view toString(exchange_outcome outcome)
 {
     switch (outcome) {
@@ -91,8 +104,8 @@
     work->route = route;
     work->pace = &paceOf(*route);
     work->arrivedAt = now;
-    const millis patience = request.patience ? patienceAfterWays(*request.patience, m_settings.callerRoundTrip)
-                                             : route->timeout;
+    const millis patience =
+        request.patience ? patienceAfterWays(*request.patience, m_settings.callerRoundTrip) : route->timeout;
     work->limit = now + std::min(patience, route->timeout);
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
     begin(kept, now);
@@ -232,6 +245,10 @@
     const bool notRun = reply.notRun || reply.wrongInstance;
     call.mayHaveRun -= notRun ? 1 : 0;
     call.reachedLeaf = true;
+    if (notRun || !reply.isSuccess()) {
+        const std::string_view cause = reply.wrongInstance ? "wrong_instance" : (notRun ? "refused" : "failed");
+        note(work, "send_in_vain", cause, ended.to.get(), call.service, now - ended.sentAt, now);
+    }
     if (!call.done && !call.missing) {
         if (notRun) {
             // It may be asked again if nobody else is left: what it refused it has not begun.
@@ -269,8 +286,9 @@
     call.open -= 1;
     call.mayHaveRun -= failure == send_failure::NotSent ? 1 : 0;
     call.reachedLeaf = call.reachedLeaf || failure != send_failure::NotSent;
+    note(work, "send_in_vain", toString(failure), ended.to.get(), call.service, now - ended.sentAt, now);
     if (!call.done && !call.missing) {
-        retryCall(work, ended.call, failure == send_failure::NotSent ? "not_sent" : "connection_broken", now);
+        retryCall(work, ended.call, toString(failure), now);
     }
     schedule(work, now);
     if (work.ended) {
@@ -315,8 +333,8 @@
     }
     constexpr unsigned refusalsBeyondAttempts = 2; // sends that did not run are no attempts, yet have an end too
     const bool mayRunAgain = call.mayHaveRun == 0 || work.route->idempotent;
-    const bool attemptsLeft = call.mayHaveRun < work.route->maxAttempts
-        && call.sends < work.route->maxAttempts + refusalsBeyondAttempts;
+    const bool attemptsLeft =
+        call.mayHaveRun < work.route->maxAttempts && call.sends < work.route->maxAttempts + refusalsBeyondAttempts;
     if (!mayRunAgain || !attemptsLeft || now >= work.limit) {
         failCall(work, at, cause, now);
         return;
--- a/libs/gateway/src/helpers.cpp
+++ b/libs/gateway/src/helpers.cpp
@@ -104,7 +104,10 @@
     return plan;
 }
 
-void gateway_engine::delegateCalls(exchange &work, const std::string &helper, std::vector<std::size_t> calls, millis now)
+void gateway_engine::delegateCalls(exchange &work,
+                                   const std::string &helper,
+                                   std::vector<std::size_t> calls,
+                                   millis now)
 {
     delegate_action action;
     action.id = m_nextId++;
@@ -178,7 +181,8 @@
 void gateway_engine::takeParts(exchange &work, delegated_progress &progress, std::span<const std::size_t> calls)
 {
     const auto isOpen = [&](const delegated_part &part) {
-        return part.shard < calls.size() && !work.calls[calls[part.shard]].done && !work.calls[calls[part.shard]].missing;
+        return part.shard < calls.size() && !work.calls[calls[part.shard]].done
+            && !work.calls[calls[part.shard]].missing;
     };
     const bool allOpen = std::ranges::all_of(progress.parts, isOpen);
     for (delegated_part &part : progress.parts) {
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -9,6 +9,7 @@
 
 constexpr double slowerStep = 1.35; // two slow answers outweigh the preference for the own zone
 constexpr double fasterStep = 0.8;
+constexpr double tellSlowAt = 2; // a log line when its times pass twice the usual
 constexpr double leastSlowness = 0.8;
 constexpr double mostSlowness = 30;
 constexpr double failureWeight = 0.3; // of the newest answer among the recent ones
@@ -44,7 +45,8 @@
 bool gateway_engine::takeBudget(const service_name &service, double reserve, millis now)
 {
     constexpr double safety = 0.75; // of the fixed part: VMs that restart have forgotten what they spent
-    const double fixedPart = m_settings.retrySlack * safety / static_cast<double>(std::max<std::size_t>(1, m_fleetSize));
+    const double fixedPart =
+        m_settings.retrySlack * safety / static_cast<double>(std::max<std::size_t>(1, m_fleetSize));
     return budgetOf(service).tryTake(fixedPart, reserve, now);
 }
 
@@ -58,11 +60,29 @@
     std::erase_if(ended.to->open, [&](const leaf::open_send &one) { return one.id == ended.id; });
 }
 
+/** For the log: what this process believes of a leaf has changed. */
+void gateway_engine::noteBelief(std::string_view event, std::string_view cause, const leaf &about, millis input)
+{
+    note_action belief;
+    belief.event = event;
+    belief.cause = cause;
+    belief.leafId = about.entry.id;
+    belief.service = about.entry.service.value;
+    belief.input = input;
+    m_actions.emplace_back(std::move(belief));
+}
+
 void gateway_engine::noteLeafReply(leaf &from, const send &ended, const gateway_reply &reply, millis now)
 {
     from.lastReplyAt = now;
+    if (from.downUntil > millis()) {
+        noteBelief("leaf_answers_again", "reply", from, now - ended.sentAt);
+    }
     from.failuresInRow = 0;
     from.downUntil = millis();
+    if (reply.wrongInstance && !from.misdirected) {
+        noteBelief("leaf_address_given_away", "wrong_instance", from, now - ended.sentAt);
+    }
     from.misdirected = from.misdirected || reply.wrongInstance;
     if (reply.load) {
         from.load = *reply.load;
@@ -82,8 +102,12 @@
     from.failing = from.failing * (1 - failureWeight) + share * failureWeight;
     from.failingAt = now;
     if (good) {
+        const bool wasSlow = from.slowness >= tellSlowAt;
         learnSlowness(from, took.count() / ended.pace->typical.estimate().count(), ended.sentAt, now);
         ended.pace->add(took);
+        if (wasSlow != (from.slowness >= tellSlowAt)) {
+            noteBelief(wasSlow ? "leaf_as_usual" : "leaf_slow", "reply_time", from, took);
+        }
     }
 }
 
@@ -94,6 +118,8 @@
     from.failingAt = now;
     if (failure != send_failure::Broken || from.failuresInRow >= brokenInRow) {
         from.downUntil = now + downFor(from.failuresInRow);
+        noteBelief(
+            "leaf_down", failure == send_failure::TimedOut ? "silent" : "unreachable", from, from.downUntil - now);
     }
 }
 
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -164,8 +164,8 @@
 
     [[nodiscard]] std::size_t runsAt(const std::string &service) const
     {
-        return static_cast<std::size_t>(std::ranges::count_if(
-            runs, [&](const auto &one) { return one.leafId.starts_with(service + "-"); }));
+        return static_cast<std::size_t>(
+            std::ranges::count_if(runs, [&](const auto &one) { return one.leafId.starts_with(service + "-"); }));
     }
 
     struct leaf_run {
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -30,10 +30,16 @@
 
 BOOST_AUTO_TEST_CASE(greatest_records_of_all_parts_in_falling_order)
 {
-    const std::string a = "0000000000000003" "0000000000000001";
-    const std::string b = "0000000000000002" "0000000000000003" "short";
+    const std::string a = "0000000000000003"
+                          "0000000000000001";
+    const std::string b = "0000000000000002"
+                          "0000000000000003"
+                          "short";
     const std::vector<std::string_view> parts = {a, b};
-    BOOST_TEST(mergeRecords(parts, 3) == "0000000000000003" "0000000000000003" "0000000000000002");
+    BOOST_TEST(mergeRecords(parts, 3)
+               == "0000000000000003"
+                  "0000000000000003"
+                  "0000000000000002");
     const std::string high(recordBytes, '\xff');
     const std::vector<std::string_view> unsignedOrder = {a, high};
     BOOST_TEST(mergeRecords(unsignedOrder, 1) == high);
@@ -305,8 +311,8 @@
     constexpr std::size_t lookups = 400; // within one window
     askSome(world, lookups, millis(20));
     world.run(millis(2000));
-    const auto arrived = std::ranges::count_if(
-        world.arrivals, [](const auto &one) { return one.leafId.starts_with("shard0-"); });
+    const auto arrived =
+        std::ranges::count_if(world.arrivals, [](const auto &one) { return one.leafId.starts_with("shard0-"); });
     const double extras = static_cast<double>(arrived) - lookups;
     BOOST_TEST(extras > 0.1 * lookups);
     BOOST_TEST(extras <= 0.2 * lookups + 20.0 / 4);
--- /dev/null
+++ b/libs/gateway/tests/two_vms.h
@@ -0,0 +1,241 @@
+#pragma once
+
+/** @file Two engines, one of which hands shards to the other, among fake leafs in virtual time. */
+
+#include "gateway_world.h"
+
+#include <array>
+
+namespace chivelock::testing {
+
+/** VM 0 takes the caller's requests; VM 1 is near the leafs. */
+class two_vms
+{
+public:
+    static constexpr std::size_t shards = 6;
+
+    two_vms()
+        : m_vms {std::make_unique<gateway_engine>(settingsOf("here"), 1),
+                 std::make_unique<gateway_engine>(settingsOf("there"), 2)}
+    {
+        for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+            publishTo(vm);
+        }
+        for (std::size_t shard = 0; shard < shards; ++shard) {
+            addLeaf(shard, "there");
+            addLeaf(shard, "there");
+        }
+        m_vms[0]->setHelpers({{"helper", {"there"}}});
+    }
+
+    /** @return the id of the leaf. */
+    std::string addLeaf(std::size_t shard, const std::string &zone)
+    {
+        leaf_entry entry;
+        entry.id = gateway_world::shardName(shard) + "-" + std::to_string(m_nextLeaf++);
+        entry.service = {gateway_world::shardName(shard)};
+        entry.zone = {zone};
+        entry.slots = 2;
+        for (const auto &vm : m_vms) {
+            vm->leafs().put(entry, now);
+        }
+        behaviours[entry.id] = {};
+        return entry.id;
+    }
+
+    void replaceHelper()
+    {
+        m_vms[1] = std::make_unique<gateway_engine>(settingsOf("there"), 3);
+    }
+
+    exchange_id ask()
+    {
+        const exchange_id id = m_vms[0]->arrive({"q", "h", "/all/x", millis(600)}, now);
+        act(0);
+        return id;
+    }
+
+    void leave(exchange_id id)
+    {
+        m_vms[0]->onCallerLeft(id, now);
+        act(0);
+    }
+
+    void loseLink()
+    {
+        linkCut = true;
+        m_vms[0]->onHelperLost("helper", now);
+        act(0);
+    }
+
+    void run(millis time)
+    {
+        const millis end = now + time;
+        while (true) {
+            const millis coming = m_coming.empty() ? millis::never() : m_coming.begin()->first;
+            const millis helperDue = helperFrozen ? millis::never() : m_vms[1]->nextDue();
+            const millis next = std::min({coming, m_vms[0]->nextDue(), helperDue});
+            if (next > end) {
+                break;
+            }
+            now = std::max(now, next);
+            if (coming <= now) {
+                const auto first = m_coming.begin();
+                const std::function<void()> deliver = first->second;
+                m_coming.erase(first);
+                deliver();
+            }
+            m_vms[0]->advance(now);
+            act(0);
+            if (!helperFrozen) {
+                m_vms[1]->advance(now);
+                act(1);
+            }
+        }
+        now = end;
+    }
+
+    [[nodiscard]] std::size_t mostRunsOfOneShard() const
+    {
+        std::map<std::string, std::size_t> counts;
+        std::size_t most = 0;
+        for (const std::string &id : runs) {
+            most = std::max(most, ++counts[id.substr(0, id.find('-'))]);
+        }
+        return most;
+    }
+
+    millis now {10000};
+    bool helperFrozen = false;
+    bool linkCut = false;
+    std::map<std::string, fake_behaviour> behaviours;
+    std::vector<std::string> runs; ///< ids of leafs that began to work
+    std::map<exchange_id, answer_action> answers;
+    std::array<std::size_t, 2> sends {}; ///< by each VM
+    std::size_t cancels = 0;
+
+private:
+    static constexpr millis hop {1};
+
+    static gateway_settings settingsOf(const std::string &zone)
+    {
+        gateway_settings settings;
+        settings.zone = {zone};
+        settings.retrySlack = 1000;
+        return settings;
+    }
+
+    void publishTo(std::size_t vm)
+    {
+        gateway_config config;
+        config.version = 1;
+        config.routes = {gateway_world::gatherRoute(shards, 0.8)};
+        for (const service_name &shard : config.routes.front().shards) {
+            config.services.push_back({shard, 100});
+        }
+        m_vms[vm]->applyConfig(std::move(config));
+        m_vms[vm]->setFleetSize(2);
+    }
+
+    void later(millis after, std::function<void()> what)
+    {
+        m_coming.emplace(now + after, std::move(what));
+    }
+
+    /** Messages to a frozen VM wait for it; those on a cut link are lost. */
+    void post(std::size_t to, std::function<void()> what)
+    {
+        if (linkCut) {
+            return;
+        }
+        later(hop, [this, to, what = std::move(what)] { deliver(to, what); });
+    }
+
+    void deliver(std::size_t to, const std::function<void()> &what)
+    {
+        if (to == 1 && helperFrozen) {
+            later(millis(5), [this, to, what] { deliver(to, what); });
+            return;
+        }
+        what();
+        act(to);
+    }
+
+    void act(std::size_t vm)
+    {
+        for (auto actions = m_vms[vm]->takeActions(); !actions.empty(); actions = m_vms[vm]->takeActions()) {
+            for (gateway_action &action : actions) {
+                std::visit([&](auto &one) { perform(vm, one); }, action);
+            }
+        }
+    }
+
+    void perform(std::size_t vm, send_action &sent)
+    {
+        sends[vm] += 1;
+        const std::string id = sent.to->entry.id;
+        const fake_behaviour behaviour = behaviours.at(id);
+        runs.push_back(id);
+        if (behaviour.silent) {
+            return;
+        }
+        later(behaviour.work, [this, vm, id, send = sent.id] {
+            gateway_reply reply;
+            reply.status = 200;
+            reply.stamp = "stamp-" + id;
+            reply.body = (id + std::string(recordBytes, '.')).substr(0, recordBytes);
+            m_vms[vm]->onReply(send, std::move(reply), now);
+            act(vm);
+        });
+    }
+
+    void perform(std::size_t, const cancel_action &)
+    {
+        cancels += 1;
+    }
+
+    void perform(std::size_t, answer_action &answer)
+    {
+        answers[answer.exchange] = std::move(answer);
+    }
+
+    void perform(std::size_t, const note_action &)
+    {
+    }
+
+    void perform(std::size_t, const delegate_action &action)
+    {
+        post(1, [this, action] { m_taken[action.id] = m_vms[1]->arriveDelegated("q", action.work, now); });
+    }
+
+    void perform(std::size_t, const delegate_cancel_action &action)
+    {
+        post(1, [this, action] {
+            if (action.callerLeft) {
+                m_vms[1]->onCallerLeft(m_taken[action.id], now);
+            } else {
+                m_vms[1]->onUnneeded(m_taken[action.id]);
+            }
+        });
+    }
+
+    void perform(std::size_t, const progress_action &action)
+    {
+        // The engine may answer before it has told its number: the last one handed over is meant.
+        post(0, [this, action] {
+            for (const auto &[delegation, exchange] : m_taken) {
+                if (exchange == action.exchange) {
+                    m_vms[0]->onProgress(delegation, action.progress, now);
+                    return;
+                }
+            }
+        });
+    }
+
+    std::array<std::unique_ptr<gateway_engine>, 2> m_vms;
+    unsigned m_nextLeaf = 0;
+    std::multimap<millis, std::function<void()>> m_coming;
+    std::map<delegation_id, exchange_id> m_taken;
+};
+
+} // namespace chivelock::testing
--- a/libs/http1/src/headers.cpp
+++ b/libs/http1/src/headers.cpp
@@ -42,8 +42,8 @@
 
 std::string_view findHeader(const http_headers &headers, std::string_view name)
 {
-    const auto found
-        = std::ranges::find_if(headers, [&](const http_header &header) { return sameHeaderName(header.name, name); });
+    const auto found =
+        std::ranges::find_if(headers, [&](const http_header &header) { return sameHeaderName(header.name, name); });
     return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
@@ -57,8 +57,7 @@
 
 bool isHopHeader(std::string_view name, const http_headers &all)
 {
-    const bool known
-        = std::ranges::any_of(hopHeaders, [&](std::string_view hop) { return sameHeaderName(hop, name); });
+    const bool known = std::ranges::any_of(hopHeaders, [&](std::string_view hop) { return sameHeaderName(hop, name); });
     return known || headerHasToken(all, "Connection", name);
 }
 
--- a/libs/http1/src/request_reader.cpp
+++ b/libs/http1/src/request_reader.cpp
@@ -168,8 +168,7 @@
 
 bool request_reader::wantsContinue() const
 {
-    return m_state->headDone
-        && boost::beast::iequals(m_state->parser->get()[http::field::expect], "100-continue");
+    return m_state->headDone && boost::beast::iequals(m_state->parser->get()[http::field::expect], "100-continue");
 }
 
 bool request_reader::begun() const
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -33,8 +33,9 @@
 BOOST_AUTO_TEST_CASE(bodies_come_by_length_and_in_chunks)
 {
     request_reader reader;
-    std::string input = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
-                        "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nfg";
+    std::string input =
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
+        "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nfg";
     BOOST_CHECK(reader.feed(input) == read_state::Complete);
     BOOST_TEST(reader.take().body == "abcde");
     BOOST_CHECK(reader.feed(input) == read_state::Complete);
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -50,11 +50,10 @@
         m_phase = phase::Writing;
         m_since = boot_clock().now();
         m_output = std::move(bytes);
-        asio::async_write(m_socket,
-                          asio::buffer(m_output),
-                          [self = shared_from_this(), close](const error_code &error, std::size_t) {
-                              self->onWritten(error, close);
-                          });
+        asio::async_write(
+            m_socket, asio::buffer(m_output), [self = shared_from_this(), close](const error_code &error, std::size_t) {
+                self->onWritten(error, close);
+            });
     }
 
     void closeIfIdle()
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -234,7 +234,8 @@
     platform::caller_marks marks = platform::readCallerMarks(request.headers);
     if (marks.requestId.empty()) {
         constexpr unsigned badRequest = 400;
-        m_callers->reply(session, platform::writeOwnAnswer(badRequest, "no_request_id", std::nullopt, m_stopping), m_stopping);
+        m_callers->reply(
+            session, platform::writeOwnAnswer(badRequest, "no_request_id", std::nullopt, m_stopping), m_stopping);
         return;
     }
     caller_request asked;
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -23,7 +23,11 @@
 
 namespace chivelock {
 
-class gateway_service : public kernel_service, public request_listener, public send_listener, public feed_listener, public helper_listener
+class gateway_service : public kernel_service,
+                        public request_listener,
+                        public send_listener,
+                        public feed_listener,
+                        public helper_listener
 {
 public:
     static constexpr std::string_view serviceName = "gateway";
--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -47,7 +47,8 @@
     m_mesh.close();
 }
 
-/** Each VM chooses by its own weights, so that all are chosen about equally often and few choices change with one VM. */
+/** Each VM chooses by its own weights, so that all are chosen about equally often and few choices change with one VM.
+ */
 void helper_links::setMembers(const std::vector<fleet_member> &members)
 {
     std::map<zone_name, std::vector<std::pair<std::uint64_t, std::string>>> byZone;
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -2,7 +2,8 @@
 
 /**
  * @file
- * Links to VMs that ask leafs for this one, and from those for which this one asks. Keeps a few open: some in each zone.
+ * Links to VMs that ask leafs for this one, and from those for which this one asks. Keeps a few open: some in each
+ * zone.
  */
 
 #include "peer_mesh.h"
--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -22,7 +22,8 @@
 
 constexpr std::size_t readBytes = 8192; // the answer of most leafs in one read
 constexpr std::size_t mostBodyBytes = 8 << 20; // far above any answer; bounds what a faulty leaf can make us hold
-constexpr millis connectLimit(250); // some round trips within a region; a lost opening packet is repeated after a second
+constexpr millis
+    connectLimit(250); // some round trips within a region; a lost opening packet is repeated after a second
 constexpr millis idleGuess(4000); // kept without a word from the leaf on how long
 constexpr double idleShare = 0.7; // of the leaf's time: its close and our request must not cross
 constexpr millis onceIdle(500); // for requests that must not run twice: a close that crosses one can't be made good
@@ -60,9 +61,8 @@
                 self->fail(send_failure::NotSent);
             }
         });
-        m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code &failed) {
-            self->onConnected(failed);
-        });
+        m_socket.async_connect(*endpoint,
+                               [self = shared_from_this()](const error_code &failed) { self->onConnected(failed); });
     }
 
     void use(leaf_message message)
@@ -129,8 +129,7 @@
         m_written = false;
         m_strays = 0;
         m_reader.expect(m_message.toHead, mostBodyBytes);
-        m_output
-            = platform::completeLeafRequest(*m_message.text, m_message.remaining - spent, m_message.to->entry.id);
+        m_output = platform::completeLeafRequest(*m_message.text, m_message.remaining - spent, m_message.to->entry.id);
         m_pool.m_counts.sent += 1;
         asio::async_write(
             m_socket, asio::buffer(m_output), [self = shared_from_this()](const error_code &error, std::size_t count) {
@@ -143,10 +142,9 @@
 
     void read()
     {
-        m_socket.async_read_some(asio::buffer(m_chunk),
-                                 [self = shared_from_this()](const error_code &error, std::size_t count) {
-                                     self->onRead(error, count);
-                                 });
+        m_socket.async_read_some(
+            asio::buffer(m_chunk),
+            [self = shared_from_this()](const error_code &error, std::size_t count) { self->onRead(error, count); });
     }
 
     void onRead(const error_code &error, std::size_t count)
@@ -310,7 +308,7 @@
     if (idle == m_idle.end() || idle->second.empty()) {
         return nullptr;
     }
-    const auto newest = idle->second.back();
+    auto newest = idle->second.back();
     if (!newest->usableFor(message, boot_clock().now()) || (message.once && !newest->isQuiet())) {
         closeIdleOf(message.to->entry.id); // the others have been idle for longer
         return nullptr;
--- a/programs/chivelockd/gateway/peer_mesh.cpp
+++ b/programs/chivelockd/gateway/peer_mesh.cpp
@@ -136,14 +136,13 @@
             return;
         }
         m_inFlight.swap(m_waiting);
-        asio::async_write(m_socket,
-                          asio::buffer(m_inFlight),
-                          [self = shared_from_this()](const error_code &error, std::size_t) {
-                              self->m_inFlight.clear();
-                              if (!error) {
-                                  self->write(); // a failure shows at the read as well
-                              }
-                          });
+        asio::async_write(
+            m_socket, asio::buffer(m_inFlight), [self = shared_from_this()](const error_code &error, std::size_t) {
+                self->m_inFlight.clear();
+                if (!error) {
+                    self->write(); // a failure shows at the read as well
+                }
+            });
     }
 
     void lose()
--- a/programs/chivelockd/gateway/serve_gateway.cpp
+++ b/programs/chivelockd/gateway/serve_gateway.cpp
@@ -40,7 +40,8 @@
 private:
     [[nodiscard]] std::pair<std::int64_t, std::int64_t> modified() const
     {
-        struct stat facts {};
+        struct stat facts {
+        };
         if (stat(m_path.c_str(), &facts) != 0) {
             return {};
         }
@@ -55,9 +56,10 @@
 {
     auto settings = loadGatewaySettings(path);
     if (!settings) {
-        logEvent(log_level::Error,
-                 "settings_refused",
-                 {{"reason", std::string(reason)}, {"cause", settings.error()}, {"outcome", std::string("old_ones_kept")}});
+        logEvent(
+            log_level::Error,
+            "settings_refused",
+            {{"reason", std::string(reason)}, {"cause", settings.error()}, {"outcome", std::string("old_ones_kept")}});
         return;
     }
     logEvent(log_level::Info, "settings_reloaded", {{"reason", std::string(reason)}});
@@ -97,9 +99,8 @@
 
 tl::expected<gateway_daemon_settings, std::string> loadGatewaySettings(const std::string &path)
 {
-    return readFile(path).and_then([](const std::string &text) {
-        return readGatewaySettings(text).map_error(problemLines);
-    });
+    return readFile(path).and_then(
+        [](const std::string &text) { return readGatewaySettings(text).map_error(problemLines); });
 }
 
 int serveGateway(const gateway_daemon_settings &settings, const std::string &settingsPath, int signals)
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -2,6 +2,8 @@
 
 #include <platform/platform.h>
 
+#include <algorithm>
+
 namespace chivelock {
 
 namespace {
@@ -127,6 +129,9 @@
 
 void store_feed::onStoreState(std::string_view prefix, bool ok)
 {
+    if (ok && prefix == m_prefixes.front()) {
+        startOthers();
+    }
     m_node.onStoreState(prefix, ok, m_clock.now());
     flush();
 }
@@ -169,15 +174,28 @@
     m_mesh.tell(action.link, encodeFleetFrame(action.message));
 }
 
+/** One prefix tells whether the store answers; the others are asked for only then, so that a store that is down for the
+ *  whole fleet gets half the calls. */
 void store_feed::perform(const read_action &action)
 {
-    for (std::size_t at = 0; at < m_prefixes.size(); ++at) {
-        if (!action.reading) {
-            m_readers[at]->stop();
-            continue;
+    std::ranges::for_each(m_readers, [](const auto &reader) { reader->stop(); });
+    if (action.reading) {
+        startReader(0);
+    }
+}
+
+void store_feed::startReader(std::size_t at)
+{
+    const store_view &view = m_node.view(m_prefixes[at]);
+    m_readers[at]->start(view.known() ? std::optional(view.revision()) : std::nullopt);
+}
+
+void store_feed::startOthers()
+{
+    for (std::size_t at = 1; at < m_readers.size(); ++at) {
+        if (!m_readers[at]->isStarted()) {
+            startReader(at);
         }
-        const store_view &view = m_node.view(m_prefixes[at]);
-        m_readers[at]->start(view.known() ? std::optional(view.revision()) : std::nullopt);
     }
 }
 
@@ -195,7 +213,9 @@
 {
     logEvent(log_level::Info,
              action.event,
-             {{"about", action.about}, {"input_ms", action.input.ceiled()}, {"fleet", std::uint64_t {m_node.fleetSize(m_clock.now())}}});
+             {{"about", action.about},
+              {"input_ms", action.input.ceiled()},
+              {"fleet", std::uint64_t {m_node.fleetSize(m_clock.now())}}});
 }
 
 } // namespace chivelock
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -61,6 +61,8 @@
     void onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision) override;
     void onStoreState(std::string_view prefix, bool ok) override;
 
+    void startReader(std::size_t at);
+    void startOthers();
     void tick();
     void flush();
     void perform(const dial_action &action);
--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t mostBodyBytes = 16 << 20; // a page of a megabyte in base64, many times over
 constexpr millis answerLimit(500); // far above the few milliseconds that the store takes
 constexpr millis firstWait(50);
-constexpr millis firstRetry(200);
+constexpr millis firstRetry(400);
 constexpr millis mostRetry(2000); // a store that is back is read again within about that time
 
 } // namespace
@@ -144,7 +144,7 @@
     });
 }
 
-void store_reader::onAnswer(http_response response)
+void store_reader::onAnswer(const http_response &response)
 {
     m_timeout.cancel();
     m_turn += 1;
--- a/programs/chivelockd/gateway/store_reader.h
+++ b/programs/chivelockd/gateway/store_reader.h
@@ -39,8 +39,7 @@
     virtual ~store_listener() = default;
 
     /** All items under the prefix, as of @p revision or later. */
-    virtual void
-    onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision) = 0;
+    virtual void onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision) = 0;
 
     /** What changed up to @p revision, oldest first. */
     virtual void onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision) = 0;
@@ -66,6 +65,11 @@
     /** Asks anew on a new connection: this process stood still, what it waits for may never come. */
     void refresh();
 
+    [[nodiscard]] bool isStarted() const
+    {
+        return m_started;
+    }
+
     /** Calls made since the start. */
     [[nodiscard]] std::uint64_t calls() const
     {
@@ -77,7 +81,7 @@
     void connect();
     void write();
     void read(std::uint64_t turn);
-    void onAnswer(http_response response);
+    void onAnswer(const http_response &response);
     void onRange(const http_response &response);
     void onWatch(const http_response &response);
     void lose(std::string_view cause);
--- a/programs/chivelockd/main.cpp
+++ b/programs/chivelockd/main.cpp
@@ -6,9 +6,9 @@
 #include "answer_writer.h"
 #include "caller_http.h"
 #include "decision_service.h"
+#include "gateway/serve_gateway.h"
 #include "leaf_client.h"
 #include "peer_link.h"
-#include "gateway/serve_gateway.h"
 #include "platform_watch.h"
 #include "settings_file.h"
 
@@ -66,8 +66,7 @@
 
 tl::expected<daemon_settings, std::string> loadSettings(const std::string &path)
 {
-    return readFile(path).and_then(
-        [](const std::string &text) { return readSettings(text).map_error(problemLines); });
+    return readFile(path).and_then([](const std::string &text) { return readSettings(text).map_error(problemLines); });
 }
 
 /** Fresh for each start; the wall clock makes it rise over restarts of the same VM. */
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,400 @@
+#!/usr/bin/env python3
+"""Randomized soak: real gateway processes among stand-ins over loopback, with faults from outside.
+
+    soak/soak.py PROGRAM [--seeds 1-50] [--seconds 12]
+
+Checks what callers and leafs see, never what the product says of itself. Exit code 1 if a promise broke; the seed and
+the processes' logs are named. Signals go only to processes that this program started.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "platform" / "standin"))
+import platform_standin as platform  # noqa: E402
+
+HOST = "soak.example"
+SHARDS, VMS, TOP, LEAST = 6, 4, 10, 0.6
+DRAIN_S, GRACE_S, MAX_ATTEMPTS = 3.0, 6.0, 2
+APPLY_S = 3.0
+
+
+class Proxy:
+    """A relay in front of one gateway's store: `mode` ok, slow, cut (silent both ways) or reset."""
+
+    def __init__(self, target):
+        self.target, self.mode, self.writers = target, "ok", set()
+
+    async def start(self, address, port):
+        self.server = await asyncio.start_server(self._relay, address, port)
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _relay(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            there, out = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.close()
+            return
+        self.writers |= {writer, out}
+        await asyncio.gather(self._pump(reader, out), self._pump(there, writer), return_exceptions=True)
+        for one in (writer, out):
+            self.writers.discard(one)
+            one.close()
+
+    async def _pump(self, source, sink):
+        while data := await source.read(65536):
+            if self.mode == "cut":
+                await asyncio.sleep(3600)
+            if self.mode == "slow":
+                await asyncio.sleep(0.2)
+            sink.write(data)
+            await sink.drain()
+        sink.close()
+
+
+class Gateway:
+    def __init__(self, program, folder, at, port, store_port, seeds):
+        self.ip, self.at = f"127.0.2.{at + 1}", at
+        self.port, self.folder, self.program = port, folder, program
+        settings = {
+            "vm": f"vm-{at}", "zone": f"z{at % 2}", "cpu_share": 0.05, "fleet_starts": False,
+            "listen": {"callers": f"{self.ip}:{port}", "readiness": f"{self.ip}:{port + 1}",
+                       "peers": f"{self.ip}:{port + 2}", "helper_port": port + 3},
+            "store": {"address": f"127.0.2.{at + 1}:{store_port}"}, "seeds": seeds,
+            "limits": {"retry_ratio": 0.2, "retry_slack": 56, "retry_window_s": 10, "drain_ms": DRAIN_S * 1000,
+                       "grace_s": GRACE_S, "apply_ms": APPLY_S * 1000}}
+        self.settings = folder / f"vm-{at}.json"
+        self.settings.write_text(json.dumps(settings))
+        self.process, self.troubled_until, self.stopping, self.frozen = None, 0.0, False, False
+        self.planned_since = None  # a planned stop is under way
+
+    async def start(self):
+        log = open(self.folder / f"vm-{self.at}.log", "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.program, "--gateway", "--settings", str(self.settings), stdout=log, stderr=log)
+        log.close()
+        self.troubled_until, self.stopping, self.planned_since = time.monotonic() + 1.5, False, None
+
+    def send(self, what):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(what)
+
+
+class Soak:
+    def __init__(self, program, seed, seconds, folder):
+        self.random = random.Random(seed)
+        self.seed, self.seconds, self.folder, self.program = seed, seconds, folder, program
+        self.port = 10000 + (os.getpid() * 37 + seed * 101) % 20000  # below the system's own choice of ports
+        self.store, self.leafs, self.gone = platform.Store(), [], []
+        self.attempts, self.problems, self.counts = {}, [], {"asked": 0, "ok": 0, "calm": 0, "calm_ok": 0}
+        self.version, self.sets = 0, []
+        self.running, self.played, self.cut_by_stop = True, [], set()
+
+    def broken(self, promise, text):
+        self.problems.append(f"seed {self.seed}: {promise}: {text}")
+
+    async def add_leaf(self, service, zone):
+        leaf = platform.Leaf(service, zone, "127.0.2.9", 0)
+        await leaf.start()
+        self.leafs.append(leaf)
+        self.store.write(f"servers/{leaf.id}", leaf.entry())
+        return leaf
+
+    def publish(self, shards):
+        self.version += self.random.randint(1, 3)
+        self.sets.append(set(shards))
+        self.store.write("op/config", platform.config(
+            self.version, HOST, {"/all/": (shards, TOP, LEAST)}, {"/one/": ("single", True), "/once/": ("single", False)}))
+
+    async def prepare(self):
+        store_port = self.port + 5
+        await self.store.serve("127.0.2.9", store_port)
+        self.shards = [f"s{n}" for n in range(SHARDS)]
+        for shard in self.shards + ["single"]:
+            for zone in ("z0", "z1"):
+                await self.add_leaf(shard, zone)
+        self.publish(self.shards)
+        seeds = [f"127.0.2.{at + 1}:{self.port + 2}" for at in range(2)]
+        self.proxies, self.vms = [], []
+        for at in range(VMS):
+            proxy = Proxy(("127.0.2.9", store_port))
+            await proxy.start(f"127.0.2.{at + 1}", store_port)
+            self.proxies.append(proxy)
+            self.vms.append(Gateway(self.program, self.folder, at, self.port, store_port, seeds))
+            await self.vms[-1].start()
+        await asyncio.sleep(1.5)
+
+    # ---- faults, each undone after a while
+
+    async def faults(self):
+        end = time.monotonic() + self.seconds
+        kinds = [self.kill, self.freeze, self.stop, self.hang_up, self.store_fault, self.leaf_fault, self.drain,
+                 self.crash_leaf, self.reconfigure, self.reshard, self.proxy_fault, self.forget]
+        tasks = []
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+            kind = self.random.choice(kinds)
+            self.played.append(kind.__name__)
+            tasks.append(asyncio.create_task(kind()))
+        await asyncio.gather(*tasks)
+        for vm in self.vms:
+            vm.send(signal.SIGCONT)
+
+    def pick_vm(self):
+        idle = [vm for vm in self.vms if not vm.stopping and not vm.frozen]
+        return self.random.choice(idle) if len(idle) > 1 else None
+
+    async def kill(self):
+        if vm := self.pick_vm():
+            vm.troubled_until = time.monotonic() + 3
+            vm.stopping = True
+            vm.send(signal.SIGKILL)
+            await vm.process.wait()
+            await asyncio.sleep(self.random.uniform(0.1, 1.0))
+            await vm.start()
+
+    async def freeze(self):
+        if vm := self.pick_vm():
+            pause = self.random.uniform(0.3, 2.0)
+            vm.troubled_until, vm.frozen = time.monotonic() + pause + 1.5, True
+            vm.send(signal.SIGSTOP)
+            await asyncio.sleep(pause)
+            vm.send(signal.SIGCONT)
+            vm.frozen = False
+
+    async def stop(self):
+        if vm := self.pick_vm():
+            vm.stopping, began = True, time.monotonic()
+            vm.planned_since = began
+            vm.send(signal.SIGTERM)
+            try:
+                await asyncio.wait_for(vm.process.wait(), GRACE_S)
+            except asyncio.TimeoutError:
+                self.broken("stop", f"vm-{vm.at} still ran {time.monotonic() - began:.1f} s after SIGTERM")
+                vm.send(signal.SIGKILL)
+                await vm.process.wait()
+            await vm.start()
+
+    async def hang_up(self):
+        if vm := self.pick_vm():
+            vm.send(signal.SIGHUP)
+
+    async def store_fault(self):
+        self.store.mode = self.random.choice(["down", "silent"])
+        await asyncio.sleep(self.random.uniform(0.5, 2.5))
+        self.store.mode = "ok"
+
+    async def proxy_fault(self):
+        proxy = self.random.choice(self.proxies)
+        proxy.mode = self.random.choice(["slow", "cut", "reset"])
+        if proxy.mode == "reset":
+            proxy.reset_all()
+        await asyncio.sleep(self.random.uniform(0.5, 2.5))
+        proxy.mode = "ok"
+        proxy.reset_all()
+
+    async def forget(self):
+        self.store.forget()
+
+    async def leaf_fault(self):
+        leaf = self.random.choice(self.leafs)
+        leaf.mode = self.random.choice(["silent", "refuse", "fail", "break", "stray"])
+        await asyncio.sleep(self.random.uniform(0.3, 2.0))
+        leaf.mode = "ok"
+
+    def others(self, leaf):
+        return [o for o in self.leafs if o.service == leaf.service and o is not leaf and not o.draining]
+
+    async def drain(self):
+        leaf = self.random.choice(self.leafs)
+        if leaf.draining or not self.others(leaf):
+            return
+        leaf.draining = True
+        self.store.write(f"servers/{leaf.id}", leaf.entry())
+        stable = self.store.mode == "ok" and all(p.mode == "ok" for p in self.proxies)
+        leaf.stopped_at = time.monotonic() if stable else None
+        await asyncio.sleep(DRAIN_S + 1.5)
+        leaf.checked_until = time.monotonic()
+        self.retire(leaf)
+        await self.add_leaf(leaf.service, leaf.zone)
+
+    async def crash_leaf(self):
+        leaf = self.random.choice(self.leafs)
+        if leaf.draining or not self.others(leaf):
+            return
+        leaf.draining = True
+        self.retire(leaf)
+        await asyncio.sleep(0.5)
+        replacement = platform.Leaf(self.random.choice(["single", leaf.service]), leaf.zone, leaf.address, leaf.port)
+        await replacement.start()  # at the same address, perhaps of another service
+        self.leafs.append(replacement)
+        self.store.write(f"servers/{replacement.id}", replacement.entry())
+        if replacement.service != leaf.service:
+            await self.add_leaf(leaf.service, leaf.zone)
+
+    def retire(self, leaf):
+        leaf.kill()
+        if leaf in self.leafs:
+            self.leafs.remove(leaf)
+        self.gone.append(leaf)
+        self.store.write(f"servers/{leaf.id}", None)
+
+    async def reconfigure(self):
+        self.publish(self.shards)
+
+    async def reshard(self):
+        fresh = [f"s{self.version}x{n}" for n in range(self.random.randint(4, 8))]
+        for shard in fresh:
+            for zone in ("z0", "z1"):
+                await self.add_leaf(shard, zone)
+        await asyncio.sleep(0.5)
+        self.shards = fresh
+        self.publish(fresh)
+
+    # ---- callers
+
+    async def caller(self, number):
+        source, connections = random.Random(f"{self.seed}/{number}"), platform.Caller()
+        while self.running:
+            vm = self.vms[source.randrange(VMS)]
+            path = source.choice(["/all/", "/all/", "/one/", "/once/"])
+            self.counts["asked"] += 1
+            request_id = f"q{self.seed}-{number}-{self.counts['asked']}"
+            began = time.monotonic()
+            calm = not vm.stopping and not vm.frozen and vm.troubled_until < began
+            once = path == "/once/"
+            answer = await connections.ask(vm.ip, vm.port, "POST" if once else "GET", path + "x", request_id, 800,
+                                           b"entry" if once else b"", HOST)
+            planned = vm.planned_since is not None and vm.planned_since <= time.monotonic()
+            calm = calm and not vm.stopping and not vm.frozen
+            self.attempts[request_id] = (path, answer)
+            if answer is None and planned and vm.troubled_until < began:
+                self.cut_by_stop.add(request_id)
+            self.counts["calm"] += calm
+            self.counts["calm_ok"] += calm and answer is not None
+            self.counts["ok"] += answer is not None and answer[0] == 200
+            if calm and answer is None and vm.troubled_until < began:
+                self.broken("one final answer", f"{request_id} at vm-{vm.at}, which nothing troubled, got none")
+            await asyncio.sleep(source.uniform(0.0, 0.06))
+
+    # ---- promises
+
+    def check(self):
+        runs = {}
+        for leaf in self.leafs + self.gone:
+            for request_id, method, path, body, at in leaf.runs:
+                runs.setdefault(request_id, []).append((leaf, at))
+                if request_id not in self.attempts:
+                    continue
+                if not path.startswith(self.attempts[request_id][0]):
+                    self.broken("unchanged", f"{request_id} reached a leaf as {path}")
+                if leaf.stopped_at and at > leaf.stopped_at + DRAIN_S:
+                    self.broken("draining", f"{request_id} ran on {leaf.id} {at - leaf.stopped_at:.2f} s after its word")
+        for request_id, (path, answer) in self.attempts.items():
+            self.check_one(request_id, path, answer, runs.get(request_id, []))
+
+    def check_one(self, request_id, path, answer, runs):
+        if path == "/once/" and len(runs) > 1:
+            self.broken("at most once", f"{request_id} ran on {[leaf.id for leaf, _ in runs]}")
+        by_service = {}
+        for leaf, _ in runs:
+            by_service.setdefault(leaf.service, set()).add(leaf.id)
+        if any(len(ids) > MAX_ATTEMPTS for ids in by_service.values()):
+            self.broken("attempts", f"{request_id} ran on {by_service}")
+        if answer is None:
+            if request_id in self.cut_by_stop and runs:
+                self.broken("planned stop", f"{request_id} was passed on and its connection ended without an answer")
+            return
+        if answer[0] in (408, 421, 429, 503) and runs:
+            self.broken("not run", f"{request_id} got {answer[0]} and ran on {[leaf.id for leaf, _ in runs]}")
+        if answer[0] == 200 and path == "/all/":
+            self.check_merged(request_id, answer, runs)
+        elif answer[0] == 200:
+            good = [leaf for leaf, _ in runs if answer[2] == leaf.records(request_id)]
+            if not good or answer[1].get("response-stamp") != platform.digest_of(good[0].id, request_id, answer[2]):
+                self.broken("own answer", f"{request_id} got bytes of no leaf that ran it")
+
+    def check_merged(self, request_id, answer, runs):
+        digests, missing = platform.merged_answer(answer)
+        known = {platform.digest_of(leaf.id, request_id, leaf.records(request_id)): leaf for leaf, _ in runs}
+        if len(set(digests)) != len(digests) or not set(digests) <= set(known):
+            self.broken("parts", f"{request_id} names parts that no leaf gave: {digests}")
+            return
+        parts = [known[d] for d in digests]
+        services = {leaf.service for leaf in parts}
+        sets = [s for s in self.sets if services <= s and len(services) + missing == len(s)]
+        if len(services) != len(parts) or not sets:
+            self.broken("one version", f"{request_id}: {sorted(services)} and {missing} missing are no published set")
+        records = [leaf.records(request_id) for leaf in parts]
+        pieces = [r[at:at + platform.RECORD] for r in records for at in range(0, len(r), platform.RECORD)]
+        if b"".join(sorted(pieces, reverse=True)[:TOP]) != answer[2]:
+            self.broken("greatest records", request_id)
+        if len(parts) < LEAST * (len(parts) + missing):
+            self.broken("coverage", f"{request_id}: {len(parts)} of {len(parts) + missing}")
+
+    async def run(self):
+        await self.prepare()
+        callers = [asyncio.create_task(self.caller(n)) for n in range(8)]
+        await self.faults()
+        await asyncio.sleep(1.0)
+        self.running = False
+        await asyncio.gather(*callers)
+        self.check()
+        for vm in self.vms:
+            if vm.process.returncode not in (None, 0):
+                self.broken("ends", f"vm-{vm.at} ended by itself with {vm.process.returncode}")
+            vm.send(signal.SIGKILL)
+            await vm.process.wait()
+        if self.counts["ok"] < self.counts["asked"] * 0.3:
+            self.broken("service", f"only {self.counts['ok']} of {self.counts['asked']} answered")
+        return self
+
+
+def seeds_from(text):
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+async def played(soak):
+    # Connections of the stand-ins that are cut at the end are no finding.
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    return await soak.run()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("program")
+    parser.add_argument("--seeds", default="1-3")
+    parser.add_argument("--seconds", type=float, default=12)
+    options = parser.parse_args()
+    failed = 0
+    for seed in seeds_from(options.seeds):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder)))
+        for problem in soak.problems[:10]:
+            print(problem)
+        failed += bool(soak.problems)
+        kept = f" logs {folder}" if soak.problems else ""
+        print(f"seed {seed}: {soak.counts['ok']} of {soak.counts['asked']} answered, "
+              f"{soak.counts['calm_ok']} of {soak.counts['calm']} at calm VMs, {len(soak.played)} faults, "
+              f"{len(soak.problems)} promises broken{kept}", flush=True)
+    print(f"{len(seeds_from(options.seeds)) - failed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
