A leaf that drains when first seen may have drained for long

It took the time at which it learned of it for the time of the change. Change: such a leaf is not asked at all. Test first (failed), then the change. A process that knows nothing yet reads all prefixes at once.

--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -23,7 +23,8 @@
     if (found == m_byId.end()) {
         auto added = std::make_shared<leaf>(entry);
         added->coldUntil = now + entry.coldFor;
-        added->drainSeenAt = entry.draining ? now : millis::never();
+        // Since when it drains is not known here, perhaps for as long as it may be asked.
+        added->drainSeenAt = entry.draining ? millis() : millis::never();
         m_byId.emplace(entry.id, added);
         m_byService[entry.service].push_back(std::move(added));
         return true;
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -25,6 +25,27 @@
     BOOST_TEST(directory.of({"s"}).empty());
 }
 
+// Symptom: a leaf gets requests 3.3 s after the store knew that it leaves.
+// Sequence: it drains; a process starts a little later and reads that; it asks the leaf for as long as one that has seen
+// the change may.
+// Cause: the time at which this process learned of it was taken for the time of the change.
+BOOST_AUTO_TEST_CASE(a_leaf_that_drains_when_first_seen_may_have_drained_for_long)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    entry.draining = true;
+    directory.put(entry, millis(50000));
+    BOOST_TEST((directory.find("a")->drainSeenAt == millis()));
+    entry.id = "b";
+    entry.draining = false;
+    directory.put(entry, millis(50000));
+    entry.draining = true;
+    directory.put(entry, millis(51000));
+    BOOST_TEST((directory.find("b")->drainSeenAt == millis(51000)));
+}
+
 BOOST_AUTO_TEST_CASE(a_quantile_is_followed_without_keeping_values)
 {
     quantile_tracker median(0.5, millis(100));
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -175,12 +175,14 @@
 }
 
 /** One prefix tells whether the store answers; the others are asked for only then, so that a store that is down for the
- *  whole fleet gets half the calls. */
+ *  whole fleet gets half the calls. A process that knows nothing yet does not wait for that: callers do. */
 void store_feed::perform(const read_action &action)
 {
     std::ranges::for_each(m_readers, [](const auto &reader) { reader->stop(); });
-    if (action.reading) {
-        startReader(0);
+    for (std::size_t at = 0; action.reading && at < m_readers.size(); ++at) {
+        if (at == 0 || !m_node.view(m_prefixes[at]).known()) {
+            startReader(at);
+        }
     }
 }
 
