Large files split, one way to end a send, more time for the end of a process

Change: status_pages, gateway_store, gateway_delegation, engine_retries; endSend and settle; 0.5 s are left.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -376,7 +376,9 @@
     void answerWithout(const caller_request &request, exchange_outcome outcome, std::string_view cause, exchange_id id);
     void erase(exchange_id id);
     void schedule(exchange &work, millis now);
-    static void closeSend(const send &ended);
+    [[nodiscard]] std::optional<send> endSend(send_id id);
+    [[nodiscard]] exchange *ownerOf(const send &ended);
+    void settle(exchange &work, millis now);
     void noteLeafReply(leaf &from, const send &ended, const gateway_reply &reply, millis now);
     void noteLeafFailure(leaf &from, send_failure failure, millis now);
     void note(const exchange &work,
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -225,75 +225,89 @@
     m_sends.emplace(one.id, std::move(one));
 }
 
-void gateway_engine::onReply(send_id id, gateway_reply reply, millis now)
+std::optional<gateway_engine::send> gateway_engine::endSend(send_id id)
 {
     const auto found = m_sends.find(id);
     if (found == m_sends.end()) {
-        return;
+        return std::nullopt;
     }
-    const send ended = std::move(found->second);
+    send ended = std::move(found->second);
     m_sends.erase(found);
-    closeSend(ended);
-    noteLeafReply(*ended.to, ended, reply, now);
+    std::erase_if(ended.to->open, [&](const leaf::open_send &one) { return one.id == id; });
+    return ended;
+}
+
+gateway_engine::exchange *gateway_engine::ownerOf(const send &ended)
+{
     const auto owner = m_exchanges.find(ended.exchange);
-    if (owner == m_exchanges.end()) {
+    return owner == m_exchanges.end() ? nullptr : owner->second.get();
+}
+
+void gateway_engine::settle(exchange &work, millis now)
+{
+    schedule(work, now);
+    if (work.ended) {
+        erase(work.id);
+    }
+}
+
+void gateway_engine::onReply(send_id id, gateway_reply reply, millis now)
+{
+    const std::optional<send> ended = endSend(id);
+    if (!ended) {
+        return;
+    }
+    noteLeafReply(*ended->to, *ended, reply, now);
+    exchange *owner = ownerOf(*ended);
+    if (owner == nullptr) {
         return;
     }
-    exchange &work = *owner->second;
-    shard_call &call = work.calls[ended.call];
+    exchange &work = *owner;
+    shard_call &call = work.calls[ended->call];
     call.open -= 1;
     const bool notRun = reply.notRun || reply.wrongInstance;
     call.mayHaveRun -= notRun ? 1 : 0;
     call.reachedLeaf = true;
     if (notRun || !reply.isSuccess()) {
         const std::string_view cause = reply.wrongInstance ? "wrong_instance" : (notRun ? "refused" : "failed");
-        note(work, "send_in_vain", cause, ended.to.get(), call.service, now - ended.sentAt, now);
+        note(work, "send_in_vain", cause, ended->to.get(), call.service, now - ended->sentAt, now);
     }
     if (!call.done && !call.missing) {
         if (notRun) {
             // It may be asked again if nobody else is left: what it refused it has not begun.
-            std::erase(call.tried, ended.to);
-            retryCall(work, ended.call, reply.wrongInstance ? "wrong_instance" : "leaf_refused", now);
+            std::erase(call.tried, ended->to);
+            retryCall(work, ended->call, reply.wrongInstance ? "wrong_instance" : "leaf_refused", now);
         } else if (work.route->isGather()) {
-            takePart(work, ended.call, std::move(reply), now);
+            takePart(work, ended->call, std::move(reply), now);
         } else {
             answerSingle(work, std::move(reply), now);
         }
     }
     retryWaiting(work, now);
-    schedule(work, now);
-    if (work.ended) {
-        erase(work.id);
-    }
+    settle(work, now);
 }
 
 void gateway_engine::onSendFailed(send_id id, send_failure failure, millis now)
 {
-    const auto found = m_sends.find(id);
-    if (found == m_sends.end()) {
+    const std::optional<send> ended = endSend(id);
+    if (!ended) {
         return;
     }
-    const send ended = std::move(found->second);
-    m_sends.erase(found);
-    closeSend(ended);
-    noteLeafFailure(*ended.to, failure, now);
-    const auto owner = m_exchanges.find(ended.exchange);
-    if (owner == m_exchanges.end()) {
+    noteLeafFailure(*ended->to, failure, now);
+    exchange *owner = ownerOf(*ended);
+    if (owner == nullptr) {
         return;
     }
-    exchange &work = *owner->second;
-    shard_call &call = work.calls[ended.call];
+    exchange &work = *owner;
+    shard_call &call = work.calls[ended->call];
     call.open -= 1;
     call.mayHaveRun -= failure == send_failure::NotSent ? 1 : 0;
     call.reachedLeaf = call.reachedLeaf || failure != send_failure::NotSent;
-    note(work, "send_in_vain", toString(failure), ended.to.get(), call.service, now - ended.sentAt, now);
+    note(work, "send_in_vain", toString(failure), ended->to.get(), call.service, now - ended->sentAt, now);
     if (!call.done && !call.missing) {
-        retryCall(work, ended.call, toString(failure), now);
-    }
-    schedule(work, now);
-    if (work.ended) {
-        erase(work.id);
+        retryCall(work, ended->call, toString(failure), now);
     }
+    settle(work, now);
 }
 
 void gateway_engine::takePart(exchange &work, std::size_t at, gateway_reply reply, millis now)
@@ -321,94 +335,6 @@
     retryCall(work, 0, "leaf_failed", now);
 }
 
-void gateway_engine::retryCall(exchange &work, std::size_t at, std::string_view cause, millis now)
-{
-    shard_call &call = work.calls[at];
-    if (call.open > 0 || call.delegated) {
-        return; // another send may still bring it
-    }
-    if (work.isDelegated()) {
-        askElsewhere(work, at, cause, now);
-        return;
-    }
-    constexpr unsigned refusalsBeyondAttempts = 2; // sends that did not run are no attempts, yet have an end too
-    const bool mayRunAgain = call.mayHaveRun == 0 || work.route->idempotent;
-    const bool attemptsLeft =
-        call.mayHaveRun < work.route->maxAttempts && call.sends < work.route->maxAttempts + refusalsBeyondAttempts;
-    if (!mayRunAgain || !attemptsLeft || now >= work.limit) {
-        failCall(work, at, cause, now);
-        return;
-    }
-    const choice chosen = chooseLeaf(work, call, false, now);
-    if (!chosen.to || !takeBudget(call.service, 0, now)) {
-        failCall(work, at, chosen.to ? "retry_budget" : cause, now);
-        return;
-    }
-    work.retries += 1;
-    note(work, "resend", cause, chosen.to.get(), call.service, now - work.arrivedAt, now);
-    sendCall(work, at, chosen.to, now);
-}
-
-void gateway_engine::failCall(exchange &work, std::size_t at, std::string_view cause, millis now)
-{
-    shard_call &call = work.calls[at];
-    call.missing = true;
-    call.nextHedge = millis::never();
-    work.missing += 1;
-    note(work, "shard_given_up", cause, nullptr, call.service, now - work.arrivedAt, now);
-    if (!work.route->isGather()) {
-        answerUnserved(work, cause, false, now);
-        return;
-    }
-    if (!work.isDelegated() && work.calls.size() - work.missing < work.neededParts()) {
-        answerUnserved(work, cause, false, now);
-        return;
-    }
-    finishGatherIfDone(work, now);
-}
-
-void gateway_engine::hedgeDue(exchange &work, millis now)
-{
-    constexpr double hedgeReserve = 0.3; // of the budget is kept for retries of what has failed
-    constexpr millis lookAgain(10); // when no second leaf is free: pauses end after some tens of milliseconds
-    for (std::size_t at = 0; at < work.calls.size(); ++at) {
-        shard_call &call = work.calls[at];
-        const bool underWay = call.open > 0 || call.delegated;
-        if (call.done || call.missing || !underWay || now < call.nextHedge) {
-            continue;
-        }
-        if (call.mayHaveRun >= work.route->maxAttempts) {
-            call.nextHedge = millis::never();
-            continue;
-        }
-        const choice chosen = chooseLeaf(work, call, true, now);
-        if (!chosen.to || !takeBudget(call.service, hedgeReserve, now)) {
-            call.nextHedge = now + lookAgain;
-            continue;
-        }
-        work.hedges += 1;
-        note(work, "hedge", "silent", chosen.to.get(), call.service, work.pace->hedgeAfter(), now);
-        sendCall(work, at, chosen.to, now);
-    }
-}
-
-void gateway_engine::retryWaiting(exchange &work, millis now)
-{
-    for (std::size_t at = 0; at < work.calls.size() && !work.ended; ++at) {
-        shard_call &call = work.calls[at];
-        if (!call.waiting || call.done || call.missing) {
-            continue;
-        }
-        const choice chosen = chooseLeaf(work, call, false, now);
-        if (chosen.to) {
-            sendCall(work, at, chosen.to, now);
-        } else if (!chosen.full) {
-            call.waiting = false;
-            failCall(work, at, "no_leaf", now);
-        }
-    }
-}
-
 void gateway_engine::finishGatherIfDone(exchange &work, millis now)
 {
     if (work.ended) {
@@ -482,10 +408,7 @@
     exchange &work = *found->second;
     work.scheduled = millis::never();
     advanceExchange(work, now);
-    schedule(work, now);
-    if (work.ended) {
-        erase(work.id);
-    }
+    settle(work, now);
 }
 
 void gateway_engine::schedule(exchange &work, millis now)
--- a/libs/gateway/src/helpers.cpp
+++ b/libs/gateway/src/helpers.cpp
@@ -167,10 +167,7 @@
         hedgeDue(work, now);
     }
     finishGatherIfDone(work, now);
-    schedule(work, now);
-    if (work.ended) {
-        erase(work.id);
-    }
+    settle(work, now);
 }
 
 /**
@@ -255,10 +252,7 @@
             resumeCall(work, at, {0, true, true}, now);
         }
     }
-    schedule(work, now);
-    if (work.ended) {
-        erase(work.id);
-    }
+    settle(work, now);
 }
 
 void gateway_engine::onHelperLost(std::string_view address, millis now)
@@ -329,10 +323,7 @@
         tellProgress(kept, false, now); // the VM that waits may know a leaf that this one does not
     }
     finishGatherIfDone(kept, now);
-    schedule(kept, now);
-    if (kept.ended) {
-        erase(id);
-    }
+    settle(kept, now);
     return id;
 }
 
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -55,11 +55,6 @@
     return m_paces.try_emplace(route.name, route.objective).first->second;
 }
 
-void gateway_engine::closeSend(const send &ended)
-{
-    std::erase_if(ended.to->open, [&](const leaf::open_send &one) { return one.id == ended.id; });
-}
-
 /** For the log: what this process believes of a leaf has changed. */
 void gateway_engine::noteBelief(std::string_view event, std::string_view cause, const leaf &about, millis input)
 {
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -26,9 +26,8 @@
 }
 
 // Symptom: a leaf gets requests 3.3 s after the store knew that it leaves.
-// Sequence: it drains; a process starts a little later and reads that; it asks the leaf for as long as one that has seen
-// the change may.
-// Cause: the time at which this process learned of it was taken for the time of the change.
+// Sequence: it drains; a process starts a little later and reads that; it asks the leaf for as long as one that has
+// seen the change may. Cause: the time at which this process learned of it was taken for the time of the change.
 BOOST_AUTO_TEST_CASE(a_leaf_that_drains_when_first_seen_may_have_drained_for_long)
 {
     leaf_directory directory(millis(2200));
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -1,5 +1,8 @@
 #include "gateway_service.h"
 
+#include "pending.h"
+#include "status_pages.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
@@ -20,7 +23,7 @@
 constexpr millis longStandstill(1000); // leafs close idle connections meanwhile
 constexpr millis stopLook(50);
 constexpr millis closeBeforeGrace(1500); // for what was read last to be answered before the process is killed
-constexpr millis endBeforeGrace(200);
+constexpr millis endBeforeGrace(500); // for the threads to end and the last lines to be written, on a busy VM
 constexpr unsigned noticesToEnd = 3; // the platform takes a VM out after two; one more in case one crossed the signal
 
 // A leaf request costs some 60 microseconds of a core, all included: a core does a hundred in 6 ms, beside leafs that
@@ -43,108 +46,8 @@
     return settings;
 }
 
-std::string writeFault(read_state fault)
-{
-    constexpr unsigned badRequest = 400;
-    constexpr unsigned timeout = 408;
-    constexpr unsigned bodyTooLarge = 413;
-    constexpr unsigned headTooLarge = 431;
-    switch (fault) {
-    case read_state::NeedMore:
-        return platform::writeOwnAnswer(timeout, "too_slow", std::nullopt, true);
-    case read_state::HeadTooLarge:
-        return platform::writeOwnAnswer(headTooLarge, "head_too_large", std::nullopt, true);
-    case read_state::BodyTooLarge:
-        return platform::writeOwnAnswer(bodyTooLarge, "body_too_large", std::nullopt, true);
-    default:
-        return platform::writeOwnAnswer(badRequest, "bad_request", std::nullopt, true);
-    }
-}
-
 } // namespace
 
-/** A request whose answer is owed, to a caller or to another VM. */
-struct gateway_service::pending {
-    session_id session = 0;
-    std::optional<asked_work> asker; ///< the other VM's work, if it is for one
-    std::string requestId;
-    std::shared_ptr<const platform::leaf_request_text> text;
-    bool toHead = false;
-    millis arrivedAt;
-    unsigned rank = 0;
-};
-
-/** Readiness and metrics, each at its own address. */
-class gateway_service::status_pages
-{
-public:
-    explicit status_pages(gateway_service &owner)
-        : m_readiness(owner)
-        , m_metrics(owner)
-        , readinessServer(owner.m_reactor, m_readiness, writeFault)
-        , metricsServer(owner.m_reactor, m_metrics, writeFault)
-    {
-        m_readiness.server = &readinessServer;
-        m_metrics.server = &metricsServer;
-    }
-
-private:
-    class page : public request_listener
-    {
-    public:
-        explicit page(gateway_service &service)
-            : owner(service)
-        {
-        }
-
-        void onCallerLeft(session_id) override
-        {
-        }
-
-        gateway_service &owner;
-        caller_server *server = nullptr;
-    };
-
-    class readiness_page : public page
-    {
-    public:
-        using page::page;
-
-        void onRequest(session_id session, http_request request) override
-        {
-            const bool known = request.target == platform::readinessPath;
-            const bool ready = owner.isReady();
-            owner.m_notReadyTold += owner.m_stopping ? 1 : 0;
-            constexpr unsigned ok = 200;
-            constexpr unsigned notFound = 404;
-            constexpr unsigned unavailable = 503;
-            const unsigned status = !known ? notFound : (ready ? ok : unavailable);
-            server->reply(session, writeResponse(status, reasonFor(status), {}, {}, false), false);
-        }
-    };
-
-    class metrics_page : public page
-    {
-    public:
-        using page::page;
-
-        void onRequest(session_id session, http_request request) override
-        {
-            (void)request;
-            constexpr unsigned ok = 200;
-            const http_headers headers = {{"Content-Type", "text/plain; version=0.0.4"}};
-            server->reply(session, writeResponse(ok, reasonFor(ok), headers, owner.metricsPage(), false), false);
-        }
-    };
-
-    readiness_page m_readiness;
-    metrics_page m_metrics;
-
-public:
-    caller_server readinessServer;
-    caller_server metricsServer;
-};
-
 gateway_service::gateway_service(gateway_daemon_settings settings)
     : m_settings(std::move(settings))
     , m_reactor(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO)
@@ -192,18 +95,18 @@
 tl::expected<void, kernel_error> gateway_service::open()
 {
     m_pool = std::make_unique<leaf_pool>(m_reactor, *this);
-    m_callers = std::make_unique<caller_server>(m_reactor, *this, writeFault);
+    m_callers = std::make_unique<caller_server>(m_reactor, *this, writeFaultAnswer);
     m_callers->setLimits({}, m_settings.maxConnections);
-    m_pages = std::make_unique<status_pages>(*this);
+    m_pages = std::make_unique<status_pages>(m_reactor, *this);
     m_feed = std::make_unique<store_feed>(m_reactor, m_settings, *this);
     helper_settings helping {m_settings.peers.address, m_settings.helperPort, m_settings.zone};
     m_helperLinks = std::make_unique<helper_links>(m_reactor, std::move(helping), *this);
     error_code error = m_callers->listen(m_settings.callers.address, m_settings.callers.port);
     if (!error) {
-        error = m_pages->readinessServer.listen(m_settings.readiness.address, m_settings.readiness.port);
+        error = m_pages->readiness().listen(m_settings.readiness.address, m_settings.readiness.port);
     }
     if (!error && m_settings.metrics) {
-        error = m_pages->metricsServer.listen(m_settings.metrics->address, m_settings.metrics->port);
+        error = m_pages->metrics().listen(m_settings.metrics->address, m_settings.metrics->port);
     }
     if (!error) {
         error = m_helperLinks->start();
@@ -357,107 +260,6 @@
               {"input_ms", action.input.ceiled()}});
 }
 
-// ---- shards that another VM asks for
-
-void gateway_service::perform(delegate_action action)
-{
-    const auto found = m_pending.find(action.exchange);
-    if (found == m_pending.end()) {
-        return;
-    }
-    m_counts.handedOut += 1;
-    delegate_request request;
-    request.id = action.id;
-    request.requestId = found->second.requestId;
-    request.beforeTime = found->second.text->beforeTime;
-    request.afterTime = found->second.text->afterTime;
-    request.toHead = found->second.toHead;
-    request.work = std::move(action.work);
-    if (!m_helperLinks->ask(action.helper, request)) {
-        m_engine.onHelperLost(action.helper, m_clock.now());
-    }
-}
-
-void gateway_service::perform(const delegate_cancel_action &action)
-{
-    m_helperLinks->cancel(action.helper, {action.id, action.callerLeft});
-}
-
-void gateway_service::perform(progress_action action)
-{
-    const auto found = m_pending.find(action.exchange);
-    if (found == m_pending.end() || !found->second.asker) {
-        return;
-    }
-    const asked_work asker = *found->second.asker;
-    if (action.progress.last) {
-        m_askedWork.erase(asker);
-        m_pending.erase(found);
-    }
-    m_helperLinks->tellProgress(asker.first, {asker.second, std::move(action.progress)});
-}
-
-void gateway_service::onHelpers(std::vector<helper_vm> helpers)
-{
-    m_engine.setHelpers(std::move(helpers));
-}
-
-void gateway_service::onHelperLost(const std::string &address)
-{
-    m_engine.onHelperLost(address, m_clock.now());
-    flush();
-}
-
-void gateway_service::onProgress(delegation_id id, delegated_progress progress)
-{
-    m_engine.onProgress(id, std::move(progress), m_clock.now());
-    flush();
-}
-
-void gateway_service::onDelegated(link_id from, delegate_request request)
-{
-    const millis now = m_clock.now();
-    m_counts.takenIn += 1;
-    const exchange_id id = m_engine.arriveDelegated(request.requestId, request.work, now);
-    pending &kept = m_pending[id];
-    kept.asker = asked_work(from, request.id);
-    kept.requestId = std::move(request.requestId);
-    kept.toHead = request.toHead;
-    kept.arrivedAt = now;
-    kept.text = std::make_shared<platform::leaf_request_text>(
-        platform::leaf_request_text {std::move(request.beforeTime), std::move(request.afterTime)});
-    m_askedWork[*kept.asker] = id;
-    flush();
-}
-
-void gateway_service::onDelegatedCancelled(link_id from, delegation_id id, bool callerLeft)
-{
-    const auto found = m_askedWork.find({from, id});
-    if (found == m_askedWork.end()) {
-        return;
-    }
-    const exchange_id exchange = found->second;
-    m_askedWork.erase(found);
-    m_pending.erase(exchange);
-    if (callerLeft) {
-        m_engine.onCallerLeft(exchange, m_clock.now());
-    } else {
-        m_engine.onUnneeded(exchange);
-    }
-    flush();
-}
-
-void gateway_service::onAskerLost(link_id from)
-{
-    std::vector<delegation_id> lost;
-    for (const auto &[work, exchange] : m_askedWork) {
-        if (work.first == from) {
-            lost.push_back(work.second);
-        }
-    }
-    std::ranges::for_each(lost, [&](delegation_id id) { onDelegatedCancelled(from, id, true); });
-}
-
 void gateway_service::armTimer()
 {
     const millis due = m_engine.nextDue();
@@ -506,83 +308,11 @@
     }
 }
 
-// ---- what the store says
-
-void gateway_service::onStoreNews(std::string_view prefix, const std::vector<store_item> &items)
-{
-    const bool isConfig = prefix == platform::configPrefix;
-    for (const store_item &item : items) {
-        if (isConfig) {
-            applyConfig(item);
-        } else {
-            applyLeafEvent(item);
-        }
-    }
-    m_leafsKnown = m_leafsKnown || !isConfig;
-    flush();
-}
-
-void gateway_service::onFleetMembers(const std::vector<fleet_member> &members)
-{
-    m_helperLinks->setMembers(members);
-}
-
-void gateway_service::onFleetSize(std::size_t size)
-{
-    m_engine.setFleetSize(size);
-}
-
-void gateway_service::applyLeafEvent(const store_item &item)
-{
-    const millis now = m_clock.now();
-    const std::string id(platform::leafIdFromKey(item.key));
-    if (item.deleted) {
-        if (m_engine.leafs().remove(id, now)) {
-            logEvent(log_level::Info, "leaf_missing", {{"leaf", id}, {"revision", item.revision}});
-        }
-        return;
-    }
-    const auto entry = platform::decodeLeaf(item.key, item.value);
-    if (!entry) {
-        logEvent(log_level::Error, "leaf_entry_refused", {{"key", item.key}, {"cause", entry.error().reason}});
-        return;
-    }
-    if (m_engine.leafs().put(*entry, now)) {
-        logEvent(log_level::Info,
-                 entry->draining ? "leaf_draining" : "leaf_ready",
-                 {{"leaf", id},
-                  {"service", entry->service.value},
-                  {"address", entry->address},
-                  {"revision", item.revision}});
-    }
-}
-
-void gateway_service::applyConfig(const store_item &item)
-{
-    if (item.key != platform::configKey || item.deleted) {
-        return;
-    }
-    auto config = platform::decodeConfig(item.value);
-    if (!config) {
-        logEvent(log_level::Error, "config_refused", {{"revision", item.revision}, {"cause", config.error().reason}});
-        return;
-    }
-    const std::uint64_t version = config->version;
-    const std::size_t routes = config->routes.size();
-    const caller_limits limits = config->limits;
-    const bool taken = m_engine.applyConfig(*std::move(config));
-    if (taken) {
-        m_callers->setLimits(limits, m_settings.maxConnections);
-    }
-    logEvent(log_level::Info,
-             taken ? "config_in_force" : "config_not_newer",
-             {{"version", version}, {"routes", std::uint64_t {routes}}, {"revision", item.revision}});
-}
-
 // ---- start and stop
 
-bool gateway_service::isReady() const
+bool gateway_service::answerReadiness()
 {
+    m_notReadyTold += m_stopping ? 1 : 0;
     return !m_stopping && m_leafsKnown && m_engine.config() != nullptr;
 }
 
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -9,6 +9,7 @@
 #include "caller_server.h"
 #include "helper_links.h"
 #include "leaf_pool.h"
+#include "status_pages.h"
 #include "store_feed.h"
 
 #include <gateway/gateway.h>
@@ -27,7 +28,8 @@
                         public request_listener,
                         public send_listener,
                         public feed_listener,
-                        public helper_listener
+                        public helper_listener,
+                        public status_source
 {
 public:
     static constexpr std::string_view serviceName = "gateway";
@@ -53,8 +55,6 @@
     struct pending;
     using asked_work = std::pair<link_id, delegation_id>;
 
-    class status_pages;
-
     void onRequest(session_id session, http_request request) override;
     void onCallerLeft(session_id session) override;
     void onLeafReply(send_id id, gateway_reply reply) override;
@@ -84,8 +84,8 @@
     void applyLeafEvent(const store_item &item);
     void applyConfig(const store_item &item);
     void continueStop();
-    [[nodiscard]] bool isReady() const;
-    [[nodiscard]] std::string metricsPage() const;
+    [[nodiscard]] bool answerReadiness() override;
+    [[nodiscard]] std::string metricsPage() const override;
 
     gateway_daemon_settings m_settings;
     boot_clock m_clock;
--- /dev/null
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -0,0 +1,78 @@
+/** @file What the gateway makes of the store's word. */
+
+#include "gateway_service.h"
+
+namespace chivelock {
+
+void gateway_service::onStoreNews(std::string_view prefix, const std::vector<store_item> &items)
+{
+    const bool isConfig = prefix == platform::configPrefix;
+    for (const store_item &item : items) {
+        if (isConfig) {
+            applyConfig(item);
+        } else {
+            applyLeafEvent(item);
+        }
+    }
+    m_leafsKnown = m_leafsKnown || !isConfig;
+    flush();
+}
+
+void gateway_service::onFleetMembers(const std::vector<fleet_member> &members)
+{
+    m_helperLinks->setMembers(members);
+}
+
+void gateway_service::onFleetSize(std::size_t size)
+{
+    m_engine.setFleetSize(size);
+}
+
+void gateway_service::applyLeafEvent(const store_item &item)
+{
+    const millis now = m_clock.now();
+    const std::string id(platform::leafIdFromKey(item.key));
+    if (item.deleted) {
+        if (m_engine.leafs().remove(id, now)) {
+            logEvent(log_level::Info, "leaf_missing", {{"leaf", id}, {"revision", item.revision}});
+        }
+        return;
+    }
+    const auto entry = platform::decodeLeaf(item.key, item.value);
+    if (!entry) {
+        logEvent(log_level::Error, "leaf_entry_refused", {{"key", item.key}, {"cause", entry.error().reason}});
+        return;
+    }
+    if (m_engine.leafs().put(*entry, now)) {
+        logEvent(log_level::Info,
+                 entry->draining ? "leaf_draining" : "leaf_ready",
+                 {{"leaf", id},
+                  {"service", entry->service.value},
+                  {"address", entry->address},
+                  {"revision", item.revision}});
+    }
+}
+
+void gateway_service::applyConfig(const store_item &item)
+{
+    if (item.key != platform::configKey || item.deleted) {
+        return;
+    }
+    auto config = platform::decodeConfig(item.value);
+    if (!config) {
+        logEvent(log_level::Error, "config_refused", {{"revision", item.revision}, {"cause", config.error().reason}});
+        return;
+    }
+    const std::uint64_t version = config->version;
+    const std::size_t routes = config->routes.size();
+    const caller_limits limits = config->limits;
+    const bool taken = m_engine.applyConfig(*std::move(config));
+    if (taken) {
+        m_callers->setLimits(limits, m_settings.maxConnections);
+    }
+    logEvent(log_level::Info,
+             taken ? "config_in_force" : "config_not_newer",
+             {{"version", version}, {"routes", std::uint64_t {routes}}, {"revision", item.revision}});
+}
+
+} // namespace chivelock
