An entry that a late heartbeat wrote again is doubtful

Change: a leaf whose entry returns after a removal counts as leaving since the removal until the entry has outlived the time in which it would lapse again (3.5 heartbeats); if the store was in trouble of late, entries return for good.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -234,6 +234,15 @@
 
     [[nodiscard]] const store_view &view(std::string_view prefix) const;
 
+    /** Whether the process at the top of the tree reads the store without trouble, as far as is known here. */
+    [[nodiscard]] bool storeOk() const
+    {
+        if (m_phase == phase::Seeking) {
+            return true; // not known; whoever is found will tell
+        }
+        return m_phase == phase::Following ? m_upstreamState.storeOk : ownStoreOk();
+    }
+
     [[nodiscard]] bool isReading() const
     {
         return m_phase == phase::Reading;
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -451,7 +451,7 @@
 {
     upstream_state state;
     state.accepted = accepted;
-    state.storeOk = m_phase == phase::Following ? m_upstreamState.storeOk : ownStoreOk();
+    state.storeOk = storeOk();
     state.fleetSize = m_size;
     state.path = m_phase == phase::Following ? m_upstreamState.path : std::vector<std::string>();
     state.path.push_back(m_settings.address);
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -127,6 +127,7 @@
     millis coldUntil;
     millis drainSeenAt = millis::never(); ///< when this process learned that it leaves
     millis removeAt = millis::never(); ///< entry is missing from the store; it is forgotten then
+    millis doubtfulUntil = millis() - millis::never(); ///< its entry came back after it was removed
     bool misdirected = false; ///< another instance answered at its address
     std::vector<open_send> open;
     millis lastReplyAt = millis() - millis::never();
@@ -148,7 +149,7 @@
     /** It will leave or is gone from the store; only asked where nobody else is. */
     [[nodiscard]] bool isLeaving() const
     {
-        return entry.draining || removeAt < millis::never();
+        return entry.draining || removeAt < millis::never() || doubtfulUntil > millis();
     }
 };
 
@@ -162,6 +163,18 @@
     {
     }
 
+    /** How often leafs write their entries; three times that without a word and the store removes one. */
+    void setHeartbeat(millis interval)
+    {
+        m_heartbeat = interval;
+    }
+
+    /** The store does not answer: entries lapse that their leafs write again when it is back. */
+    void noteStoreTrouble(millis now)
+    {
+        m_storeTroubleAt = now;
+    }
+
     /** @return true if something changed that matters. */
     bool put(const leaf_entry &entry, millis now);
 
@@ -184,8 +197,12 @@
 
 private:
     void unlink(const leaf &gone);
+    void takeReturn(leaf &known, millis now);
+    void endDoubt(leaf &known, millis now);
 
     millis m_hold;
+    millis m_heartbeat {1200};
+    millis m_storeTroubleAt = millis() - millis::never();
     std::map<std::string, std::shared_ptr<leaf>, std::less<>> m_byId;
     std::unordered_map<service_name, std::vector<std::shared_ptr<leaf>>> m_byService;
     millis m_nextExpiry = millis::never();
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -5,6 +5,13 @@
 
 namespace chivelock {
 
+namespace {
+
+constexpr double lapseHeartbeats = 3.5; // the store removes an entry after three intervals without a word
+constexpr millis troubleEcho(6000); // after the store's trouble, within which lapsed entries and their leafs come back
+
+} // namespace
+
 millis leaf::stalledSince() const
 {
     millis since = millis::never();
@@ -35,6 +42,9 @@
     if (drainsNow) {
         known.drainSeenAt = now;
     }
+    if (returned) {
+        takeReturn(known, now);
+    }
     known.removeAt = millis::never();
     known.entry.draining = entry.draining;
     known.entry.slots = entry.slots;
@@ -42,6 +52,32 @@
     return returned || drainsNow;
 }
 
+/**
+ * A leaf that leaves may have its entry removed and then written once more by a heartbeat that was still on its way.
+ * Taken for a return, it would get requests for as long as the entry takes to lapse, past the limit. So it counts as
+ * leaving since the removal until it has outlived that time. After trouble of the store entries return for good.
+ */
+void leaf_directory::takeReturn(leaf &known, millis now)
+{
+    const millis removedAt = known.removeAt - m_hold;
+    if (removedAt - m_storeTroubleAt < troubleEcho) {
+        known.drainSeenAt = millis::never();
+        return;
+    }
+    known.drainSeenAt = std::min(known.drainSeenAt, removedAt);
+    known.doubtfulUntil = now + m_heartbeat * lapseHeartbeats;
+    m_nextExpiry = std::min(m_nextExpiry, known.doubtfulUntil);
+}
+
+void leaf_directory::endDoubt(leaf &known, millis now)
+{
+    const bool doubtful = known.doubtfulUntil > millis();
+    if (doubtful && known.doubtfulUntil <= now && known.removeAt == millis::never()) {
+        known.doubtfulUntil = millis() - millis::never();
+        known.drainSeenAt = known.entry.draining ? known.drainSeenAt : millis::never();
+    }
+}
+
 bool leaf_directory::remove(std::string_view id, millis now)
 {
     const auto found = m_byId.find(id);
@@ -84,7 +120,10 @@
             ++removed;
             continue;
         }
-        m_nextExpiry = std::min(m_nextExpiry, at->second->removeAt);
+        endDoubt(*at->second, now);
+        const bool doubtful = at->second->doubtfulUntil > now;
+        m_nextExpiry =
+            std::min({m_nextExpiry, at->second->removeAt, doubtful ? at->second->doubtfulUntil : millis::never()});
         ++at;
     }
     return removed;
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -45,6 +45,45 @@
     BOOST_TEST((directory.find("b")->drainSeenAt == millis(51000)));
 }
 
+// Symptom: a leaf gets requests 3.2 s after the store knew that it leaves.
+// Sequence: its entry is removed, since it leaves; a heartbeat that it had sent before arrives and writes the entry
+// again. Cause: the entry's return was taken for the leaf's. A leaf that has returned keeps its entry; this one's
+// lapses again.
+BOOST_AUTO_TEST_CASE(an_entry_that_a_late_heartbeat_wrote_again_is_doubtful)
+{
+    leaf_directory directory(millis(2200));
+    directory.setHeartbeat(millis(1200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(10000));
+    directory.remove("a", millis(20000));
+    directory.put(entry, millis(20100));
+    const std::shared_ptr<leaf> known = directory.find("a");
+    BOOST_TEST(known->isLeaving());
+    BOOST_TEST((known->drainSeenAt == millis(20000)));
+    directory.expire(millis(23000));
+    BOOST_TEST(known->isLeaving());
+    // Nothing removed it again: it is back.
+    directory.expire(millis(24900));
+    BOOST_TEST(!known->isLeaving());
+    BOOST_TEST((known->drainSeenAt == millis::never()));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_while_the_store_was_away_is_back_at_once)
+{
+    leaf_directory directory(millis(2200));
+    directory.setHeartbeat(millis(1200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(10000));
+    directory.noteStoreTrouble(millis(19000));
+    directory.remove("a", millis(20000));
+    directory.put(entry, millis(21500));
+    BOOST_TEST(!directory.find("a")->isLeaving());
+}
+
 BOOST_AUTO_TEST_CASE(a_quantile_is_followed_without_keeping_values)
 {
     quantile_tracker median(0.5, millis(100));
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -78,6 +78,7 @@
     double retryRatio = 0.2; ///< extra sends for each request that the whole fleet may make to a service
     double retrySlack = 10; ///< extra sends in a window besides
     millis retryWindow {10000};
+    millis leafHeartbeat {1200}; ///< between two words of a leaf to the store
     millis drainLimit {3000}; ///< from the store's word that a leaf leaves to the last request it gets
     millis callerRoundTrip {6}; ///< between callers and this VM, there and back
 };
--- a/libs/settings/src/gateway_settings.cpp
+++ b/libs/settings/src/gateway_settings.cpp
@@ -42,6 +42,7 @@
         "drain_ms": {"type": "number", "exclusiveMinimum": 0},
         "grace_s": {"type": "number", "exclusiveMinimum": 0},
         "apply_ms": {"type": "number", "minimum": 500},
+        "leaf_heartbeat_ms": {"type": "number", "exclusiveMinimum": 0},
         "connections": {"type": "integer", "minimum": 16},
         "caller_round_trip_ms": {"type": "number", "minimum": 0, "maximum": 1000}
       }}
@@ -104,6 +105,7 @@
         settings.retryWindow = seconds(limits.at("retry_window_s"));
         take(limits, "drain_ms", settings.drainLimit);
         settings.grace = seconds(limits.at("grace_s"));
+        take(limits, "leaf_heartbeat_ms", settings.leafHeartbeat);
         take(limits, "connections", settings.maxConnections);
         take(limits, "caller_round_trip_ms", settings.callerRoundTrip);
         return settings;
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -57,6 +57,7 @@
     , m_stopTimer(m_reactor)
     , m_finishedFd(eventfd(0, EFD_CLOEXEC))
 {
+    m_engine.leafs().setHeartbeat(m_settings.leafHeartbeat);
 }
 
 gateway_service::~gateway_service()
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway_service.h"
 
+#include <algorithm>
+
 namespace chivelock {
 
 void gateway_service::onStoreNews(std::string_view prefix, const std::vector<store_item> &items)
@@ -23,9 +25,16 @@
     m_helperLinks->setMembers(members);
 }
 
-void gateway_service::onFleetSize(std::size_t size)
+void gateway_service::onFleetState(std::size_t size, bool storeOk)
 {
     m_engine.setFleetSize(size);
+    const millis now = m_clock.now();
+    m_storeBadSince = storeOk ? millis::never() : std::min(m_storeBadSince, now);
+    // A process that has just begun to read has had no answer yet: that is no trouble of the store.
+    constexpr millis troubleAfter(400);
+    if (m_storeBadSince + troubleAfter <= now) {
+        m_engine.leafs().noteStoreTrouble(now);
+    }
 }
 
 void gateway_service::applyLeafEvent(const store_item &item)
