A VM that is cut off does not take its silence for the store's

Change: the store counts as in trouble only if another process is heard meanwhile. Test: a process cut off hears nobody.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -243,6 +243,10 @@
         return m_phase == phase::Following ? m_upstreamState.storeOk : ownStoreOk();
     }
 
+    /** Whether another process was heard of late: without one, a store that is silent may only be out of reach of here.
+     */
+    [[nodiscard]] bool hearsPeers(millis now) const;
+
     [[nodiscard]] bool isReading() const
     {
         return m_phase == phase::Reading;
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -442,6 +442,15 @@
     return now < m_guessUntil ? std::max(seen, sizeGuess) : seen;
 }
 
+bool fleet_node::hearsPeers(millis now) const
+{
+    const millis late = m_settings.beat * 2;
+    if (m_phase == phase::Following) {
+        return now - m_upstreamHeardAt < late;
+    }
+    return std::ranges::any_of(m_followers, [&](const auto &one) { return now - one.second.heardAt < late; });
+}
+
 const store_view &fleet_node::view(std::string_view prefix) const
 {
     return m_views.find(prefix)->second;
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -363,6 +363,21 @@
     BOOST_TEST(fleet.holders("b") >= 17U);
 }
 
+// Symptom: a VM that was cut off takes leafs that leave for ones that came back.
+// Sequence: it hears neither the store nor its peers; the store is well.
+// Cause: its own silence was taken for trouble of the store.
+BOOST_AUTO_TEST_CASE(who_is_cut_off_hears_nobody)
+{
+    fake_fleet_of_nodes fleet(6);
+    fleet.write("a", "1");
+    fleet.run(millis(3000));
+    BOOST_TEST(fleet.node(0).hearsPeers(fleet.now()));
+    BOOST_TEST(fleet.node(5).hearsPeers(fleet.now()));
+    fleet.split(1);
+    fleet.run(millis(1000));
+    BOOST_TEST(!fleet.node(0).hearsPeers(fleet.now()));
+}
+
 BOOST_AUTO_TEST_CASE(both_sides_of_a_cut_read_and_join_again)
 {
     fake_fleet_of_nodes fleet(8);
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -25,14 +25,21 @@
     m_helperLinks->setMembers(members);
 }
 
-void gateway_service::onFleetState(std::size_t size, bool storeOk)
+/**
+ * Entries that lapse while the store is in trouble come back for good. A VM that is cut off sees the same silence, but
+ * no entry lapses for it: taken for trouble of the store, its return would make leafs that leave look as if they came
+ * back. So it counts only if another process is heard at the same time.
+ */
+void gateway_service::onFleetState(std::size_t size, bool storeOk, bool hearsPeers)
 {
     m_engine.setFleetSize(size);
     const millis now = m_clock.now();
     m_storeBadSince = storeOk ? millis::never() : std::min(m_storeBadSince, now);
     // A process that has just begun to read has had no answer yet: that is no trouble of the store.
-    constexpr millis troubleAfter(400);
-    if (m_storeBadSince + troubleAfter <= now) {
+    constexpr millis troubleAfter(100);
+    const bool lasts = m_storeBadSince + troubleAfter <= now;
+    m_storeInTrouble = !storeOk && (m_storeInTrouble || (lasts && hearsPeers));
+    if (m_storeInTrouble) {
         m_engine.leafs().noteStoreTrouble(now);
     }
 }
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -141,7 +141,7 @@
     const millis now = m_clock.now();
     m_node.tick(now);
     flush();
-    m_listener.onFleetState(m_node.fleetSize(now), m_node.storeOk());
+    m_listener.onFleetState(m_node.fleetSize(now), m_node.storeOk(), m_node.hearsPeers(now));
     m_timer.expires_after(std::chrono::milliseconds(tickInterval.ceiled()));
     m_timer.async_wait([this](const boost::system::error_code &stopped) {
         if (!stopped) {
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -31,9 +31,9 @@
     /** Items of one prefix that changed, oldest first; the first time all of them. */
     virtual void onStoreNews(std::string_view prefix, const std::vector<store_item> &items) = 0;
 
-    /** How many processes the fleet has and whether the store answers the one that reads, as far as is known; told some
-     *  times a second. */
-    virtual void onFleetState(std::size_t size, bool storeOk) = 0;
+    /** How many processes the fleet has, whether the store answers the one that reads, and whether any other process
+     * was heard of late; told some times a second. */
+    virtual void onFleetState(std::size_t size, bool storeOk, bool hearsPeers) = 0;
 
     /** Who the fleet is, when it changes. */
     virtual void onFleetMembers(const std::vector<fleet_member> &members) = 0;
