--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -76,10 +76,8 @@
         const bool newer = item.revision > found->second.revision;
         return newer || (item.deleted && item.revision == found->second.revision);
     }
+    // Also of a key that was never seen here: what is written after it may be older than it looks.
     const auto deleted = m_deleted.find(item.key);
-    if (item.deleted) {
-        return false;
-    }
     return deleted == m_deleted.end() || item.revision > deleted->second;
 }
 
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -414,10 +414,12 @@
     BOOST_TEST(view.applyChanges({{"b", 8, true, {}}}, 8).size() == 1U);
     BOOST_TEST(view.applyChanges({{"b", 7, false, "2"}}, 8).empty());
     BOOST_TEST(view.applyChanges({{"c", 9, false, "1"}}, 9).size() == 1U);
+    BOOST_TEST(view.applyChanges({{"never", 9, true, {}}}, 9).size() == 1U);
+    BOOST_TEST(view.applyChanges({{"never", 9, false, "1"}}, 9).empty());
     // Contents read at revision 8 can't know of c.
     BOOST_TEST(view.applyContents({{"a", 5, false, "1"}}, 8).empty());
     BOOST_TEST(view.contents().size() == 2U);
-    BOOST_TEST(view.changesSince(7)->size() == 2U);
+    BOOST_TEST(view.changesSince(7)->size() == 3U);
     BOOST_TEST(!view.changesSince(2).has_value());
 }
 
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -197,13 +197,14 @@
 
 private:
     void unlink(const leaf &gone);
-    void takeReturn(leaf &known, millis now);
+    void takeReturn(leaf &known, millis removedAt, millis now);
     void endDoubt(leaf &known, millis now);
 
     millis m_hold;
     millis m_heartbeat {1200};
     millis m_storeTroubleAt = millis() - millis::never();
     std::map<std::string, std::shared_ptr<leaf>, std::less<>> m_byId;
+    std::map<std::string, millis, std::less<>> m_removedUnseen; ///< leafs that were never known here, and when
     std::unordered_map<service_name, std::vector<std::shared_ptr<leaf>>> m_byService;
     millis m_nextExpiry = millis::never();
 };
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -32,6 +32,10 @@
         added->coldUntil = now + entry.coldFor;
         // Since when it drains is not known here, perhaps for as long as it may be asked.
         added->drainSeenAt = entry.draining ? millis() : millis::never();
+        if (const auto removed = m_removedUnseen.find(entry.id); removed != m_removedUnseen.end()) {
+            takeReturn(*added, removed->second, now);
+            m_removedUnseen.erase(removed);
+        }
         m_byId.emplace(entry.id, added);
         m_byService[entry.service].push_back(std::move(added));
         return true;
@@ -43,7 +47,7 @@
         known.drainSeenAt = now;
     }
     if (returned) {
-        takeReturn(known, now);
+        takeReturn(known, known.removeAt - m_hold, now);
     }
     known.removeAt = millis::never();
     known.entry.draining = entry.draining;
@@ -57,9 +61,8 @@
  * Taken for a return, it would get requests for as long as the entry takes to lapse, past the limit. So it counts as
  * leaving since the removal until it has outlived that time. After trouble of the store entries return for good.
  */
-void leaf_directory::takeReturn(leaf &known, millis now)
+void leaf_directory::takeReturn(leaf &known, millis removedAt, millis now)
 {
-    const millis removedAt = known.removeAt - m_hold;
     if (removedAt - m_storeTroubleAt < troubleEcho) {
         known.drainSeenAt = millis::never();
         return;
@@ -82,6 +85,7 @@
 {
     const auto found = m_byId.find(id);
     if (found == m_byId.end()) {
+        m_removedUnseen[std::string(id)] = now;
         return false;
     }
     leaf &gone = *found->second;
@@ -112,6 +116,7 @@
         return 0;
     }
     m_nextExpiry = millis::never();
+    std::erase_if(m_removedUnseen, [&](const auto &one) { return one.second + m_heartbeat * lapseHeartbeats <= now; });
     std::size_t removed = 0;
     for (auto at = m_byId.begin(); at != m_byId.end();) {
         if (at->second->removeAt <= now) {
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -70,6 +70,22 @@
     BOOST_TEST((known->drainSeenAt == millis::never()));
 }
 
+// As above, of a leaf that left before anything was known of it here.
+BOOST_AUTO_TEST_CASE(an_entry_that_was_removed_before_it_was_seen_is_doubtful)
+{
+    leaf_directory directory(millis(2200));
+    directory.setHeartbeat(millis(1200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    BOOST_TEST(!directory.remove("a", millis(20000)));
+    directory.put(entry, millis(20100));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    BOOST_TEST((directory.find("a")->drainSeenAt == millis(20000)));
+    directory.expire(millis(24900));
+    BOOST_TEST(!directory.find("a")->isLeaving());
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_while_the_store_was_away_is_back_at_once)
 {
     leaf_directory directory(millis(2200));
