--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -175,6 +175,12 @@
         m_storeTroubleAt = now;
     }
 
+    /** Everything that the store said up to then is known here. What is learnt after a gap may be as old as that. */
+    void noteCurrent(millis asOf)
+    {
+        m_currentAsOf = asOf;
+    }
+
     /** @return true if something changed that matters. */
     bool put(const leaf_entry &entry, millis now);
 
@@ -202,6 +208,7 @@
 
     millis m_hold;
     millis m_heartbeat {1200};
+    millis m_currentAsOf = millis::never();
     millis m_storeTroubleAt = millis() - millis::never();
     std::map<std::string, std::shared_ptr<leaf>, std::less<>> m_byId;
     std::map<std::string, millis, std::less<>> m_removedUnseen; ///< leafs that were never known here, and when
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -44,7 +44,7 @@
     const bool returned = known.removeAt < millis::never();
     const bool drainsNow = entry.draining && !known.entry.draining;
     if (drainsNow) {
-        known.drainSeenAt = now;
+        known.drainSeenAt = std::min(now, m_currentAsOf);
     }
     if (returned) {
         takeReturn(known, known.removeAt - m_hold, now);
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -45,6 +45,22 @@
     BOOST_TEST((directory.find("b")->drainSeenAt == millis(51000)));
 }
 
+// Symptom: a VM that was cut off asks a leaf 3.3 s after the store knew that it leaves.
+// Sequence: it can reach the store again 1.5 s after the leaf began to drain, reads that, and asks for two seconds
+// more. Cause: the end of the gap was taken for the time of the change.
+BOOST_AUTO_TEST_CASE(what_is_learnt_after_a_gap_may_be_as_old_as_the_gap)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(1000));
+    directory.noteCurrent(millis(2000));
+    entry.draining = true;
+    directory.put(entry, millis(15000));
+    BOOST_TEST((directory.find("a")->drainSeenAt == millis(2000)));
+}
+
 // Symptom: a leaf gets requests 3.2 s after the store knew that it leaves.
 // Sequence: its entry is removed, since it leaves; a heartbeat that it had sent before arrives and writes the entry
 // again. Cause: the entry's return was taken for the leaf's. A leaf that has returned keeps its entry; this one's
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -35,6 +35,12 @@
     m_engine.setFleetSize(size);
     const millis now = m_clock.now();
     m_storeBadSince = storeOk ? millis::never() : std::min(m_storeBadSince, now);
+    // What the gap brought arrives a moment after its end; the time before the gap must still stand then.
+    constexpr millis currentAfter(500);
+    m_storeOkSince = storeOk ? std::min(m_storeOkSince, now) : millis::never();
+    if (m_storeOkSince + currentAfter <= now) {
+        m_engine.leafs().noteCurrent(now);
+    }
     // A process that has just begun to read has had no answer yet: that is no trouble of the store.
     constexpr millis troubleAfter(100);
     const bool lasts = m_storeBadSince + troubleAfter <= now;
--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -19,7 +19,7 @@
 constexpr millis answerLimit(500); // far above the few milliseconds that the store takes
 constexpr millis firstWait(50);
 constexpr millis firstRetry(400);
-constexpr millis mostRetry(2000); // a store that is back is read again within about that time
+constexpr millis mostRetry(1000); // a store that is back is read again within about that time
 
 } // namespace
 
