Each VM of a zone has its part of the shards

Change: the shards of a zone are divided into parts, the same for all who ask; the VM of rank n has part n % count.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -127,6 +128,7 @@
 struct helper_vm {
     std::string address;
     zone_name zone;
+    std::size_t rank = 0; ///< among the VMs of its zone, in an order that all VMs agree on but for late news
 };
 
 /** Names one piece of work handed to another VM, among those of the VM that hands it out. */
@@ -255,10 +257,11 @@
     /** Takes work of another VM; what comes of it is told by @ref progress_action. */
     exchange_id arriveDelegated(std::string requestId, const delegated_work &work, millis now);
 
-    /** VMs that can be reached now, for shards whose leafs are near them. */
-    void setHelpers(std::vector<helper_vm> helpers)
+    /** VMs that can be reached now, for shards whose leafs are near them. @param ownRank as @ref helper_vm::rank. */
+    void setHelpers(std::vector<helper_vm> helpers, std::size_t ownRank)
     {
         m_helpers = std::move(helpers);
+        m_ownRank = ownRank;
     }
 
     void onProgress(delegation_id id, delegated_progress progress, millis now);
@@ -320,6 +323,13 @@
         bool heard = false;
     };
 
+    /** Calls of one exchange for one VM. */
+    struct helper_group {
+        std::string helper;
+        std::vector<std::size_t> calls;
+    };
+    using helper_plan = std::vector<helper_group>;
+
     enum class due_kind : std::uint8_t {
         Exchange,
         Send,
@@ -363,9 +373,13 @@
     void finishGatherIfDone(exchange &work, millis now);
     void advanceDue(const due &next, millis now);
     void addCalls(exchange &work, std::span<const service_name> shards);
-    [[nodiscard]] std::vector<std::vector<std::size_t>>
-    planHelpers(const exchange &work, std::vector<std::string> &helpers, millis now);
-    [[nodiscard]] std::vector<std::string> helpersIn(const zone_name &zone, millis now) const;
+    [[nodiscard]] bool isTrusted(const std::string &helper, millis now) const;
+    [[nodiscard]] std::set<zone_name> zonesOf(const shard_call &call, bool stalledToo, millis now) const;
+    [[nodiscard]] std::size_t partsOf(const exchange &work, const zone_name &zone, millis now) const;
+    [[nodiscard]] std::string helperFor(const zone_name &zone, std::size_t part, std::size_t parts, millis now);
+    void planZone(
+        const exchange &work, const zone_name &zone, std::span<const std::size_t> calls, helper_plan &plan, millis now);
+    [[nodiscard]] helper_plan planHelpers(const exchange &work, millis now);
     void delegateCalls(exchange &work, const std::string &helper, std::vector<std::size_t> calls, millis now);
     void takeOver(delegation_id id, std::string_view cause, millis now);
     void resumeCall(exchange &work, std::size_t call, const lost_shard &lost, millis now);
@@ -412,6 +426,7 @@
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<send_id, send> m_sends;
     std::vector<helper_vm> m_helpers;
+    std::size_t m_ownRank = 0;
     std::unordered_map<std::string, millis> m_distrustedUntil; ///< helpers that did not answer in time
     std::map<leaf_digest, leaf_report> m_reports; ///< for other VMs, by leaf
     std::unordered_map<delegation_id, delegation> m_delegations;
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -160,10 +160,8 @@
         answerUnserved(work, overloaded ? "shards_overloaded" : "too_few_shards", false, now);
         return;
     }
-    std::vector<std::string> helpers;
-    std::vector<std::vector<std::size_t>> plan = planHelpers(work, helpers, now);
-    for (std::size_t at = 0; at < plan.size(); ++at) {
-        delegateCalls(work, helpers[at], std::move(plan[at]), now);
+    for (helper_group &group : planHelpers(work, now)) {
+        delegateCalls(work, group.helper, std::move(group.calls), now);
     }
     sendUnsent(work, now);
 }
--- a/libs/gateway/src/helpers.cpp
+++ b/libs/gateway/src/helpers.cpp
@@ -13,15 +13,6 @@
 constexpr millis hopMargin(3); // for the message there and back, and the reading of it on a busy small VM
 constexpr millis distrustFor(1500); // a frozen VM costs one lookup in this time, not each
 
-std::vector<std::vector<std::size_t>> chunked(std::span<const std::size_t> calls, std::size_t pieces)
-{
-    std::vector<std::vector<std::size_t>> result(pieces);
-    for (std::size_t at = 0; at < calls.size(); ++at) {
-        result[at % pieces].push_back(calls[at]);
-    }
-    return result;
-}
-
 std::size_t piecesFor(std::size_t calls, std::size_t atOnce)
 {
     return (calls + atOnce - 1) / atOnce;
@@ -29,78 +20,113 @@
 
 } // namespace
 
-std::vector<std::string> gateway_engine::helpersIn(const zone_name &zone, millis now) const
+bool gateway_engine::isTrusted(const std::string &helper, millis now) const
+{
+    const auto distrusted = m_distrustedUntil.find(helper);
+    return distrusted == m_distrustedUntil.end() || distrusted->second <= now;
+}
+
+/** Zones in which a leaf of the shard can be asked now, or, if @p stalledToo, could be but for a pause. */
+std::set<zone_name> gateway_engine::zonesOf(const shard_call &call, bool stalledToo, millis now) const
+{
+    std::set<zone_name> zones;
+    for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
+        const bool usable = stalledToo || (mayAsk(*one, now) && one->stalledSince() > now);
+        if (usable && !one->isLeaving()) {
+            zones.insert(one->entry.zone);
+        }
+    }
+    return zones;
+}
+
+/**
+ * Into how many parts the shards of a zone are divided: call n belongs to part n % count, as does the VM of rank n. The
+ * same for all who ask, so that a leaf knows two or three VMs and not all of the zone: with random helpers 67 VMs held
+ * so many connections that after a loss of power leafs, which still counted the dead ones, reset new ones for five
+ * seconds. And each VM meets its few leafs often enough to know at once how they are.
+ */
+std::size_t gateway_engine::partsOf(const exchange &work, const zone_name &zone, millis now) const
 {
-    std::vector<std::string> result;
+    const auto hasLeafThere = [&](const shard_call &call) { return zonesOf(call, true, now).contains(zone); };
+    const auto shards = static_cast<std::size_t>(std::ranges::count_if(work.calls, hasLeafThere));
+    std::size_t vms = zone == m_settings.zone ? m_ownRank + 1 : 1;
     for (const helper_vm &helper : m_helpers) {
-        const auto distrusted = m_distrustedUntil.find(helper.address);
-        const bool trusted = distrusted == m_distrustedUntil.end() || distrusted->second <= now;
-        if (helper.zone == zone && trusted) {
-            result.push_back(helper.address);
+        vms = helper.zone == zone ? std::max<std::size_t>(vms, helper.rank + 1) : vms;
+    }
+    return std::max<std::size_t>(1, std::min(piecesFor(shards, m_settings.shardsAtOnce), vms));
+}
+
+/** @return the address of a VM that is to ask for the part; empty if that is for this VM, or if there is none. */
+std::string gateway_engine::helperFor(const zone_name &zone, std::size_t part, std::size_t parts, millis now)
+{
+    if (zone == m_settings.zone && m_ownRank % parts == part) {
+        return {};
+    }
+    std::vector<std::string> meant;
+    std::vector<std::string> others;
+    for (const helper_vm &helper : m_helpers) {
+        if (helper.zone == zone && isTrusted(helper.address, now)) {
+            (helper.rank % parts == part ? meant : others).push_back(helper.address);
+        }
+    }
+    const std::vector<std::string> &from = meant.empty() ? others : meant;
+    return from.empty() ? std::string() : from[m_random.below(from.size())];
+}
+
+/** Hands out the calls whose leafs are in @p zone, part by part; what is left is asked from here. */
+void gateway_engine::planZone(
+    const exchange &work, const zone_name &zone, std::span<const std::size_t> calls, helper_plan &plan, millis now)
+{
+    const std::size_t parts = partsOf(work, zone, now);
+    std::vector<std::vector<std::size_t>> groups(parts);
+    std::ranges::for_each(calls, [&](std::size_t at) { groups[at % parts].push_back(at); });
+    for (std::size_t part = 0; part < parts; ++part) {
+        std::string helper =
+            groups[part].size() < leastWorthHanding ? std::string() : helperFor(zone, part, parts, now);
+        if (!helper.empty()) {
+            plan.push_back({std::move(helper), std::move(groups[part])});
         }
     }
-    return result;
 }
 
 /**
- * Who asks which leafs. Leafs of the own zone are asked from here; those of other zones by a VM next to them, since one
- * message with the merged parts replaces a request and an answer for each shard on the way between zones. If there
- * are more than this VM can ask quickly, others share the work.
- * @param helpers is filled with one address for each group that is returned.
+ * Who asks which leafs. Leafs of the own zone are asked from the own zone; those of other zones by VMs next to them,
+ * since one message with the merged parts replaces a request and an answer for each shard on the way between zones.
  */
-std::vector<std::vector<std::size_t>>
-gateway_engine::planHelpers(const exchange &work, std::vector<std::string> &helpers, millis now)
+gateway_engine::helper_plan gateway_engine::planHelpers(const exchange &work, millis now)
 {
-    std::vector<std::vector<std::size_t>> plan;
+    helper_plan plan;
     if (m_helpers.empty()) {
         return plan;
     }
-    std::vector<std::size_t> local;
     std::map<zone_name, std::vector<std::size_t>> byZone;
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         const shard_call &call = work.calls[at];
         if (call.missing || call.waiting) {
             continue;
         }
-        std::set<zone_name> zones;
-        for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
-            if (mayAsk(*one, now) && !one->isLeaving() && one->stalledSince() > now) {
-                zones.insert(one->entry.zone);
-            }
-        }
-        if (zones.empty() || zones.contains(m_settings.zone)) {
-            local.push_back(at);
+        const std::set<zone_name> zones = zonesOf(call, false, now);
+        if (zones.contains(m_settings.zone)) {
+            byZone[m_settings.zone].push_back(at);
             continue;
         }
         std::ranges::for_each(zones, [&](const zone_name &zone) { byZone[zone].push_back(at); });
     }
-    std::set<std::size_t> taken;
-    const auto addGroup = [&](const zone_name &zone, std::vector<std::size_t> calls, std::size_t keep) {
-        std::vector<std::string> near = helpersIn(zone, now);
-        const std::size_t pieces = std::min(piecesFor(calls.size(), m_settings.shardsAtOnce), near.size() + keep);
-        if (pieces <= keep || calls.size() < leastWorthHanding) {
-            return;
-        }
-        std::vector<std::vector<std::size_t>> groups = chunked(calls, pieces);
-        const std::size_t first = m_random.below(near.size());
-        for (std::size_t at = keep; at < groups.size(); ++at) {
-            taken.insert(groups[at].begin(), groups[at].end());
-            helpers.push_back(near[(first + at) % near.size()]);
-            plan.push_back(std::move(groups[at]));
-        }
-    };
     // The zone that has most first: fewer messages.
     while (!byZone.empty()) {
         const auto most = std::ranges::max_element(byZone, {}, [](const auto &one) { return one.second.size(); });
-        const std::vector<std::size_t> calls = most->second;
-        addGroup(most->first, calls, 0);
+        const std::size_t planned = plan.size();
+        planZone(work, most->first, most->second, plan, now);
         byZone.erase(most);
+        std::set<std::size_t> taken;
+        for (std::size_t at = planned; at < plan.size(); ++at) {
+            taken.insert(plan[at].calls.begin(), plan[at].calls.end());
+        }
         for (auto &[zone, rest] : byZone) {
             std::erase_if(rest, [&](std::size_t call) { return taken.contains(call); });
         }
         std::erase_if(byZone, [](const auto &one) { return one.second.empty(); });
     }
-    addGroup(m_settings.zone, local, 1);
     return plan;
 }
 
--- a/libs/gateway/tests/test_helpers.cpp
+++ b/libs/gateway/tests/test_helpers.cpp
@@ -155,3 +155,108 @@
     BOOST_TEST(world.cancels == two_vms::shards);
     BOOST_TEST(world.answers.empty());
 }
+
+namespace {
+
+/** One of four VMs of a zone that has all leafs of thirty shards, and what it hands to which other VM. */
+class vm_of_a_zone
+{
+public:
+    static constexpr std::size_t vms = 4;
+    static constexpr std::size_t shards = 30;
+
+    explicit vm_of_a_zone(std::size_t rank)
+        : m_engine(settings(), rank)
+    {
+        gateway_config config;
+        config.version = 1;
+        config.routes = {gateway_world::gatherRoute(shards, 0.8)};
+        for (const service_name &shard : config.routes.front().shards) {
+            config.services.push_back({shard, 100});
+            leaf_entry entry;
+            entry.id = shard.value + "-leaf";
+            entry.service = shard;
+            entry.zone = {"here"};
+            m_engine.leafs().put(entry, millis(0));
+        }
+        m_engine.applyConfig(std::move(config));
+        std::vector<helper_vm> helpers;
+        for (std::size_t at = 0; at < vms; ++at) {
+            if (at != rank) {
+                helpers.push_back({"vm" + std::to_string(at), {"here"}, at});
+            }
+        }
+        m_engine.setHelpers(std::move(helpers), rank);
+    }
+
+    /** @return which VM asks for each shard; an empty address stands for this one. */
+    std::map<std::string, std::string> ask(millis now)
+    {
+        std::map<std::string, std::string> asked;
+        m_engine.arrive({"q", "h", "/all/x", millis(600)}, now);
+        for (const gateway_action &action : m_engine.takeActions()) {
+            if (const auto *work = std::get_if<delegate_action>(&action)) {
+                std::ranges::for_each(work->work.shards, [&](const auto &one) { asked[one.value] = work->helper; });
+            } else if (const auto *sent = std::get_if<send_action>(&action)) {
+                asked[sent->to->entry.service.value] = "";
+            }
+        }
+        return asked;
+    }
+
+    void lose(const std::string &helper, millis now)
+    {
+        m_engine.onHelperLost(helper, now);
+        (void)m_engine.takeActions();
+    }
+
+private:
+    static gateway_settings settings()
+    {
+        gateway_settings settings;
+        settings.zone = {"here"};
+        settings.shardsAtOnce = 15; // two parts, with two VMs each
+        return settings;
+    }
+
+    gateway_engine m_engine;
+};
+
+} // namespace
+
+// Symptom: after a loss of power leafs reset new connections for seconds, and many shards are missing.
+// Sequence: each VM takes helpers at random, so every VM of a zone holds connections to all leafs there; the VMs lose
+// power; leafs still count the dead connections. Cause: a leaf had as many VMs as the zone has.
+BOOST_AUTO_TEST_CASE(a_leaf_is_asked_by_few_vms_of_its_zone)
+{
+    std::map<std::string, std::set<std::string>> askers;
+    for (std::size_t rank = 0; rank < vm_of_a_zone::vms; ++rank) {
+        vm_of_a_zone vm(rank);
+        for (int at = 0; at < 20; ++at) {
+            for (const auto &[shard, helper] : vm.ask(millis(1000 + at * 50))) {
+                askers[shard].insert(helper.empty() ? "vm" + std::to_string(rank) : helper);
+            }
+        }
+    }
+    BOOST_TEST(askers.size() == vm_of_a_zone::shards);
+    for (const auto &[shard, vms] : askers) {
+        BOOST_TEST(vms.size() == 2U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_part_whose_vms_do_not_answer_goes_to_others)
+{
+    vm_of_a_zone vm(0);
+    (void)vm.ask(millis(1000));
+    vm.lose("vm1", millis(1001));
+    vm.lose("vm3", millis(1001));
+    (void)vm.ask(millis(1010));
+    vm.lose("vm1", millis(1011));
+    vm.lose("vm3", millis(1011));
+    std::size_t handed = 0;
+    for (const auto &[shard, helper] : vm.ask(millis(1020))) {
+        handed += helper.empty() ? 0 : 1;
+        BOOST_TEST((helper.empty() || helper == "vm2"));
+    }
+    BOOST_TEST(handed == 15U);
+}
--- a/libs/gateway/tests/two_vms.h
+++ b/libs/gateway/tests/two_vms.h
@@ -25,7 +25,7 @@
             addLeaf(shard, "there");
             addLeaf(shard, "there");
         }
-        m_vms[0]->setHelpers({{"helper", {"there"}}});
+        m_vms[0]->setHelpers({{"helper", {"there"}, 0}}, 0);
     }
 
     /** @return the id of the leaf. */
--- a/programs/chivelockd/gateway/gateway_delegation.cpp
+++ b/programs/chivelockd/gateway/gateway_delegation.cpp
@@ -46,9 +46,9 @@
     m_helperLinks->tellProgress(asker.first, {asker.second, std::move(action.progress)});
 }
 
-void gateway_service::onHelpers(std::vector<helper_vm> helpers)
+void gateway_service::onHelpers(std::vector<helper_vm> helpers, std::size_t ownRank)
 {
-    m_engine.setHelpers(std::move(helpers));
+    m_engine.setHelpers(std::move(helpers), ownRank);
 }
 
 void gateway_service::onHelperLost(const std::string &address)
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -64,7 +64,7 @@
     void onFleetMembers(const std::vector<fleet_member> &members) override;
     void onLeafReports(const std::vector<leaf_report> &reports) override;
     [[nodiscard]] std::vector<leaf_report> takeLeafReports() override;
-    void onHelpers(std::vector<helper_vm> helpers) override;
+    void onHelpers(std::vector<helper_vm> helpers, std::size_t ownRank) override;
     void onHelperLost(const std::string &address) override;
     void onProgress(delegation_id id, delegated_progress progress) override;
     void onDelegated(link_id from, delegate_request request) override;
--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::size_t helpersInOwnZone = 8; // of a lookup over a hundred shards each then has some ten
-constexpr std::size_t helpersInOtherZone = 2; // one to ask, one more if the first is in trouble
+constexpr std::size_t helpersInOwnZone = 24; // all of a zone of today's fleets: each has its part of the shards
+constexpr std::size_t helpersInOtherZone = 8; // a part each, of a lookup over a hundred shards
 constexpr millis dialInterval(200);
 constexpr millis firstRedial(300);
 constexpr millis mostRedial(3000);
@@ -21,6 +21,15 @@
     return XXH64(to.data(), to.size(), seed);
 }
 
+/** Number of VMs in the same zone that come before this one. @param vm address without port, and zone. */
+std::size_t rankOf(const fleet_member &vm, const std::vector<fleet_member> &members)
+{
+    const auto before = std::ranges::count_if(members, [&](const fleet_member &one) {
+        return one.zone == vm.zone && one.address.substr(0, one.address.rfind(':')) < vm.address;
+    });
+    return static_cast<std::size_t>(before);
+}
+
 } // namespace
 
 helper_links::helper_links(boost::asio::io_context &reactor, helper_settings settings, helper_listener &listener)
@@ -59,6 +68,7 @@
                                              ip + ":" + std::to_string(m_settings.port));
         }
     }
+    m_ownRank = rankOf({m_settings.address, m_settings.zone}, members);
     std::set<std::string> wanted;
     for (auto &[zone, all] : byZone) {
         std::ranges::sort(all, std::greater<>());
@@ -66,6 +76,7 @@
         for (const auto &[weight, address] : all) {
             wanted.insert(address);
             m_helpers[address].zone = zone;
+            m_helpers[address].rank = rankOf({address.substr(0, address.rfind(':')), zone}, members);
         }
     }
     std::erase_if(m_helpers, [&](const auto &one) {
@@ -136,10 +147,10 @@
     std::vector<helper_vm> open;
     for (const auto &[address, one] : m_helpers) {
         if (one.open) {
-            open.push_back({address, one.zone});
+            open.push_back({address, one.zone, one.rank});
         }
     }
-    m_listener.onHelpers(std::move(open));
+    m_listener.onHelpers(std::move(open), m_ownRank);
 }
 
 bool helper_links::onLinkFrame(link_id link, std::span<const std::uint8_t> payload)
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -31,7 +31,7 @@
     virtual ~helper_listener() = default;
 
     /** VMs that can be reached now. */
-    virtual void onHelpers(std::vector<helper_vm> helpers) = 0;
+    virtual void onHelpers(std::vector<helper_vm> helpers, std::size_t ownRank) = 0;
     virtual void onHelperLost(const std::string &address) = 0;
     virtual void onProgress(delegation_id id, delegated_progress progress) = 0;
 
@@ -67,6 +67,7 @@
 private:
     struct helper {
         zone_name zone;
+        std::size_t rank = 0; ///< among the VMs of its zone
         link_id link = 0;
         bool open = false;
         millis redialAt;
@@ -86,6 +87,7 @@
     boot_clock m_clock;
     peer_mesh m_mesh;
     boost::asio::steady_timer m_timer;
+    std::size_t m_ownRank = 0; ///< among the VMs of the own zone
     std::map<std::string, helper> m_helpers; ///< by address with port
     link_id m_nextLink = 1;
 };
