--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -83,7 +83,8 @@
     void armTimer();
     void housekeep();
     void noticeStandstill(millis now);
-    void applyLeafEvent(const store_item &item);
+    void applyLeafEvents(const std::vector<store_item> &items);
+    bool applyLeafEvent(const store_item &item, bool logged);
     void applyConfig(const store_item &item);
     void continueStop();
     [[nodiscard]] bool answerReadiness() override;
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -8,18 +8,35 @@
 
 void gateway_service::onStoreNews(std::string_view prefix, const std::vector<store_item> &items)
 {
-    const bool isConfig = prefix == platform::configPrefix;
-    for (const store_item &item : items) {
-        if (isConfig) {
-            applyConfig(item);
-        } else {
-            applyLeafEvent(item);
-        }
+    if (prefix == platform::configPrefix) {
+        std::ranges::for_each(items, [this](const store_item &item) { applyConfig(item); });
+    } else {
+        applyLeafEvents(items);
+        m_leafsKnown = true;
     }
-    m_leafsKnown = m_leafsKnown || !isConfig;
     flush();
 }
 
+/** The first contents, and a new set of shards, bring hundreds of leafs at once: a line for each would use up the
+ *  second's lines, and those of requests, which an engineer needs more, would be the ones dropped. */
+void gateway_service::applyLeafEvents(const std::vector<store_item> &items)
+{
+    constexpr std::size_t mostSingly = 16; // lines; a few percent of what may be written in a second
+    const bool singly = items.size() <= mostSingly;
+    std::size_t changed = 0;
+    for (const store_item &item : items) {
+        changed += applyLeafEvent(item, singly) ? 1 : 0;
+    }
+    if (!singly) {
+        logEvent(log_level::Info,
+                 "leafs_changed",
+                 {{"told", std::uint64_t {items.size()}},
+                  {"changed", std::uint64_t {changed}},
+                  {"known", std::uint64_t {m_engine.leafs().size()}},
+                  {"revision", items.back().revision}});
+    }
+}
+
 void gateway_service::onFleetMembers(const std::vector<fleet_member> &members)
 {
     m_helperLinks->setMembers(members);
@@ -70,22 +87,24 @@
     }
 }
 
-void gateway_service::applyLeafEvent(const store_item &item)
+bool gateway_service::applyLeafEvent(const store_item &item, bool logged)
 {
     const millis now = m_clock.now();
     const std::string id(platform::leafIdFromKey(item.key));
     if (item.deleted) {
-        if (m_engine.leafs().remove(id, now)) {
+        const bool known = m_engine.leafs().remove(id, now);
+        if (known && logged) {
             logEvent(log_level::Info, "leaf_missing", {{"leaf", id}, {"revision", item.revision}});
         }
-        return;
+        return known;
     }
     const auto entry = platform::decodeLeaf(item.key, item.value);
     if (!entry) {
         logEvent(log_level::Error, "leaf_entry_refused", {{"key", item.key}, {"cause", entry.error().reason}});
-        return;
+        return false;
     }
-    if (m_engine.leafs().put(*entry, now)) {
+    const bool changed = m_engine.leafs().put(*entry, now);
+    if (changed && logged) {
         logEvent(log_level::Info,
                  entry->draining ? "leaf_draining" : "leaf_ready",
                  {{"leaf", id},
@@ -93,6 +112,7 @@
                   {"address", entry->address},
                   {"revision", item.revision}});
     }
+    return changed;
 }
 
 void gateway_service::applyConfig(const store_item &item)
