--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -330,6 +330,12 @@
     };
     using helper_plan = std::vector<helper_group>;
 
+    /** Zones with leafs of one shard that stay. */
+    struct shard_zones {
+        std::set<zone_name> all;
+        std::set<zone_name> usable; ///< with one that can be asked now
+    };
+
     enum class due_kind : std::uint8_t {
         Exchange,
         Send,
@@ -374,11 +380,11 @@
     void advanceDue(const due &next, millis now);
     void addCalls(exchange &work, std::span<const service_name> shards);
     [[nodiscard]] bool isTrusted(const std::string &helper, millis now) const;
-    [[nodiscard]] std::set<zone_name> zonesOf(const shard_call &call, bool stalledToo, millis now) const;
-    [[nodiscard]] std::size_t partsOf(const exchange &work, const zone_name &zone, millis now) const;
+    [[nodiscard]] shard_zones zonesOf(const shard_call &call, millis now) const;
+    [[nodiscard]] std::size_t partsOf(const zone_name &zone, std::size_t shards) const;
     [[nodiscard]] std::string helperFor(const zone_name &zone, std::size_t part, std::size_t parts, millis now);
     void planZone(
-        const exchange &work, const zone_name &zone, std::span<const std::size_t> calls, helper_plan &plan, millis now);
+        const zone_name &zone, std::span<const std::size_t> calls, std::size_t parts, helper_plan &plan, millis now);
     [[nodiscard]] helper_plan planHelpers(const exchange &work, millis now);
     void delegateCalls(exchange &work, const std::string &helper, std::vector<std::size_t> calls, millis now);
     void takeOver(delegation_id id, std::string_view cause, millis now);
--- a/libs/gateway/src/helpers.cpp
+++ b/libs/gateway/src/helpers.cpp
@@ -26,14 +26,16 @@
     return distrusted == m_distrustedUntil.end() || distrusted->second <= now;
 }
 
-/** Zones in which a leaf of the shard can be asked now, or, if @p stalledToo, could be but for a pause. */
-std::set<zone_name> gateway_engine::zonesOf(const shard_call &call, bool stalledToo, millis now) const
+gateway_engine::shard_zones gateway_engine::zonesOf(const shard_call &call, millis now) const
 {
-    std::set<zone_name> zones;
+    shard_zones zones;
     for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
-        const bool usable = stalledToo || (mayAsk(*one, now) && one->stalledSince() > now);
-        if (usable && !one->isLeaving()) {
-            zones.insert(one->entry.zone);
+        if (one->isLeaving()) {
+            continue;
+        }
+        zones.all.insert(one->entry.zone);
+        if (mayAsk(*one, now) && one->stalledSince() > now) {
+            zones.usable.insert(one->entry.zone);
         }
     }
     return zones;
@@ -45,10 +47,8 @@
  * so many connections that after a loss of power leafs, which still counted the dead ones, reset new ones for five
  * seconds. And each VM meets its few leafs often enough to know at once how they are.
  */
-std::size_t gateway_engine::partsOf(const exchange &work, const zone_name &zone, millis now) const
+std::size_t gateway_engine::partsOf(const zone_name &zone, std::size_t shards) const
 {
-    const auto hasLeafThere = [&](const shard_call &call) { return zonesOf(call, true, now).contains(zone); };
-    const auto shards = static_cast<std::size_t>(std::ranges::count_if(work.calls, hasLeafThere));
     std::size_t vms = zone == m_settings.zone ? m_ownRank + 1 : 1;
     for (const helper_vm &helper : m_helpers) {
         vms = helper.zone == zone ? std::max<std::size_t>(vms, helper.rank + 1) : vms;
@@ -75,9 +75,8 @@
 
 /** Hands out the calls whose leafs are in @p zone, part by part; what is left is asked from here. */
 void gateway_engine::planZone(
-    const exchange &work, const zone_name &zone, std::span<const std::size_t> calls, helper_plan &plan, millis now)
+    const zone_name &zone, std::span<const std::size_t> calls, std::size_t parts, helper_plan &plan, millis now)
 {
-    const std::size_t parts = partsOf(work, zone, now);
     std::vector<std::vector<std::size_t>> groups(parts);
     std::ranges::for_each(calls, [&](std::size_t at) { groups[at % parts].push_back(at); });
     for (std::size_t part = 0; part < parts; ++part) {
@@ -100,23 +99,25 @@
         return plan;
     }
     std::map<zone_name, std::vector<std::size_t>> byZone;
+    std::map<zone_name, std::size_t> shardsIn; // whatever state their leafs are in, so that parts stay as they are
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         const shard_call &call = work.calls[at];
         if (call.missing || call.waiting) {
             continue;
         }
-        const std::set<zone_name> zones = zonesOf(call, false, now);
-        if (zones.contains(m_settings.zone)) {
+        const shard_zones zones = zonesOf(call, now);
+        std::ranges::for_each(zones.all, [&](const zone_name &zone) { shardsIn[zone] += 1; });
+        if (zones.usable.contains(m_settings.zone)) {
             byZone[m_settings.zone].push_back(at);
-            continue;
+        } else {
+            std::ranges::for_each(zones.usable, [&](const zone_name &zone) { byZone[zone].push_back(at); });
         }
-        std::ranges::for_each(zones, [&](const zone_name &zone) { byZone[zone].push_back(at); });
     }
     // The zone that has most first: fewer messages.
     while (!byZone.empty()) {
         const auto most = std::ranges::max_element(byZone, {}, [](const auto &one) { return one.second.size(); });
         const std::size_t planned = plan.size();
-        planZone(work, most->first, most->second, plan, now);
+        planZone(most->first, most->second, partsOf(most->first, shardsIn[most->first]), plan, now);
         byZone.erase(most);
         std::set<std::size_t> taken;
         for (std::size_t at = planned; at < plan.size(); ++at) {
