One threshold for telling that a leaf is slow

Cause: slowAt in leaf_reports.cpp stood for the same figure as tellSlowAt in leaf_health.cpp and could have come apart from it; a comment in planHelpers said more than its loop does. Change: the constant stands once, in exchange.h.

--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -19,6 +19,9 @@
  */
 inline constexpr millis slownessHalfLife(500);
 
+/** A log line when a leaf passes twice the usual time, whether measured here or told by another VM. */
+inline constexpr double tellSlowAt = 2;
+
 /** @return what is left of @p value after @p age. */
 [[nodiscard]] inline double faded(double value, millis age, millis halfLife)
 {
--- a/libs/gateway/src/helpers.cpp
+++ b/libs/gateway/src/helpers.cpp
@@ -99,7 +99,7 @@
         return plan;
     }
     std::map<zone_name, std::vector<std::size_t>> byZone;
-    std::map<zone_name, std::size_t> shardsIn; // whatever state their leafs are in, so that parts stay as they are
+    std::map<zone_name, std::size_t> shardsIn; // pausing leafs count: parts should stay as they are
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         const shard_call &call = work.calls[at];
         if (call.missing || call.waiting) {
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -9,7 +9,6 @@
 
 constexpr double slowerStep = 1.35; // two slow answers outweigh the preference for the own zone
 constexpr double fasterStep = 0.8;
-constexpr double tellSlowAt = 2; // a log line when its times pass twice the usual
 constexpr double leastSlowness = 0.8;
 constexpr double mostSlowness = 30;
 constexpr double failureWeight = 0.3; // of the newest answer among the recent ones
--- a/libs/gateway/src/leaf_reports.cpp
+++ b/libs/gateway/src/leaf_reports.cpp
@@ -12,7 +12,6 @@
 constexpr double worthTelling = 1.3; // a factor: about one slow answer more
 constexpr double worthTakingBack = 1.5; // else pauses told one by one, and never taken back, add up to slowness
 constexpr millis ownZoneFresh(1000); // what the own zone found out goes before other zones' word for so long
-constexpr double slowAt = 2; // counts as a change of belief, as for what this VM measures itself
 
 bool isNews(double slowness, double told)
 {
@@ -75,12 +74,12 @@
     if (report.observedAt <= about->slownessAt + goesBefore) {
         return false;
     }
-    const bool wasSlow = about->slowness >= slowAt;
+    const bool wasSlow = about->slowness >= tellSlowAt;
     about->slowness = report.slowness;
     about->slownessAt = report.observedAt;
     about->toldSlowness = report.slowness;
     about->toldAt = report.observedAt;
-    return wasSlow != (about->slowness >= slowAt);
+    return wasSlow != (about->slowness >= tellSlowAt);
 }
 
 } // namespace chivelock
