--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -80,7 +80,7 @@
 
 bool gateway_engine::mayAsk(const leaf &candidate, millis now) const
 {
-    if (candidate.misdirected || now < candidate.downUntil) {
+    if (candidate.misdirected || candidate.entryUnreadable || now < candidate.downUntil) {
         return false;
     }
     if (candidate.failuresInRow > 0 && !candidate.open.empty()) {
--- a/libs/gateway/src/leaf_reports.cpp
+++ b/libs/gateway/src/leaf_reports.cpp
@@ -59,8 +59,8 @@
 bool gateway_engine::takeReport(const leaf_report &report)
 {
     const std::shared_ptr<leaf> about = m_leafs.find(report.leaf);
-    if (!about) {
-        return false;
+    if (!about || report.observedAt <= about->bornHereAt) {
+        return false; // of nobody, or of an earlier life under the same id
     }
     const bool ownZone = report.observer == digestOf(m_settings.zone);
     if (report.unreachable) {
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -590,3 +590,23 @@
     }
     BOOST_TEST(world.engine.leafs().find(slow)->slowness > 1.7);
 }
+
+// Symptom: a leaf that has just started again is passed over as slow for a second.
+// Sequence: it ends while slow; another VM's word of that arrives after its new start.
+// Cause: the word names the id, which both lives have.
+BOOST_AUTO_TEST_CASE(word_of_a_leafs_earlier_life_says_nothing_of_the_new_one)
+{
+    gateway_world world;
+    leaf_entry entry;
+    entry.id = "single-1";
+    entry.service = {"single"};
+    entry.bornAt = millis(1e12);
+    world.engine.leafs().put(entry, millis(1000));
+    entry.bornAt = millis(1e12 + 9000);
+    world.engine.leafs().put(entry, millis(10000));
+    const leaf_digest digest = digestOf("single-1");
+    const leaf_report early[] = {{digest, 0, 20, false, millis(9990)}};
+    BOOST_TEST(world.engine.onReports(early) == 0U);
+    const leaf_report later[] = {{digest, 0, 20, false, millis(11500)}};
+    BOOST_TEST(world.engine.onReports(later) == 1U);
+}
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -23,13 +23,15 @@
 
 /** What a leaf says of itself in the platform's store. */
 struct leaf_entry {
-    std::string id; ///< new with each start of the leaf
+    std::string id;
     service_name service;
     std::string address; ///< IP number and port
     zone_name zone;
     unsigned slots = 1; ///< requests that it processes at a time
     bool draining = false;
     millis coldFor; ///< how much longer it is slow after its start
+    std::optional<millis> bornAt; ///< its start by its own time of day; a later one under the same id is another leaf
+    std::uint64_t sequence = 0; ///< rises with what it says of itself; begins anew with each start
 };
 
 /** Follows a quantile of a stream of times without keeping them: each value moves the estimate a small step. */
@@ -151,6 +153,9 @@
     millis removeAt = millis::never(); ///< entry is missing from the store; it is forgotten then
     millis doubtfulUntil = millis() - millis::never(); ///< its entry came back after it was removed
     bool misdirected = false; ///< another instance answered at its address
+    bool entryUnreadable =
+        false; ///< another writer has spoilt its entry, which names no leaf until it is written again
+    millis bornHereAt = millis() - millis::never(); ///< word of its id from before that speaks of an earlier life
     std::vector<open_send> open;
     millis lastReplyAt = millis() - millis::never();
     double slowness = 1; ///< its times over what is typical
@@ -210,6 +215,9 @@
     /** @return true if something changed that matters. */
     bool put(const leaf_entry &entry, millis now);
 
+    /** The entry can't be read: it names no leaf to use until it is written anew. @return false for an unknown id. */
+    bool markUnreadable(std::string_view id);
+
     /** The entry is missing from the store. @return false for an unknown id. */
     bool remove(std::string_view id, millis now);
 
@@ -229,6 +237,8 @@
     }
 
 private:
+    void add(const leaf_entry &entry, millis now);
+    bool update(leaf &known, const leaf_entry &entry, millis now);
     void unlink(const leaf &gone);
     void takeReturn(leaf &known, millis removedAt, millis now);
     void endDoubt(leaf &known, millis now);
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace chivelock {
 
@@ -12,6 +13,20 @@
 constexpr double lapseHeartbeats = 3.5; // the store removes an entry after three intervals without a word
 constexpr millis troubleEcho(6000); // after the store's trouble, within which lapsed entries and their leafs come back
 
+bool bornLater(const leaf_entry &entry, const leaf_entry &known)
+{
+    return entry.bornAt && known.bornAt && *entry.bornAt > *known.bornAt;
+}
+
+/** A heartbeat that was long on its way: of an earlier life of the leaf, or overtaken by a later one of the same. */
+bool isOutdated(const leaf_entry &entry, const leaf_entry &known)
+{
+    if (!entry.bornAt || !known.bornAt) {
+        return false; // a lower count may be a new life as well
+    }
+    return *entry.bornAt < *known.bornAt || entry.sequence < known.sequence;
+}
+
 } // namespace
 
 leaf_digest digestOf(std::string_view leafId)
@@ -40,21 +55,41 @@
 {
     const auto found = m_byId.find(entry.id);
     if (found == m_byId.end()) {
-        auto added = std::make_shared<leaf>(entry);
-        added->coldUntil = now + entry.coldFor;
-        // Since when it drains is not known here, perhaps for as long as it may be asked.
-        added->drainSeenAt = entry.draining ? millis() : millis::never();
-        if (const auto removed = m_removedUnseen.find(entry.id); removed != m_removedUnseen.end()) {
-            takeReturn(*added, removed->second, now);
-            m_removedUnseen.erase(removed);
-        }
-        m_byId.emplace(entry.id, added);
-        m_byDigest[digestOf(entry.id)] = added;
-        m_byService[entry.service].push_back(std::move(added));
+        add(entry, now);
         return true;
     }
     leaf &known = *found->second;
+    if (bornLater(entry, known.entry)) {
+        // It holds and knows nothing of before: neither its drain nor what was slow or silent says anything of it.
+        unlink(known);
+        m_byId.erase(found);
+        add(entry, now);
+        m_byId.at(entry.id)->bornHereAt = now;
+        return true;
+    }
+    return !isOutdated(entry, known.entry) && update(known, entry, now);
+}
+
+void leaf_directory::add(const leaf_entry &entry, millis now)
+{
+    auto added = std::make_shared<leaf>(entry);
+    added->coldUntil = now + entry.coldFor;
+    // Since when it drains is not known here, perhaps for as long as it may be asked.
+    added->drainSeenAt = entry.draining ? millis() : millis::never();
+    if (const auto removed = m_removedUnseen.find(entry.id); removed != m_removedUnseen.end()) {
+        takeReturn(*added, removed->second, now);
+        m_removedUnseen.erase(removed);
+    }
+    m_byId.emplace(entry.id, added);
+    m_byDigest[digestOf(entry.id)] = added;
+    m_byService[entry.service].push_back(std::move(added));
+}
+
+/** @return true if something changed that matters. */
+bool leaf_directory::update(leaf &known, const leaf_entry &entry, millis now)
+{
     const bool returned = known.removeAt < millis::never();
+    const bool readableAgain = std::exchange(known.entryUnreadable, false);
     const bool drainsNow = entry.draining && !known.entry.draining;
     if (drainsNow) {
         known.drainSeenAt = std::min(now, m_currentAsOf);
@@ -65,8 +100,19 @@
     known.removeAt = millis::never();
     known.entry.draining = entry.draining;
     known.entry.slots = entry.slots;
+    known.entry.sequence = entry.sequence;
     known.coldUntil = now + entry.coldFor;
-    return returned || drainsNow;
+    return returned || readableAgain || drainsNow;
+}
+
+bool leaf_directory::markUnreadable(std::string_view id)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end()) {
+        return false;
+    }
+    found->second->entryUnreadable = true;
+    return true;
 }
 
 /**
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -116,6 +116,83 @@
     BOOST_TEST(!directory.find("a")->isLeaving());
 }
 
+// Symptom: a leaf that has started again gets nothing for seconds, or is asked as a last resort only.
+// Sequence: it drains, ends, and starts again under its id; its entry says ready, with a later start and a lower count.
+// Cause: what was believed of its earlier life, above all that it leaves, was held against the new one.
+BOOST_AUTO_TEST_CASE(a_leaf_that_starts_again_under_its_id_is_another_leaf)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    entry.address = "10.0.0.1:80";
+    entry.bornAt = millis(1e12);
+    entry.sequence = 40;
+    entry.draining = true;
+    directory.put(entry, millis(1000));
+    const std::shared_ptr<leaf> earlier = directory.find("a");
+    earlier->failuresInRow = 3;
+    earlier->slowness = 9;
+    directory.remove("a", millis(2000));
+    entry.bornAt = millis(1e12 + 5000);
+    entry.sequence = 1;
+    entry.draining = false;
+    entry.address = "10.0.0.2:80";
+    BOOST_TEST(directory.put(entry, millis(3000)));
+    const std::shared_ptr<leaf> later = directory.find("a");
+    BOOST_TEST(later != earlier);
+    BOOST_TEST(!later->isLeaving());
+    BOOST_TEST((later->drainSeenAt == millis::never()));
+    BOOST_TEST(later->slowness == 1);
+    BOOST_TEST(later->entry.address == "10.0.0.2:80");
+    BOOST_TEST(directory.of({"s"}).size() == 1U);
+    BOOST_TEST(directory.find(digestOf("a")) == later);
+}
+
+// Symptom: a leaf that drains is asked as if it stayed, or one that has started again is taken for its earlier life.
+// Sequence: a heartbeat that was long on its way is written over a newer entry.
+// Cause: the entry written last was believed, whatever its start and count say.
+BOOST_AUTO_TEST_CASE(a_late_heartbeat_changes_nothing)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    entry.bornAt = millis(1e12);
+    entry.sequence = 5;
+    entry.draining = true;
+    directory.put(entry, millis(1000));
+    leaf_entry overtaken = entry;
+    overtaken.sequence = 4;
+    overtaken.draining = false;
+    BOOST_TEST(!directory.put(overtaken, millis(1100)));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    leaf_entry earlierLife = entry;
+    earlierLife.bornAt = millis(1e12 - 60000);
+    earlierLife.sequence = 900;
+    earlierLife.draining = false;
+    BOOST_TEST(!directory.put(earlierLife, millis(1200)));
+    BOOST_TEST(directory.find("a")->isLeaving());
+}
+
+// Symptom: requests go to whatever another writer has put into a leaf's entry, or a leaf is gone for good after it.
+// Sequence: bytes that can't be read are written under a leaf's key; the leaf writes its entry again.
+// Cause: the old entry was used on, or the leaf taken for removed and doubted when it came back.
+BOOST_AUTO_TEST_CASE(a_spoilt_entry_names_no_leaf_until_it_is_written_again)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(1000));
+    BOOST_TEST(directory.markUnreadable("a"));
+    BOOST_TEST(!directory.markUnreadable("unknown"));
+    BOOST_TEST(directory.find("a")->entryUnreadable);
+    BOOST_TEST(directory.put(entry, millis(2000)));
+    BOOST_TEST(!directory.find("a")->entryUnreadable);
+    BOOST_TEST(!directory.find("a")->isLeaving());
+}
+
 BOOST_AUTO_TEST_CASE(a_quantile_is_followed_without_keeping_values)
 {
     quantile_tracker median(0.5, millis(100));
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -1,5 +1,6 @@
 /** @file What the gateway makes of the store's word. */
 
+#include "addresses.h"
 #include "gateway_service.h"
 
 #include <algorithm>
@@ -98,9 +99,18 @@
         }
         return known;
     }
-    const auto entry = platform::decodeLeaf(item.key, item.value);
+    auto entry = platform::decodeLeaf(item.key, item.value);
+    if (entry && !parseEndpoint(entry->address)) {
+        entry = tl::unexpected(platform::decode_error {"address is no IP number and port"});
+    }
     if (!entry) {
-        logEvent(log_level::Error, "leaf_entry_refused", {{"key", item.key}, {"cause", entry.error().reason}});
+        const bool wasInUse = m_engine.leafs().markUnreadable(id);
+        logEvent(log_level::Error,
+                 "leaf_entry_refused",
+                 {{"key", item.key},
+                  {"revision", item.revision},
+                  {"cause", entry.error().reason},
+                  {"outcome", std::string(wasInUse ? "leaf_not_asked" : "ignored")}});
         return false;
     }
     const bool changed = m_engine.leafs().put(*entry, now);
--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -35,9 +35,8 @@
 class leaf_pool::connection : public std::enable_shared_from_this<connection>
 {
 public:
-    connection(leaf_pool &pool, std::string leafId)
+    explicit connection(leaf_pool &pool)
         : m_pool(pool)
-        , m_leafId(std::move(leafId))
         , m_socket(pool.m_reactor)
         , m_connectTimer(pool.m_reactor)
     {
@@ -101,9 +100,10 @@
         return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
-    [[nodiscard]] const std::string &leafId() const
+    /** Whom it leads to. */
+    [[nodiscard]] const leaf &peer() const
     {
-        return m_leafId;
+        return *m_message.to;
     }
 
 private:
@@ -205,7 +205,7 @@
         m_busy = false;
         if (reusable) {
             m_idleSince = boot_clock().now();
-            m_pool.m_idle[m_leafId].push_back(self);
+            m_pool.m_idle[&peer()].push_back(self);
             m_message.to->keptConnections += 1;
         } else {
             close();
@@ -248,14 +248,13 @@
     {
         const auto self = shared_from_this();
         close();
-        const auto idle = m_pool.m_idle.find(m_leafId);
+        const auto idle = m_pool.m_idle.find(&peer());
         if (idle != m_pool.m_idle.end() && std::erase(idle->second, self) > 0) {
             m_message.to->keptConnections -= 1;
         }
     }
 
     leaf_pool &m_pool;
-    std::string m_leafId;
     tcp::socket m_socket;
     asio::steady_timer m_connectTimer;
     response_reader m_reader;
@@ -296,7 +295,7 @@
         kept->use(std::move(message));
         return;
     }
-    const auto made = std::make_shared<connection>(*this, message.to->entry.id);
+    const auto made = std::make_shared<connection>(*this);
     m_counts.opened += 1;
     m_busy.emplace(id, made);
     made->open(std::move(message));
@@ -304,13 +303,13 @@
 
 std::shared_ptr<leaf_pool::connection> leaf_pool::takeIdle(const leaf_message &message)
 {
-    const auto idle = m_idle.find(message.to->entry.id);
+    const auto idle = m_idle.find(message.to.get());
     if (idle == m_idle.end() || idle->second.empty()) {
         return nullptr;
     }
     auto newest = idle->second.back();
     if (!newest->usableFor(message, boot_clock().now()) || (message.once && !newest->isQuiet())) {
-        closeIdleOf(message.to->entry.id); // the others have been idle for longer
+        closeIdleOf(*message.to); // the others have been idle for longer
         return nullptr;
     }
     idle->second.pop_back();
@@ -328,12 +327,12 @@
     m_busy.erase(found);
     ended->close();
     // Silence until the deadline may be the connection's alone; older ones to that leaf are not trusted either.
-    closeIdleOf(ended->leafId());
+    closeIdleOf(ended->peer());
 }
 
-void leaf_pool::closeIdleOf(const std::string &leafId)
+void leaf_pool::closeIdleOf(const leaf &target)
 {
-    const auto idle = m_idle.find(leafId);
+    const auto idle = m_idle.find(&target);
     if (idle == m_idle.end()) {
         return;
     }
@@ -346,7 +345,7 @@
 {
     const auto all = std::move(m_idle);
     m_idle.clear();
-    for (const auto &[id, idle] : all) {
+    for (const auto &[target, idle] : all) {
         std::ranges::for_each(idle, [](const auto &one) { one->closeIdle(); });
     }
 }
--- a/programs/chivelockd/gateway/leaf_pool.h
+++ b/programs/chivelockd/gateway/leaf_pool.h
@@ -75,12 +75,15 @@
     using connections = std::vector<std::shared_ptr<connection>>;
 
     [[nodiscard]] std::shared_ptr<connection> takeIdle(const leaf_message &message);
-    void closeIdleOf(const std::string &leafId);
+    void closeIdleOf(const leaf &target);
 
     boost::asio::io_context &m_reactor;
     send_listener &m_listener;
     leaf_pool_counts m_counts;
-    std::unordered_map<std::string, connections> m_idle; ///< by leaf id, the one used last at the end
+    /** The one used last at the end. By leaf and not by its id: a leaf that starts again under its id accepts new
+     *  connections only, and requests on those of its earlier life would be lost. Each entry's leaf is held alive by
+     * its connections. */
+    std::unordered_map<const leaf *, connections> m_idle;
     std::unordered_map<send_id, std::shared_ptr<connection>> m_busy;
 };
 
