The time in a leaf's queue is not taken for slowness

Cause: how slow a leaf is was learnt from the whole time to its answer. Short lookups' waits were priced by their own work, though they stand behind long ones. Ruled out by logs with causes told apart (overloaded, no_leaf): connections over the cap, dark leafs. Change: the queue that a request met is taken out before slowness and usual time are learnt; waits are priced by the mix of routes; a leaf counts as overloaded from 1.3 times the expected time on, with or without a queue; causes say overloaded or no_leaf.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -311,6 +311,7 @@
         route_pace *pace = nullptr;
         millis sentAt;
         millis closeAt; ///< given up then
+        double queue = 0; ///< as @ref leafQueue when it was sent
         bool idempotent = true;
     };
 
@@ -356,6 +357,12 @@
         double cost = 0;
         bool full = false; ///< none because all that could be asked have no connection left
         bool overloaded = false; ///< none because their queues are longer than the time that is left
+
+        /** Why there is none, in a constant word for logs and callers. */
+        [[nodiscard]] std::string_view reason() const
+        {
+            return overloaded ? "overloaded" : "no_leaf";
+        }
     };
 
     void begin(exchange &work, millis now);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -14,6 +14,13 @@
 constexpr double leastUseOfObjective = 0.5; // a partial answer is never given before that share of the objective
 constexpr double holdShare = 0.2; // of the objective: longest wait for a free connection before a refusal
 
+void mixIn(leaf &target, millis work)
+{
+    constexpr double newestShare = 0.1; // some ten requests tell the mix
+    const bool first = target.mixedWork == millis();
+    target.mixedWork = first ? work : target.mixedWork * (1 - newestShare) + work * newestShare;
+}
+
 millis patienceAfterWays(millis patience, millis roundTrip)
 {
     const millis ways = roundTrip * (waysBeforeArrival + waysBack) + answerMargin;
@@ -137,7 +144,7 @@
     } else if (chosen.full) {
         call.waiting = true;
     } else {
-        answerUnserved(work, chosen.overloaded ? "overloaded" : "no_leaf", false, now);
+        answerUnserved(work, chosen.reason(), false, now);
     }
 }
 
@@ -197,6 +204,7 @@
 void gateway_engine::sendCall(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
     shard_call &call = work.calls[at];
+    const double queue = leafQueue(*to, *work.pace, now);
     const millis hedgeAfter = work.pace->hedgeAfter();
     send one;
     one.id = m_nextId++;
@@ -208,6 +216,8 @@
     one.idempotent = work.route->idempotent;
     constexpr millis afterDeadline(100); // a leaf's own word that time is up is still heard
     one.closeAt = work.limit + afterDeadline;
+    one.queue = queue;
+    mixIn(*to, work.pace->typical.estimate());
     to->open.push_back({one.id, now, now + hedgeAfter});
     call.tried.push_back(to);
     call.open += 1;
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -85,7 +85,7 @@
             sendCall(work, at, chosen.to, now);
         } else if (!chosen.full) {
             call.waiting = false;
-            failCall(work, at, "no_leaf", now);
+            failCall(work, at, chosen.reason(), now);
         }
     }
 }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -34,6 +34,26 @@
     return 1 + faded(candidate.slowness - 1, now - candidate.slownessAt, slownessHalfLife);
 }
 
+/** Time in the leaf's queue, in units of one request's time, if @p atWork requests are there. */
+[[nodiscard]] inline double queueOf(double atWork, unsigned slots)
+{
+    const double places = std::max(1U, slots);
+    return std::max(0.0, atWork - places + 1) / places;
+}
+
+/** @return as @ref queueOf, from what this VM has sent and what the leaf told of late. */
+[[nodiscard]] double leafQueue(const leaf &candidate, const route_pace &pace, millis now);
+
+/**
+ * @return the time that a leaf of usual speed needs for a request behind @p queue others. Those are of all routes: a
+ * short request waits for long ones, and priced as if they were of its own kind its wait was a third of the true one.
+ */
+[[nodiscard]] inline millis timeBehind(double queue, const leaf &candidate, const route_pace &pace)
+{
+    const millis typical = pace.typical.estimate();
+    return typical + std::max(candidate.mixedWork, typical) * queue;
+}
+
 /** One shard of a gather, or the whole of a request to one leaf. */
 struct gateway_engine::shard_call {
     service_name service;
--- a/libs/gateway/src/helpers.cpp
+++ b/libs/gateway/src/helpers.cpp
@@ -256,7 +256,7 @@
     if (chosen.to) {
         sendCall(work, at, chosen.to, now);
     } else {
-        failCall(work, at, "no_leaf", now);
+        failCall(work, at, chosen.reason(), now);
     }
 }
 
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -20,31 +20,30 @@
 constexpr double leavingShare = 4; // of the objective: asked only if no other leaf of the service may be
 constexpr millis drainMargin(1000); // for the store's word to arrive and a request to reach the leaf
 
-/** Time of one request at the leaf without its queue. */
-millis workTime(const leaf &candidate, const route_pace &pace, millis now)
+/** From sending to the answer, queue and all. */
+millis expectedTime(const leaf &candidate, const route_pace &pace, millis now)
 {
-    return pace.typical.estimate() * currentSlowness(candidate, now);
+    return timeBehind(leafQueue(candidate, pace, now), candidate, pace) * currentSlowness(candidate, now);
 }
 
-/** Time in the leaf's queue, in units of one request's time. */
-double queueFactor(const leaf &candidate, const route_pace &pace, millis now)
+} // namespace
+
+double leafQueue(const leaf &candidate, const route_pace &pace, millis now)
 {
     double atWork = static_cast<double>(candidate.open.size());
-    const millis fresh = std::max(leastLoadFresh, workTime(candidate, pace, now) * loadFreshWorks);
+    const millis fresh =
+        std::max(leastLoadFresh, pace.typical.estimate() * currentSlowness(candidate, now) * loadFreshWorks);
     if (now - candidate.loadAt < fresh) {
         atWork = std::max(atWork, static_cast<double>(candidate.load.running + candidate.load.waiting));
     }
-    const double slots = std::max(1U, candidate.entry.slots);
-    return std::max(0.0, atWork - slots + 1) / slots;
+    return queueOf(atWork, candidate.entry.slots);
 }
 
-} // namespace
-
 double gateway_engine::expectedCost(const leaf &candidate, const route_pace &pace, millis now)
 {
     const double typical = pace.typical.estimate().count();
     const double objective = pace.objective.count();
-    double cost = workTime(candidate, pace, now).count() * (1 + queueFactor(candidate, pace, now));
+    double cost = expectedTime(candidate, pace, now).count();
     cost += objective * faded(candidate.failing, now - candidate.failingAt, failingHalfLife);
     cost += objective * refusingShare * faded(candidate.refusing, now - candidate.refusingAt, failingHalfLife);
     if (candidate.keptConnections == 0) {
@@ -74,8 +73,8 @@
  */
 bool gateway_engine::isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now)
 {
-    const double queue = queueFactor(candidate, pace, now);
-    return queue > 0 && workTime(candidate, pace, now) * (1 + queue) > timeLeft;
+    constexpr double spread = 1.3; // work varies by a third: at the mean, every other one of the last would be late
+    return expectedTime(candidate, pace, now) * spread > timeLeft;
 }
 
 bool gateway_engine::mayAsk(const leaf &candidate, millis now) const
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -31,6 +31,17 @@
     return load.hostSlowdown && ratio <= std::max(1.0, *load.hostSlowdown) * explained;
 }
 
+/**
+ * The queue that a request met, as far as it is known. A leaf that is left alone with its shard has a queue; taken for
+ * slowness, the wait in it counted twice, once as slowness and once as queue, and the only leaf that could still answer
+ * in time was given up.
+ */
+double queueMet(double whenSent, const gateway_reply &reply)
+{
+    const double told = reply.load ? queueOf(reply.load->running + reply.load->waiting, reply.load->slots) : 0.0;
+    return std::max(whenSent, told);
+}
+
 void learnSlowness(leaf &from, double ratio, millis sentAt, millis now)
 {
     if (from.loadAt == now && believesHost(from.load, ratio)) {
@@ -111,8 +122,9 @@
     from.failingAt = now;
     if (good) {
         const bool wasSlow = from.slowness >= tellSlowAt;
-        learnSlowness(from, took.count() / ended.pace->typical.estimate().count(), ended.sentAt, now);
-        ended.pace->add(took);
+        const double ratio = took.count() / timeBehind(queueMet(ended.queue, reply), from, *ended.pace).count();
+        learnSlowness(from, ratio, ended.sentAt, now);
+        ended.pace->add(took, ended.pace->typical.estimate() * ratio);
         if (wasSlow != (from.slowness >= tellSlowAt)) {
             noteBelief(wasSlow ? "leaf_as_usual" : "leaf_slow", "reply_time", from, took);
         }
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -5,6 +5,7 @@
 #include <gateway/gateway.h>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +28,9 @@
     bool stamped = true;
     unsigned slots = 0; ///< requests at a time; 0 for any number
     unsigned queue = 12; ///< requests that wait for a slot before the leaf refuses
+    double slower = 1; ///< its work takes so many times as long
+    double refusesShare = 0; ///< of what it gets, by chance, whatever its load
+    bool tellsLoad = false;
     std::optional<double> hostSlowdown {}; ///< that it tells
 };
 
@@ -99,9 +103,10 @@
     }
 
     /** @return the leaf's id. */
-    std::string addLeaf(const std::string &service, fake_behaviour behaviour = {})
+    std::string addLeaf(const std::string &service, fake_behaviour behaviour = {}, const std::string &zone = {})
     {
         leaf_entry entry;
+        entry.zone = {zone};
         entry.id = service + "-" + std::to_string(m_nextLeaf++);
         entry.service = {service};
         entry.slots = behaviour.slots == 0 ? 2 : behaviour.slots;
@@ -119,10 +124,14 @@
         }
     }
 
-    exchange_id ask(const std::string &target, millis patience = millis(2000))
+    /** @param work what each leaf that is asked needs for it; as the leaf behaves if none is given. */
+    exchange_id ask(const std::string &target, millis patience = millis(2000), std::optional<millis> work = {})
     {
         const std::string id = "q" + std::to_string(++m_asked);
         const exchange_id exchange = engine.arrive({id, "h", target, patience}, now);
+        if (work) {
+            m_workOf[exchange] = *work;
+        }
         act();
         return exchange;
     }
@@ -183,6 +192,7 @@
     std::vector<leaf_run> runs; ///< begun by leafs
     std::vector<leaf_run> arrivals; ///< begun or refused by leafs
     std::vector<std::pair<send_id, millis>> cancels;
+    millis workInVain; ///< of slots, on what came after its answer was given or was never finished
 
 private:
     void act()
@@ -214,39 +224,66 @@
         std::vector<millis> &slots = m_slots[id];
         std::erase_if(slots, [this](millis end) { return end <= now; });
         const bool full = behaviour.slots > 0 && slots.size() >= behaviour.slots + behaviour.queue;
-        if (behaviour.refuses || behaviour.wrongInstance || full) {
-            later(millis(0.4), [this, send, behaviour, waiting = slots.size()] {
-                gateway_reply reply;
-                reply.status = behaviour.wrongInstance ? 421 : 503;
-                reply.notRun = true;
-                reply.wrongInstance = behaviour.wrongInstance;
-                reply.load = leaf_load {behaviour.slots, static_cast<unsigned>(waiting), behaviour.slots, {}};
-                engine.onReply(send, std::move(reply), now);
-            });
+        const bool byChance = behaviour.refusesShare > 0 && m_random.uniform() < behaviour.refusesShare;
+        if (behaviour.refuses || behaviour.wrongInstance || full || byChance) {
+            refuse(send, millis(0.4), behaviour, slots.size());
+            return;
+        }
+        const millis wait = waitForSlot(slots, behaviour);
+        if (now + wait >= sent.deadline) {
+            refuse(send, sent.deadline - now, behaviour, slots.size());
             return;
         }
         runs.push_back({id, sent.exchange, now});
         if (behaviour.silent) {
             return;
         }
-        const millis wait = waitForSlot(slots, behaviour);
-        slots.push_back(now + wait + behaviour.work);
-        later(wait + behaviour.work, [this, send, id, behaviour] {
+        const auto asked = m_workOf.find(sent.exchange);
+        const millis work = (asked == m_workOf.end() ? behaviour.work : asked->second) * behaviour.slower;
+        const millis end = std::min(now + wait + work, sent.deadline);
+        const bool finished = end == now + wait + work;
+        slots.push_back(end);
+        later(end - now, [this, send, id, behaviour, exchange = sent.exchange, finished, worked = end - now - wait] {
+            workInVain = workInVain + (finished && !answers.contains(exchange) ? millis() : worked);
             if (behaviour.breaks) {
                 engine.onSendFailed(send, send_failure::Broken, now);
                 return;
             }
             gateway_reply reply;
-            reply.status = behaviour.status;
-            reply.stamp = behaviour.stamped ? "stamp-" + id : "";
-            if (behaviour.hostSlowdown) {
-                reply.load = leaf_load {0, 0, behaviour.slots, behaviour.hostSlowdown};
+            reply.status = finished ? behaviour.status : timedOutStatus;
+            reply.stamp = behaviour.stamped && finished ? "stamp-" + id : "";
+            if (behaviour.hostSlowdown || behaviour.tellsLoad) {
+                reply.load = loadOf(id, behaviour);
             }
             reply.body = (id + std::string(recordBytes, '.')).substr(0, recordBytes);
             engine.onReply(send, std::move(reply), now);
         });
     }
 
+    void refuse(send_id send, millis after, const fake_behaviour &behaviour, std::size_t waiting)
+    {
+        later(after, [this, send, behaviour, waiting] {
+            gateway_reply reply;
+            reply.status = behaviour.wrongInstance ? 421 : 503;
+            reply.notRun = true;
+            reply.wrongInstance = behaviour.wrongInstance;
+            reply.load = leaf_load {behaviour.slots, static_cast<unsigned>(waiting), behaviour.slots, {}};
+            engine.onReply(send, std::move(reply), now);
+        });
+    }
+
+    leaf_load loadOf(const std::string &id, const fake_behaviour &behaviour)
+    {
+        if (!behaviour.tellsLoad) {
+            return {0, 0, behaviour.slots, behaviour.hostSlowdown};
+        }
+        std::vector<millis> &slots = m_slots[id];
+        std::erase_if(slots, [this](millis end) { return end <= now; });
+        const auto atWork = static_cast<unsigned>(slots.size());
+        const unsigned running = std::min(atWork, behaviour.slots);
+        return {running, atWork - running, behaviour.slots, behaviour.hostSlowdown};
+    }
+
     /** The slot that is free first serves next. */
     millis waitForSlot(std::vector<millis> slots, const fake_behaviour &behaviour) const
     {
@@ -262,6 +299,10 @@
         m_coming.emplace(now + after, std::move(what));
     }
 
+    static constexpr unsigned timedOutStatus = 504;
+
+    seeded_random m_random {11};
+    std::map<exchange_id, millis> m_workOf;
     std::uint64_t m_version = 0;
     unsigned m_nextLeaf = 0;
     unsigned m_asked = 0;
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -60,13 +60,14 @@
 struct route_pace {
     explicit route_pace(millis objective);
 
-    void add(millis value);
+    /** @param took from sending to the answer. @param worked the part of it that was not spent in the leaf's queue. */
+    void add(millis took, millis worked);
 
     /** After this time without an answer a second leaf is worth asking. */
     [[nodiscard]] millis hedgeAfter() const;
 
-    quantile_tracker typical; ///< median
-    quantile_tracker slow; ///< few answers take longer
+    quantile_tracker typical; ///< median of the time without the leaf's queue
+    quantile_tracker slow; ///< few answers take longer, queue and all
     millis objective;
 };
 
@@ -164,6 +165,7 @@
     millis toldAt; ///< since when they do; it fades there as here
     bool toldUnreachable = false; ///< what the other VMs heard from here
     millis othersFailAt = millis() - millis::never(); ///< when another VM last found it unreachable
+    millis mixedWork; ///< what its requests take, of all routes in the mix in which they come; 0 before the first
     double failing = 0; ///< share of failures among recent answers
     millis failingAt;
     double refusing = 0; ///< share of refusals among recent answers
--- a/libs/leafs/src/measures.cpp
+++ b/libs/leafs/src/measures.cpp
@@ -30,10 +30,10 @@
 {
 }
 
-void route_pace::add(millis value)
+void route_pace::add(millis took, millis worked)
 {
-    typical.add(value);
-    slow.add(value);
+    typical.add(worked);
+    slow.add(took);
 }
 
 millis route_pace::hedgeAfter() const
