No leaf works for an answer that is out; late lookups wait for free slots

Cause: once a lookup was answered in part its outstanding leafs went on until the caller's limit, up to 1.8 s, and at a shard over its capacity that was most of what the leaf did. Lookups that came short of parts asked again at once and took slots from those that could still be in time. Change: a leaf is told the moment of the partial answer and 20 ms as its deadline; that this is over says nothing of whether it fails or refuses.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -310,6 +310,7 @@
         std::shared_ptr<leaf> to;
         route_pace *pace = nullptr;
         millis sentAt;
+        millis deadline; ///< the leaf may stop then
         millis closeAt; ///< given up then
         double queue = 0; ///< as @ref leafQueue when it was sent
         bool idempotent = true;
@@ -373,6 +374,7 @@
     [[nodiscard]] static bool isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now);
     [[nodiscard]] bool mayAsk(const leaf &candidate, millis now) const;
     [[nodiscard]] unsigned connectionShare(const service_name &service) const;
+    [[nodiscard]] static millis usefulUntil(const exchange &work, millis now);
     void sendCall(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
     bool takeBudget(const service_name &service, double reserve, millis now);
     retry_budget &budgetOf(const service_name &service);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -201,6 +201,17 @@
     }
 }
 
+/**
+ * Until when a leaf's answer is of use. What is left in the queues of leafs once a lookup has been answered in part is
+ * work for nobody, and at a shard that gets more than it can do that was most of what its leafs did.
+ */
+millis gateway_engine::usefulUntil(const exchange &work, millis now)
+{
+    constexpr millis partGrace(20); // a part that is nearly there may still complete a lookup that is short of parts
+    const bool inTime = work.route->isGather() && now < work.cutoff;
+    return inTime ? std::min(work.limit, work.cutoff + partGrace) : work.limit;
+}
+
 void gateway_engine::sendCall(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
     shard_call &call = work.calls[at];
@@ -215,6 +226,7 @@
     one.sentAt = now;
     one.idempotent = work.route->idempotent;
     constexpr millis afterDeadline(100); // a leaf's own word that time is up is still heard
+    one.deadline = usefulUntil(work, now);
     one.closeAt = work.limit + afterDeadline;
     one.queue = queue;
     mixIn(*to, work.pace->typical.estimate());
@@ -229,7 +241,7 @@
     work.sends += 1;
     m_due.push({one.closeAt, due_kind::Send, one.id});
     m_actions.emplace_back(
-        send_action {one.id, work.id, to, work.limit, connectionShare(call.service), !work.route->idempotent});
+        send_action {one.id, work.id, to, one.deadline, connectionShare(call.service), !work.route->idempotent});
     m_sends.emplace(one.id, std::move(one));
 }
 
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -21,6 +21,10 @@
         return;
     }
     const choice chosen = chooseLeaf(work, call, false, now);
+    if (!chosen.to && chosen.full && now >= work.cutoff) {
+        call.waiting = true;
+        return;
+    }
     if (!chosen.to || !takeBudget(call.service, 0, now)) {
         failCall(work, at, chosen.to ? "retry_budget" : cause, now);
         return;
@@ -81,7 +85,12 @@
             continue;
         }
         const choice chosen = chooseLeaf(work, call, false, now);
-        if (chosen.to) {
+        const bool again = call.sends > 0;
+        if (chosen.to && again && !takeBudget(call.service, 0, now)) {
+            call.waiting = false;
+            failCall(work, at, "retry_budget", now);
+        } else if (chosen.to) {
+            work.retries += again ? 1 : 0;
             sendCall(work, at, chosen.to, now);
         } else if (!chosen.full) {
             call.waiting = false;
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -105,6 +105,7 @@
     choice best;
     const millis timeLeft = (now < work.cutoff ? std::min(work.cutoff, work.limit) : work.limit) - now;
     const unsigned share = connectionShare(call.service);
+    const bool late = work.route->isGather() && now >= work.cutoff;
     for (const std::shared_ptr<leaf> &candidate : m_leafs.of(call.service)) {
         const bool tried = std::ranges::find(call.tried, candidate) != call.tried.end();
         if (tried || !mayAsk(*candidate, now)) {
@@ -117,6 +118,10 @@
         if (forHedge && candidate->stalledSince() < now) {
             continue; // a second request would only wait beside the first
         }
+        if (late && leafQueue(*candidate, *work.pace, now) > 0) {
+            best.full = true; // those who can still be answered in time go first
+            continue;
+        }
         if (isOverloaded(*candidate, *work.pace, timeLeft, now)) {
             best.overloaded = true;
             continue;
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -110,6 +110,11 @@
     if (reply.wrongInstance) {
         return;
     }
+    // That the time it was given is over says nothing of whether it fails or refuses.
+    const bool outOfTime = now >= ended.deadline && !reply.isSuccess();
+    if (outOfTime) {
+        return;
+    }
     from.refusing = from.refusing * (1 - refusalWeight) + (reply.notRun ? refusalWeight : 0.0);
     from.refusingAt = now;
     if (reply.notRun) {
--- a/libs/gateway/tests/test_load.cpp
+++ b/libs/gateway/tests/test_load.cpp
@@ -167,3 +167,23 @@
     BOOST_TEST(full.worthShare() > 0.9); // 0.874 before; quick ones pay for it, 0.583 after 0.707
     BOOST_TEST(quick.worthShare() > 0.5);
 }
+
+// Symptom: leafs of a shard that gets too much work mostly for callers who have their answer already.
+// Sequence: a lookup is answered in part; the leaf it did not wait for goes on until the caller's limit, 1.8 s later.
+// Cause: leafs were told the caller's limit, not until when their part is of use.
+BOOST_AUTO_TEST_CASE(no_leaf_works_for_an_answer_that_is_out)
+{
+    gateway_world world;
+    gateway_route route = gateway_world::gatherRoute(10, 0.9);
+    route.objective = millis(200);
+    route.timeout = millis(2000);
+    world.publish({route});
+    for (std::size_t shard = 0; shard < 10; ++shard) {
+        world.addLeaf(gateway_world::shardName(shard),
+                      {.work = millis(28), .slots = 2, .slower = shard == 0 ? 40.0 : 1.0});
+    }
+    const exchange_id id = world.ask("/all/x");
+    world.run(millis(2500));
+    BOOST_TEST(world.answerOf(id).answer.missing == 1U);
+    BOOST_TEST(world.workInVain.count() < 215); // 1,120 ms before
+}
