--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -213,6 +213,7 @@
     millis retryWindow {10000};
     millis drainLimit {3000}; ///< a leaving leaf may be asked no later than this after the store knew
     millis callerRoundTrip {6}; ///< to a caller and back, for the moment of answering in time
+    millis answerMargin {4}; ///< from deciding to answer to the last byte on its way, on a VM that is busy
     std::size_t shardsAtOnce = 25; ///< more than that are shared with other VMs: asking them takes this one too long
     millis removalHold {2200}; ///< how long a leaf stays usable whose entry lapsed while the store was away
 };
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 constexpr std::size_t fleetSizeGuess = 16; // until peers are counted: twice the fleets of today
-constexpr millis answerMargin(4); // from deciding to answer to the last byte on its way, on a busy small VM
-constexpr double waysBeforeArrival = 1.0; // round trips a caller may have spent on a new connection before we count
+constexpr double waysBeforeArrival = 1.5; // round trips: a new connection takes one, the request on it half of one
 constexpr double waysBack = 0.5; // of a round trip until it has the answer
 constexpr double leastUseOfObjective = 0.5; // a partial answer is never given before that share of the objective
 constexpr double holdShare = 0.2; // of the objective: longest wait for a free connection before a refusal
@@ -21,9 +20,14 @@
     target.mixedWork = first ? work : target.mixedWork * (1 - newestShare) + work * newestShare;
 }
 
-millis patienceAfterWays(millis patience, millis roundTrip)
+/** What of a caller's time is not this VM's to spend. */
+millis timeOnTheWay(const gateway_settings &settings)
+{
+    return settings.callerRoundTrip * (waysBeforeArrival + waysBack) + settings.answerMargin;
+}
+
+millis patienceAfterWays(millis patience, millis ways)
 {
-    const millis ways = roundTrip * (waysBeforeArrival + waysBack) + answerMargin;
     return patience > ways * 2 ? patience - ways : patience * 0.5;
 }
 
@@ -112,7 +116,7 @@
     work->pace = &paceOf(*route);
     work->arrivedAt = now;
     const millis patience =
-        request.patience ? patienceAfterWays(*request.patience, m_settings.callerRoundTrip) : route->timeout;
+        request.patience ? patienceAfterWays(*request.patience, timeOnTheWay(m_settings)) : route->timeout;
     work->limit = now + std::min(patience, route->timeout);
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
     begin(kept, now);
@@ -150,7 +154,7 @@
 
 void gateway_engine::beginGather(exchange &work, millis now)
 {
-    const millis ways = m_settings.callerRoundTrip * (waysBeforeArrival + waysBack) + answerMargin;
+    const millis ways = timeOnTheWay(m_settings);
     const millis inTime = std::max(work.route->objective - ways, work.route->objective * leastUseOfObjective);
     work.cutoff = now + inTime;
     addCalls(work, work.route->shards);
