A leaf whose time ran out is found slow; a second send out of the wait is logged

Cause: since leafs are told until when their part is of use, a leaf that is far too slow ends each request with its time, and nothing was learnt from that: only its silence told, anew each time. Read in the diff, shown by the new test. The second send of a late lookup had no log line. Change: the end of the time counts as an answer that took so long; what never ran says nothing. Sending again is one function, with its line.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -381,6 +381,7 @@
     retry_budget &budgetOf(const service_name &service);
     route_pace &paceOf(const gateway_route &route);
     void retryCall(exchange &work, std::size_t call, std::string_view cause, millis now);
+    void resend(exchange &work, std::size_t call, std::string_view cause, const std::shared_ptr<leaf> &to, millis now);
     void failCall(exchange &work, std::size_t call, std::string_view cause, millis now);
     void takePart(exchange &work, std::size_t call, gateway_reply reply, millis now);
     void hedgeDue(exchange &work, millis now);
@@ -416,6 +417,7 @@
     [[nodiscard]] std::optional<send> endSend(send_id id);
     [[nodiscard]] exchange *ownerOf(const send &ended);
     void settle(exchange &work, millis now);
+    double noteSlowness(leaf &of, const send &ended, const gateway_reply &reply, millis now);
     void noteLeafReply(leaf &from, const send &ended, const gateway_reply &reply, millis now);
     void noteLeafFailure(leaf &from, send_failure failure, millis now);
     void considerReport(leaf &about, millis now);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -219,7 +219,6 @@
 void gateway_engine::sendCall(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
     shard_call &call = work.calls[at];
-    const double queue = leafQueue(*to, *work.pace, now);
     const millis hedgeAfter = work.pace->hedgeAfter();
     send one;
     one.id = m_nextId++;
@@ -232,7 +231,7 @@
     constexpr millis afterDeadline(100); // a leaf's own word that time is up is still heard
     one.deadline = usefulUntil(work, now);
     one.closeAt = work.limit + afterDeadline;
-    one.queue = queue;
+    one.queue = leafQueue(*to, *work.pace, now);
     mixIn(*to, work.pace->typical.estimate());
     to->open.push_back({one.id, now, now + hedgeAfter});
     call.tried.push_back(to);
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -22,16 +22,22 @@
     }
     const choice chosen = chooseLeaf(work, call, false, now);
     if (!chosen.to && chosen.full && now >= work.cutoff) {
-        call.waiting = true;
+        call.waiting = true; // late already: it takes what those who can still be in time leave free
         return;
     }
     if (!chosen.to || !takeBudget(call.service, 0, now)) {
         failCall(work, at, chosen.to ? "retry_budget" : cause, now);
         return;
     }
+    resend(work, at, cause, chosen.to, now);
+}
+
+void gateway_engine::resend(
+    exchange &work, std::size_t at, std::string_view cause, const std::shared_ptr<leaf> &to, millis now)
+{
     work.retries += 1;
-    note(work, "resend", cause, chosen.to.get(), call.service, now - work.arrivedAt, now);
-    sendCall(work, at, chosen.to, now);
+    note(work, "resend", cause, to.get(), work.calls[at].service, now - work.arrivedAt, now);
+    sendCall(work, at, to, now);
 }
 
 void gateway_engine::failCall(exchange &work, std::size_t at, std::string_view cause, millis now)
@@ -89,8 +95,9 @@
         if (chosen.to && again && !takeBudget(call.service, 0, now)) {
             call.waiting = false;
             failCall(work, at, "retry_budget", now);
+        } else if (chosen.to && again) {
+            resend(work, at, "free_slot", chosen.to, now);
         } else if (chosen.to) {
-            work.retries += again ? 1 : 0;
             sendCall(work, at, chosen.to, now);
         } else if (!chosen.full) {
             call.waiting = false;
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -91,6 +91,19 @@
     m_actions.emplace_back(std::move(belief));
 }
 
+/** @return its time over what is usual behind the queue that the request met. */
+double gateway_engine::noteSlowness(leaf &of, const send &ended, const gateway_reply &reply, millis now)
+{
+    const millis took = now - ended.sentAt;
+    const double ratio = took.count() / timeBehind(queueMet(ended.queue, reply), of, *ended.pace).count();
+    const bool wasSlow = of.slowness >= tellSlowAt;
+    learnSlowness(of, ratio, ended.sentAt, now);
+    if (wasSlow != (of.slowness >= tellSlowAt)) {
+        noteBelief(wasSlow ? "leaf_as_usual" : "leaf_slow", "reply_time", of, took);
+    }
+    return ratio;
+}
+
 void gateway_engine::noteLeafReply(leaf &from, const send &ended, const gateway_reply &reply, millis now)
 {
     from.lastReplyAt = now;
@@ -110,8 +123,12 @@
     if (reply.wrongInstance) {
         return;
     }
-    // That the time it was given is over says nothing of whether it fails or refuses.
+    // That the time it was given is over says nothing of whether it fails or refuses, only that it is slow if it ran.
     const bool outOfTime = now >= ended.deadline && !reply.isSuccess();
+    if (outOfTime && !reply.notRun) {
+        noteSlowness(from, ended, reply, now);
+        considerReport(from, now);
+    }
     if (outOfTime) {
         return;
     }
@@ -126,13 +143,8 @@
     from.failing = from.failing * (1 - failureWeight) + share * failureWeight;
     from.failingAt = now;
     if (good) {
-        const bool wasSlow = from.slowness >= tellSlowAt;
-        const double ratio = took.count() / timeBehind(queueMet(ended.queue, reply), from, *ended.pace).count();
-        learnSlowness(from, ratio, ended.sentAt, now);
+        const double ratio = noteSlowness(from, ended, reply, now);
         ended.pace->add(took, ended.pace->typical.estimate() * ratio);
-        if (wasSlow != (from.slowness >= tellSlowAt)) {
-            noteBelief(wasSlow ? "leaf_as_usual" : "leaf_slow", "reply_time", from, took);
-        }
     }
     considerReport(from, now);
 }
--- a/libs/gateway/tests/test_load.cpp
+++ b/libs/gateway/tests/test_load.cpp
@@ -188,6 +188,28 @@
     BOOST_TEST(world.workInVain.count() < 215); // 1,120 ms before
 }
 
+// Symptom: a leaf that is forty times as slow gets half of its shard's requests for as long as that lasts.
+// Sequence: each request at it ends with its time; the leaf says so, and nothing is learnt from that.
+// Cause: the end of the time that a leaf was given was taken for no news of the leaf.
+BOOST_AUTO_TEST_CASE(a_leaf_that_never_answers_in_time_is_found_slow)
+{
+    gateway_world world;
+    gateway_route route = gateway_world::gatherRoute(1, 1.0);
+    route.objective = millis(200);
+    route.timeout = millis(2000);
+    world.publish({route});
+    const std::string slow = world.addLeaf(gateway_world::shardName(0), {.work = millis(28), .slots = 2, .slower = 40});
+    world.addLeaf(gateway_world::shardName(0), {.work = millis(28), .slots = 2});
+    for (int at = 0; at < 100; ++at) {
+        world.ask("/all/x");
+        world.run(millis(60));
+    }
+    world.run(millis(2500));
+    const auto atSlow = std::ranges::count_if(world.arrivals, [&](const auto &one) { return one.leafId == slow; });
+    BOOST_TEST_MESSAGE("requests at the slow leaf " << atSlow);
+    BOOST_TEST(world.engine.leafs().find(slow)->slowness > 1.3);
+}
+
 // Symptom: one leaf request in nine is a second one, most of them to the other zone, on leafs that are half full.
 // Sequence: each request that takes longer than 94 in 100 is hedged, though nearly all of these would have come in
 // time. Cause: the moment was a fixed share of answers, for a lookup that can wait seven times as long as a leaf takes.
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -154,8 +154,7 @@
     millis removeAt = millis::never(); ///< entry is missing from the store; it is forgotten then
     millis doubtfulUntil = millis() - millis::never(); ///< its entry came back after it was removed
     bool misdirected = false; ///< another instance answered at its address
-    bool entryUnreadable =
-        false; ///< another writer has spoilt its entry, which names no leaf until it is written again
+    bool entryUnreadable = false; ///< spoilt by another writer; it is not asked until its entry is written again
     millis bornHereAt = millis() - millis::never(); ///< word of its id from before that speaks of an earlier life
     std::vector<open_send> open;
     millis lastReplyAt = millis() - millis::never();
