--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t fleetSizeGuess = 16; // until peers are counted: twice the fleets of today
-constexpr double waysBeforeArrival = 1.5; // round trips: a new connection takes one, the request on it half of one
+constexpr double waysBeforeArrival = 1.0; // round trips a caller may have spent on a new connection before we count
 constexpr double waysBack = 0.5; // of a round trip until it has the answer
 constexpr double leastUseOfObjective = 0.5; // a partial answer is never given before that share of the objective
 constexpr double holdShare = 0.2; // of the objective: longest wait for a free connection before a refusal
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -31,12 +31,6 @@
 constexpr double shardsPerCore = 100;
 constexpr std::size_t leastShardsAtOnce = 8;
 
-// Of a core, for what is read, merged and written between deciding on an answer and its last byte while other lookups
-// are under way. Half of the answers that were given at the last moment came some ms late with 4 ms on an eighth of a
-// core: of 90 shards 0.865 of what callers are owed was served, 0.883 with 12 ms.
-constexpr millis answerWork(2);
-constexpr double leastCpuShare = 0.1; // below that a margin would eat the time that leafs need
-
 gateway_settings engineSettings(const gateway_daemon_settings &from)
 {
     gateway_settings settings;
@@ -46,7 +40,6 @@
     settings.retryWindow = from.retryWindow;
     settings.drainLimit = from.drainLimit;
     settings.callerRoundTrip = from.callerRoundTrip;
-    settings.answerMargin = answerWork * (1 / std::max(from.cpuShare, leastCpuShare));
     settings.shardsAtOnce = std::max(leastShardsAtOnce, static_cast<std::size_t>(from.cpuShare * shardsPerCore));
     constexpr double holdShare = 0.73; // of the drain limit; the rest is for the store's word to arrive
     settings.removalHold = from.drainLimit * holdShare;
