A clean machine builds the daemon; a check that sees what a build uses beyond its list

Cause: prometheus-cpp-dev stood in build.sh but not in deploy/system.toml. Pistache's headers name prometheus/metric_family.h and its link line the library, but its package depends on neither; on a machine that has just what the deploy file lists the build ends there.

--- a/build.sh
+++ b/build.sh
@@ -3,9 +3,9 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 
-packages=(g++ cmake ninja-build ccache pkg-config python3 libpistache-dev libcurl4-openssl-dev libflatbuffers-dev
-    libboost-dev libboost-test-dev libtclap-dev libeasyloggingpp-dev libexpected-dev nlohmann-json3-dev
-    libvalijson-dev libxxhash-dev libssl-dev prometheus-cpp-dev)
+# What the daemon is built with stands in the deploy file alone: a second list would be complete while that one is not.
+mapfile -t deploy_packages < <(sed -n 's/^packages = \[\(.*\)\]$/\1/p' deploy/system.toml | tr -d '" ' | tr , '\n')
+packages=("${deploy_packages[@]}" ccache pkg-config python3 libboost-test-dev)
 lint_packages=(clang-format clang-tidy)
 fuzz_packages=(clang libclang-rt-14-dev)
 
@@ -23,7 +23,8 @@
   faults    real processes under load: kills, freezes, platform down (depends on the machine's speed; not in CI)
   sanitize  the tests under address, undefined and thread sanitizers
   soak      real gateway processes among stand-ins with faults: ./build.sh soak [FIRST-LAST] [SECONDS], 50 seeds by default
-  deploy    the deploy file's own build line in a clean copy without any test; limit five minutes
+  deploy    the deploy file's own build line in a clean copy without any test; limit five minutes; then whether its
+            packages bring all that the build used
   fuzz      libFuzzer on the frame decoder and the catalogue reader, 60 s each
 TEXT
 }
@@ -78,6 +79,11 @@
     (cd "$copy" && bash -c "$line" >/dev/null)
     [ -x "$copy/target/programs/chivelockd/chivelockd" ]
     [ $((SECONDS - began)) -le 300 ]
+    python3 scripts/check_packages.py "$copy/target" deploy/system.toml
+    if python3 scripts/check_packages.py "$copy/target" deploy/system.toml --omit prometheus-cpp-dev >/dev/null; then
+        echo "the check of packages does not notice that one is missing" >&2
+        return 1
+    fi
     echo "deploy file's build: $((SECONDS - began)) s, without tests"
     rm -rf "$copy"
 }
