Bytes between VMs by kind of message and by distance, as metric and log line

Change: peer_traffic counts each frame by kind (documents whole and changed, signs of life, member lists, reports, work handed out, its progress) and by whether it leaves the zone; chivelock_peer_bytes_total and a line every ten seconds.

--- a/programs/chivelockd/gateway/addresses.cpp
+++ b/programs/chivelockd/gateway/addresses.cpp
@@ -44,4 +44,9 @@
     return error;
 }
 
+std::string_view hostOf(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
 } // namespace chivelock
--- a/programs/chivelockd/gateway/addresses.h
+++ b/programs/chivelockd/gateway/addresses.h
@@ -13,6 +13,9 @@
 /** @return the endpoint, or nothing if @p text is not an IP number with a port. */
 [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
 
+/** @return an address without its port. */
+[[nodiscard]] std::string_view hostOf(std::string_view address);
+
 /** Opens and binds the acceptor. @return why it can't. */
 [[nodiscard]] boost::system::error_code
 listenAt(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address, std::uint16_t port);
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr millis housekeepingInterval(500); // expiry of leafs and notice of standstills need no more
+constexpr millis trafficLineInterval(10000); // coarse enough to cost nothing, fine enough to see what one trouble sent
 constexpr millis standstillGap(300); // a timer is never that late on a VM that merely is busy
 constexpr millis longStandstill(1000); // leafs close idle connections meanwhile
 constexpr millis stopLook(50);
@@ -52,6 +53,7 @@
     : m_settings(std::move(settings))
     , m_reactor(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO)
     , m_engine(engineSettings(m_settings), std::hash<std::string>()(m_settings.vmName))
+    , m_traffic(m_settings.zone)
     , m_dueTimer(m_reactor)
     , m_houseTimer(m_reactor)
     , m_stopTimer(m_reactor)
@@ -99,9 +101,9 @@
     m_callers = std::make_unique<caller_server>(m_reactor, *this, writeFaultAnswer);
     m_callers->setLimits({}, m_settings.maxConnections);
     m_pages = std::make_unique<status_pages>(m_reactor, *this);
-    m_feed = std::make_unique<store_feed>(m_reactor, m_settings, *this);
+    m_feed = std::make_unique<store_feed>(m_reactor, m_settings, m_traffic, *this);
     helper_settings helping {m_settings.peers.address, m_settings.helperPort, m_settings.zone};
-    m_helperLinks = std::make_unique<helper_links>(m_reactor, std::move(helping), *this);
+    m_helperLinks = std::make_unique<helper_links>(m_reactor, std::move(helping), m_traffic, *this);
     error_code error = m_callers->listen(m_settings.callers.address, m_settings.callers.port);
     if (!error) {
         error = m_pages->readiness().listen(m_settings.readiness.address, m_settings.readiness.port);
@@ -287,6 +289,10 @@
     }
     m_engine.advance(now);
     flush();
+    if (now >= m_nextTrafficLine) {
+        m_nextTrafficLine = now + trafficLineInterval;
+        logTraffic();
+    }
     m_nextHousekeeping = now + housekeepingInterval;
     m_houseTimer.expires_after(std::chrono::milliseconds(housekeepingInterval.ceiled()));
     m_houseTimer.async_wait([this](const error_code &stopped) {
@@ -296,6 +302,21 @@
     });
 }
 
+/** Bytes so far, as own zone/other zones/unknown: a process that is killed has told most of them before. */
+void gateway_service::logTraffic()
+{
+    logEvent(log_level::Info,
+             "peer_traffic",
+             {{"to_other_zones", m_traffic.bytesToOtherZones()},
+              {"whole_documents", m_traffic.bytesOf(peer_message_kind::WholeDocuments)},
+              {"document_changes", m_traffic.bytesOf(peer_message_kind::DocumentChanges)},
+              {"fleet_state", m_traffic.bytesOf(peer_message_kind::FleetState)},
+              {"fleet_members", m_traffic.bytesOf(peer_message_kind::FleetMembers)},
+              {"leaf_reports", m_traffic.bytesOf(peer_message_kind::LeafReports)},
+              {"handed_work", m_traffic.bytesOf(peer_message_kind::HandedWork)},
+              {"work_progress", m_traffic.bytesOf(peer_message_kind::WorkProgress)}});
+}
+
 void gateway_service::noticeStandstill(millis now)
 {
     const millis gap = now - m_nextHousekeeping;
@@ -359,6 +380,7 @@
     }
     const bool done = m_closing && m_callers->sessions() == 0;
     if (done || spent >= m_settings.grace - endBeforeGrace) {
+        logTraffic();
         logEvent(log_level::Info,
                  "stopped",
                  {{"spent_ms", spent.ceiled()}, {"unanswered", std::uint64_t {m_pending.size()}}});
@@ -378,7 +400,7 @@
 {
     const auto number = [](std::uint64_t value) { return static_cast<double>(value); };
     const std::uint64_t version = m_engine.config() == nullptr ? 0 : m_engine.config()->config().version;
-    const std::vector<metric_value> values = {
+    std::vector<metric_value> values = {
         {"chivelock_gateway_requests_total", "Requests read from callers.", number(m_counts.requests), {}},
         {"chivelock_gateway_partial_total", "Merged answers with shards missing.", number(m_counts.partial), {}},
         {"chivelock_gateway_refused_total", "Requests that were not run.", number(m_counts.refused), {}},
@@ -397,6 +419,7 @@
         {"chivelock_exchanges", "Requests under way.", number(m_engine.openExchanges()), {}},
         {"chivelock_config_version", "Configuration in force.", number(version), {}},
     };
+    m_traffic.write(values);
     return m_latencies.write(values);
 }
 
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -9,6 +9,7 @@
 #include "caller_server.h"
 #include "helper_links.h"
 #include "leaf_pool.h"
+#include "peer_traffic.h"
 #include "status_pages.h"
 #include "store_feed.h"
 
@@ -87,6 +88,7 @@
     bool applyLeafEvent(const store_item &item, bool logged);
     void applyConfig(const store_item &item);
     void continueStop();
+    void logTraffic();
     [[nodiscard]] bool answerReadiness() override;
     [[nodiscard]] std::string metricsPage() const override;
 
@@ -94,6 +96,7 @@
     boot_clock m_clock;
     boost::asio::io_context m_reactor;
     gateway_engine m_engine;
+    peer_traffic m_traffic;
     std::unique_ptr<caller_server> m_callers;
     std::unique_ptr<status_pages> m_pages;
     std::unique_ptr<leaf_pool> m_pool;
@@ -104,6 +107,7 @@
     boost::asio::steady_timer m_stopTimer;
     millis m_armedFor = millis::never();
     millis m_nextHousekeeping;
+    millis m_nextTrafficLine;
     std::unordered_map<exchange_id, pending> m_pending;
     std::unordered_map<session_id, exchange_id> m_bySession;
     std::map<asked_work, exchange_id> m_askedWork; ///< of other VMs, in hand here
--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -1,5 +1,7 @@
 #include "helper_links.h"
 
+#include "addresses.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -25,15 +27,19 @@
 std::size_t rankOf(const fleet_member &vm, const std::vector<fleet_member> &members)
 {
     const auto before = std::ranges::count_if(members, [&](const fleet_member &one) {
-        return one.zone == vm.zone && one.address.substr(0, one.address.rfind(':')) < vm.address;
+        return one.zone == vm.zone && hostOf(one.address) < vm.address;
     });
     return static_cast<std::size_t>(before);
 }
 
 } // namespace
 
-helper_links::helper_links(boost::asio::io_context &reactor, helper_settings settings, helper_listener &listener)
+helper_links::helper_links(boost::asio::io_context &reactor,
+                           helper_settings settings,
+                           peer_traffic &traffic,
+                           helper_listener &listener)
     : m_settings(std::move(settings))
+    , m_traffic(traffic)
     , m_listener(listener)
     , m_mesh(reactor, *this)
     , m_timer(reactor)
@@ -62,7 +68,7 @@
 {
     std::map<zone_name, std::vector<std::pair<std::uint64_t, std::string>>> byZone;
     for (const fleet_member &member : members) {
-        const std::string ip = member.address.substr(0, member.address.rfind(':'));
+        const std::string ip(hostOf(member.address));
         if (ip != m_settings.address) {
             byZone[member.zone].emplace_back(rendezvousWeight(m_settings.address, ip),
                                              ip + ":" + std::to_string(m_settings.port));
@@ -76,7 +82,7 @@
         for (const auto &[weight, address] : all) {
             wanted.insert(address);
             m_helpers[address].zone = zone;
-            m_helpers[address].rank = rankOf({address.substr(0, address.rfind(':')), zone}, members);
+            m_helpers[address].rank = rankOf({std::string(hostOf(address)), zone}, members);
         }
     }
     std::erase_if(m_helpers, [&](const auto &one) {
@@ -175,7 +181,7 @@
     if (found == m_helpers.end() || !found->second.open) {
         return false;
     }
-    m_mesh.tell(found->second.link, encodeDelegationFrame(request));
+    send(found->second.link, peer_message_kind::HandedWork, encodeDelegationFrame(request));
     return true;
 }
 
@@ -183,13 +189,19 @@
 {
     const auto found = m_helpers.find(address);
     if (found != m_helpers.end() && found->second.open) {
-        m_mesh.tell(found->second.link, encodeDelegationFrame(message));
+        send(found->second.link, peer_message_kind::HandedWork, encodeDelegationFrame(message));
     }
 }
 
 void helper_links::tellProgress(link_id asker, const delegate_progress &progress)
 {
-    m_mesh.tell(asker, encodeDelegationFrame(progress));
+    send(asker, peer_message_kind::WorkProgress, encodeDelegationFrame(progress));
+}
+
+void helper_links::send(link_id to, peer_message_kind kind, std::string_view frame)
+{
+    m_traffic.count(kind, m_mesh.peerOf(to), frame.size());
+    m_mesh.tell(to, frame);
 }
 
 } // namespace chivelock
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -7,6 +7,7 @@
  */
 
 #include "peer_mesh.h"
+#include "peer_traffic.h"
 
 #include <delegation/delegation.h>
 #include <fleet/fleet.h>
@@ -51,7 +52,10 @@
 class helper_links : public link_listener
 {
 public:
-    helper_links(boost::asio::io_context &reactor, helper_settings settings, helper_listener &listener);
+    helper_links(boost::asio::io_context &reactor,
+                 helper_settings settings,
+                 peer_traffic &traffic,
+                 helper_listener &listener);
 
     [[nodiscard]] boost::system::error_code start();
     void stop();
@@ -82,7 +86,10 @@
     void tellHelpers();
     void dialDue();
 
+    void send(link_id to, peer_message_kind kind, std::string_view frame);
+
     helper_settings m_settings;
+    peer_traffic &m_traffic;
     helper_listener &m_listener;
     boot_clock m_clock;
     peer_mesh m_mesh;
--- a/programs/chivelockd/gateway/peer_mesh.cpp
+++ b/programs/chivelockd/gateway/peer_mesh.cpp
@@ -41,6 +41,8 @@
     void open()
     {
         m_open = true;
+        error_code unknown; // a peer that is gone already: the link ends with the next read
+        m_peer = m_socket.remote_endpoint(unknown).address().to_string();
         error_code ignored; // without it messages are only slower
         m_socket.set_option(tcp::no_delay(true), ignored);
         read();
@@ -84,6 +86,11 @@
         write();
     }
 
+    [[nodiscard]] const std::string &peer() const
+    {
+        return m_peer;
+    }
+
     void close()
     {
         m_closed = true;
@@ -162,6 +169,7 @@
     asio::steady_timer m_limit;
     std::array<std::uint8_t, readBytes> m_chunk {};
     frame_reader m_frames;
+    std::string m_peer; ///< IP number, once open
     std::string m_waiting;
     std::string m_inFlight;
     bool m_open = false;
@@ -231,6 +239,12 @@
     }
 }
 
+std::string peer_mesh::peerOf(link_id id) const
+{
+    const auto found = m_links.find(id);
+    return found == m_links.end() ? std::string() : found->second->peer();
+}
+
 void peer_mesh::close()
 {
     error_code ignored; // nothing depends on it
--- a/programs/chivelockd/gateway/peer_mesh.h
+++ b/programs/chivelockd/gateway/peer_mesh.h
@@ -49,6 +49,9 @@
     void tell(link_id link, std::string_view frame);
     void hangUp(link_id link);
 
+    /** @return the IP number at the other end; empty for a link that is gone. */
+    [[nodiscard]] std::string peerOf(link_id link) const;
+
     /** Ends all links and takes no new ones. */
     void close();
 
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -44,8 +44,10 @@
 
 store_feed::store_feed(boost::asio::io_context &reactor,
                        const gateway_daemon_settings &settings,
+                       peer_traffic &traffic,
                        feed_listener &listener)
     : m_address(settings.peers)
+    , m_traffic(traffic)
     , m_listener(listener)
     , m_node(treeSettings(settings), std::hash<std::string>()(settings.vmName))
     , m_mesh(reactor, *this)
@@ -172,7 +174,9 @@
 
 void store_feed::perform(const tell_action &action)
 {
-    m_mesh.tell(action.link, encodeFleetFrame(action.message));
+    const std::string frame = encodeFleetFrame(action.message);
+    m_traffic.count(kindOf(action.message), m_mesh.peerOf(action.link), frame.size());
+    m_mesh.tell(action.link, frame);
 }
 
 /** One prefix tells whether the store answers; the others are asked for only then, so that a store that is down for the
@@ -209,6 +213,7 @@
 
 void store_feed::perform(const members_action &action)
 {
+    m_traffic.setMembers(action.members);
     m_listener.onFleetMembers(action.members);
 }
 
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -7,6 +7,7 @@
  */
 
 #include "peer_mesh.h"
+#include "peer_traffic.h"
 #include "store_reader.h"
 
 #include <fleet/fleet.h>
@@ -48,7 +49,10 @@
 class store_feed : public link_listener, public store_listener
 {
 public:
-    store_feed(boost::asio::io_context &reactor, const gateway_daemon_settings &settings, feed_listener &listener);
+    store_feed(boost::asio::io_context &reactor,
+               const gateway_daemon_settings &settings,
+               peer_traffic &traffic,
+               feed_listener &listener);
 
     [[nodiscard]] boost::system::error_code start();
 
@@ -83,6 +87,7 @@
 
     boot_clock m_clock;
     listen_address m_address;
+    peer_traffic &m_traffic;
     feed_listener &m_listener;
     fleet_node m_node;
     peer_mesh m_mesh;
