Who reads the store is drawn, one link into each zone, changes instead of documents

Cause: after a loss of power 295 processes read both documents whole within 0.3 s of their start, since whoever followed nobody after 250 ms read for itself; each asked all seeds again and again meanwhile. Five links of the tree in six crossed zones, and each change of a configuration went whole (20 to 80 kB, encoded anew for each follower) over each of them; the list of VMs went whole to all with each VM that came or went, and was cut at 256 of 295, so that ranks in the last zone were wrong. Change: seeds read at once, others by a draw whose chance doubles, so that in a fleet of any size a few are first; one seed at a time is asked; a process that is starting says so and answers once it knows more; a process below a reader that lost the store tries it by a draw over the fleet's size, and tells the seeds if it is served, which then follow it. The top takes one follower of each other zone and sends the rest to it. Values go as differences to what the receiver holds (zstd) with a digest, whole frames compressed from 512 bytes; a difference that does not fit brings the whole once. Lists of VMs go as changes, one message encoded for all who know the same. An answer of the store that is arriving is not cut off by the limit for silence.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -14,7 +14,9 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -54,17 +56,20 @@
         return m_revision;
     }
 
+    struct held {
+        std::uint64_t revision = 0;
+        std::string value;
+    };
+
+    /** @return what is held under the key, until the next change; nullptr for nothing. */
+    [[nodiscard]] const held *find(std::string_view key) const;
+
     /** @return what a holder of @p revision lacks, or nothing if deletions that old are forgotten. */
     [[nodiscard]] std::optional<std::vector<store_item>> changesSince(std::uint64_t revision) const;
 
     [[nodiscard]] std::vector<store_item> contents() const;
 
 private:
-    struct held {
-        std::uint64_t revision = 0;
-        std::string value;
-    };
-
     [[nodiscard]] bool isNews(const store_item &item) const;
     void keep(const store_item &item);
     void forgetOldDeletions();
@@ -94,25 +99,56 @@
 /** To a process further up: pass on to me what you hear. */
 struct follow_request {
     std::string address; ///< at which the sender takes followers itself
+    zone_name zone; ///< of the sender
+    bool readsStore = false; ///< the sender reads the store without trouble: whoever does not may follow it instead
     std::uint32_t subtree = 1; ///< processes that hear through the sender, itself among them
     std::vector<known_revision> known;
     std::vector<fleet_member> members; ///< the subtree
 };
 
+/** How a list of processes differs from the one told before on the same link. */
+struct member_changes {
+    std::vector<fleet_member> joined;
+    std::vector<fleet_member> left;
+
+    [[nodiscard]] bool empty() const
+    {
+        return joined.empty() && left.empty();
+    }
+};
+
+/** @pre both lists are sorted. */
+[[nodiscard]] member_changes differenceOf(std::span<const fleet_member> before, std::span<const fleet_member> after);
+
+/** @param before sorted. @return the list after the changes, sorted. */
+[[nodiscard]] std::vector<fleet_member> applied(std::span<const fleet_member> before, const member_changes &changes);
+
 /** Upwards: still here. */
 struct follow_beat {
     std::uint32_t subtree = 1;
-    std::vector<fleet_member> members; ///< the subtree; empty if it is as told before
+    member_changes changes; ///< of the subtree
 };
 
 /** Downwards: still here, and how I know what I pass on. */
 struct upstream_state {
     bool accepted = false; ///< the receiver is a follower of the sender
     bool storeOk = false; ///< the process at the top reads the store without trouble
+    bool starting = false; ///< the process at the top has asked the store and waits for its first answer
     std::uint32_t fleetSize = 1;
     std::vector<std::string> path; ///< addresses from the top down to the sender
     std::vector<std::string> elsewhere; ///< whom to ask instead, if not accepted
-    std::vector<fleet_member> members; ///< of the fleet; empty if they are as told before
+    std::vector<fleet_member> members; ///< of the fleet, all of them; empty if not all are told
+    member_changes changes; ///< of the fleet
+};
+
+/** One item as the difference to what the receiver holds. */
+struct item_patch {
+    std::string key;
+    std::uint64_t revision = 0;
+    std::uint64_t baseRevision = 0; ///< of the value that it was made from
+    std::uint64_t digest = 0; ///< of the whole new value
+    std::uint32_t size = 0; ///< of the whole new value
+    std::string bytes;
 };
 
 /** Downwards: news of one prefix. */
@@ -121,6 +157,7 @@
     bool whole = false; ///< all that the prefix holds, not only what changed
     std::uint64_t revision = 0;
     std::vector<store_item> items;
+    std::vector<item_patch> patches;
 };
 
 /** Up and down: what VMs found out about leafs. */
@@ -133,6 +170,7 @@
 /** Why bytes are not a message of the fleet. */
 enum class fleet_wire_error : std::uint8_t {
     Malformed, ///< the FlatBuffers verifier refused it
+    Unpackable, ///< compressed bytes that are not what their sender said
     UnknownMessage
 };
 
@@ -152,16 +190,14 @@
     zone_name zone;
     std::vector<std::string> seeds; ///< processes to ask first, the same list for all; may be stale
     std::vector<std::string> prefixes; ///< of the store that are followed
-    std::size_t fanOut = 8; ///< followers of one process: passing a configuration on to more fills a small VM's link
+    std::size_t fanOut = 8; ///< followers in the own zone: passing a configuration on to more fills a small VM's link
     millis beat {400}; ///< between signs of life
     millis silence {1100}; ///< without one, the process above counts as lost: two beats and some delay
-    millis seekFor {400}; ///< for a new process above; some round trips, far below what configuration may lag
-    millis firstSeekFor {1500}; ///< after the start, when all start together and none listens yet
-    std::size_t mostMembers =
-        256; ///< that are told of: a message of some kilobytes, and far more than are asked for help
-    millis seedPatience {300}; ///< with a process above whose store is lost, of one that is a seed itself
-    millis leastPatience {450}; ///< the same of others: between these two, each its own time, so that a store that
-    millis mostPatience {1050}; ///< is down for all is not called by all at once
+    millis drawInterval {60}; ///< between two draws for who reads the store; some round trips, so that whoever has just
+                              ///< begun can be found before the next
+    millis patience {450}; ///< with a process above whose store is lost, before the draws begin
+    millis seedPatience {240}; ///< the same of a seed: the others look to the seeds
+    std::size_t mostMembers = 4096; ///< that are told of: a fleet of letter size, some hundred kilobytes of memory
     millis mergeInterval {3000}; ///< between a reader's looks for another reader to follow
     millis reportInterval {200}; ///< between messages with reports: each is a packet, however little it says
     std::size_t mostReports = 20; ///< in one message: 1.2 kB a second on each link of the tree on the worst day
@@ -178,8 +214,9 @@
     link_id link = 0;
 };
 
+/** Send the same message on each of these connections. */
 struct tell_action {
-    link_id link = 0;
+    std::vector<link_id> links;
     fleet_message message;
 };
 
@@ -262,7 +299,8 @@
         if (m_phase == phase::Seeking) {
             return true; // not known; whoever is found will tell
         }
-        return m_phase == phase::Following ? m_upstreamState.storeOk : ownStoreOk();
+        return m_phase == phase::Following ? m_upstreamState.storeOk || m_upstreamState.starting
+                                           : ownStoreOk() || m_starting;
     }
 
     /** Whether another process was heard of late: without one, a store that is silent may only be out of reach of here.
@@ -281,17 +319,26 @@
         Reading ///< the store, for itself and all below
     };
 
+    using member_list = std::shared_ptr<const std::vector<fleet_member>>;
+
     struct candidate {
         std::string address;
-        bool open = false;
+        member_list told; ///< this process's subtree, as the request said
     };
 
     struct follower {
         std::string address;
+        zone_name zone;
         std::uint32_t subtree = 1;
         millis heardAt;
-        std::vector<fleet_member> members;
-        bool membersTold = false; ///< it knows the fleet as it is now
+        std::vector<fleet_member> members; ///< of its subtree, sorted
+        member_list told; ///< the fleet as it knows it
+    };
+
+    /** One that asked while this process had nothing to say yet. */
+    struct waiting_follower {
+        link_id link = 0;
+        follow_request request;
     };
 
     struct kept_report {
@@ -300,33 +347,57 @@
     };
 
     void seek(millis now);
-    void dialCandidates();
+    void dialNext();
+    void lookAgain(millis now);
+    void lookForReader(millis now);
     void dial(const std::string &address);
     void dropCandidates(link_id except);
     void becomeReader(std::string_view why, millis now);
     void adopt(link_id link, const upstream_state &state, millis now);
     void loseUpstream(std::string_view why, millis now);
-    void onFollow(link_id link, const follow_request &request, millis now);
+    void judgeUpstream(millis now);
+    void drawToRead(millis now);
+    void drawBesideUpstream(millis now);
+    [[nodiscard]] bool isSeed() const;
+    [[nodiscard]] std::vector<std::string> candidates() const;
     void onState(link_id link, const upstream_state &state, millis now);
+    void onUpstreamState(const upstream_state &state, millis now);
+    void onCandidateState(link_id link, const upstream_state &state, millis now);
+
+    void onFollow(link_id link, follow_request request, millis now);
+    void refuse(link_id link, const follow_request &request);
+    void answerWaiting(millis now);
+    void noticeReader(const follow_request &request);
+    [[nodiscard]] bool mayFollow(const follow_request &request, millis now) const;
+    [[nodiscard]] std::vector<std::string> referralsFor(const follow_request &request) const;
+    void onBeat(link_id link, const follow_beat &sign, millis now);
+    void tellFollowers();
+    void dropSilentFollowers(millis now);
+    void beat(millis now);
+
     void onItems(link_id link, store_items items, millis now);
+    [[nodiscard]] bool unpack(store_items &items);
+    void askForWhole(const std::string &prefix, std::string_view key);
+    void sendMissing(link_id link, const follow_request &request);
+    void passOn(store_items items, std::vector<store_item> news);
+    [[nodiscard]] std::vector<item_patch> takePatches(std::string_view prefix, std::vector<store_item> &items) const;
+
     void onLeafNews(link_id link, leaf_news news, millis now);
     void keepReport(const leaf_report &report, link_id from);
     void tellReports(millis now);
     [[nodiscard]] std::vector<link_id> neighbours() const;
-    void sendMissing(link_id link, const follow_request &request);
-    void passOn(std::string_view prefix, const std::vector<store_item> &news, bool whole);
-    void tellFollowers();
-    void beat(millis now);
-    void judgeUpstream(millis now);
-    void dropSilentFollowers(millis now);
+
     [[nodiscard]] std::vector<fleet_member> subtreeMembers() const;
     void refreshMembers();
     void setMembers(std::vector<fleet_member> members);
+    void hearMembers(const upstream_state &state);
+
+    [[nodiscard]] follow_request ownRequest() const;
     [[nodiscard]] upstream_state ownState(bool accepted) const;
     [[nodiscard]] bool ownStoreOk() const;
     [[nodiscard]] std::uint32_t subtree() const;
-    [[nodiscard]] std::vector<std::string> candidates() const;
     [[nodiscard]] bool hasData() const;
+    void tell(link_id link, fleet_message message);
     void noteSize(std::uint32_t size, millis now);
     void note(std::string_view event, std::string about, millis input);
 
@@ -335,8 +406,14 @@
     std::map<std::string, store_view, std::less<>> m_views;
     std::map<std::string, bool, std::less<>> m_readOk; ///< by prefix, while reading
     phase m_phase = phase::Seeking;
-    millis m_seekUntil;
+    bool m_starting = false; ///< reads, and the store has not answered or failed yet
+    millis m_nextDraw;
+    unsigned m_draws = 0; ///< since the search began
     millis m_redialAt;
+    millis m_promisedUntil; ///< a process that is starting will say more by then
+    std::size_t m_nextSeed = 0; ///< of those that may be followed, to be dialled
+    std::size_t m_seedsDialled = 0; ///< since the last look
+    std::string m_lastTop; ///< process at the top when its store was lost
     millis m_nextBeat;
     millis m_nextMerge;
     std::map<link_id, candidate> m_candidates;
@@ -345,12 +422,16 @@
     std::string m_upstreamAddress;
     millis m_upstreamHeardAt;
     upstream_state m_upstreamState;
-    millis m_upstreamBadUntil = millis::never(); ///< leaves one whose store is lost then
+    millis m_upstreamBadSince = millis::never();
+    std::set<std::string> m_wholeAsked; ///< prefixes of which all was asked for and has not come yet
     std::map<link_id, follower> m_followers;
+    std::vector<waiting_follower> m_waiting;
+    bool m_subtreeChanged = false; ///< since the process above was told
+    millis m_nextMembers; ///< when the whole fleet may be told of changes again
     millis m_nextReports;
     std::map<leaf_digest, kept_report> m_reports; ///< to be passed on, by leaf
-    std::vector<fleet_member> m_members; ///< of the fleet, sorted
-    std::vector<fleet_member> m_toldUpstream; ///< subtree as the process above knows it
+    member_list m_members; ///< of the fleet, sorted
+    member_list m_toldUpstream; ///< subtree as the process above knows it
     std::uint32_t m_size = 1;
     std::uint32_t m_rememberedSize = 1; ///< the greatest of late
     millis m_rememberedUntil;
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -1,5 +1,7 @@
 #include <fleet/fleet.h>
 
+#include "packing.h"
+
 #include <fleet_generated.h>
 #include <wire/wire.h>
 
@@ -25,6 +27,9 @@
     return builder.CreateVector(offsets);
 }
 
+// Smaller ones gain less than the packing costs: a sign of life has 200 bytes.
+constexpr std::size_t leastPackedBytes = 512;
+
 constexpr double hundredths = 100;
 
 std::uint16_t shortened(double value)
@@ -33,6 +38,11 @@
     return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
 }
 
+Offset<flatbuffers::Vector<std::uint8_t>> bytesOf(FlatBufferBuilder &builder, std::string_view bytes)
+{
+    return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+}
+
 /** Writes one alternative; the union's type follows from it. */
 struct message_writer {
     FlatBufferBuilder &builder;
@@ -48,13 +58,22 @@
         const auto all = builder.CreateVector(known);
         const auto members = membersOf(builder, message.members);
         return wrap(fleet_wire::Message::Follow,
-                    fleet_wire::CreateFollow(builder, address, message.subtree, all, members).Union());
+                    fleet_wire::CreateFollow(builder,
+                                             address,
+                                             message.subtree,
+                                             all,
+                                             members,
+                                             builder.CreateString(message.zone.value),
+                                             message.readsStore)
+                        .Union());
     }
 
     Offset<fleet_wire::Envelope> operator()(const follow_beat &message) const
     {
-        const auto members = membersOf(builder, message.members);
-        return wrap(fleet_wire::Message::Beat, fleet_wire::CreateBeat(builder, message.subtree, members).Union());
+        const auto joined = membersOf(builder, message.changes.joined);
+        const auto left = membersOf(builder, message.changes.left);
+        return wrap(fleet_wire::Message::Beat,
+                    fleet_wire::CreateBeat(builder, message.subtree, 0, joined, left).Union());
     }
 
     Offset<fleet_wire::Envelope> operator()(const upstream_state &message) const
@@ -62,9 +81,19 @@
         const auto path = builder.CreateVectorOfStrings(message.path);
         const auto elsewhere = builder.CreateVectorOfStrings(message.elsewhere);
         const auto members = membersOf(builder, message.members);
+        const auto joined = membersOf(builder, message.changes.joined);
+        const auto left = membersOf(builder, message.changes.left);
         return wrap(fleet_wire::Message::State,
-                    fleet_wire::CreateState(
-                        builder, message.accepted, message.storeOk, message.fleetSize, path, elsewhere, members)
+                    fleet_wire::CreateState(builder,
+                                            message.accepted,
+                                            message.storeOk,
+                                            message.fleetSize,
+                                            path,
+                                            elsewhere,
+                                            members,
+                                            joined,
+                                            left,
+                                            message.starting)
                         .Union());
     }
 
@@ -78,8 +107,9 @@
         }
         const auto prefix = builder.CreateString(message.prefix);
         const auto all = builder.CreateVector(items);
+        const auto patches = patchesOf(message.patches);
         return wrap(fleet_wire::Message::Items,
-                    fleet_wire::CreateItems(builder, prefix, message.whole, message.revision, all).Union());
+                    fleet_wire::CreateItems(builder, prefix, message.whole, message.revision, all, patches).Union());
     }
 
     Offset<fleet_wire::Envelope> operator()(const leaf_news &message) const
@@ -97,12 +127,30 @@
     }
 
 private:
+    [[nodiscard]] Offset<flatbuffers::Vector<Offset<fleet_wire::Patch>>>
+    patchesOf(std::span<const item_patch> patches) const
+    {
+        std::vector<Offset<fleet_wire::Patch>> offsets;
+        for (const item_patch &one : patches) {
+            const auto key = builder.CreateString(one.key);
+            const auto bytes = bytesOf(builder, one.bytes);
+            offsets.push_back(
+                fleet_wire::CreatePatch(builder, key, one.revision, one.baseRevision, one.digest, one.size, bytes));
+        }
+        return builder.CreateVector(offsets);
+    }
+
     [[nodiscard]] Offset<fleet_wire::Envelope> wrap(fleet_wire::Message type, Offset<void> message) const
     {
         return fleet_wire::CreateEnvelope(builder, type, message);
     }
 };
 
+std::string textOf(const flatbuffers::Vector<std::uint8_t> *bytes)
+{
+    return bytes == nullptr ? std::string() : std::string(bytes->begin(), bytes->end());
+}
+
 std::string textOf(const flatbuffers::String *text)
 {
     return text == nullptr ? std::string() : text->str();
@@ -130,7 +178,12 @@
 
 follow_request readFollow(const fleet_wire::Follow &from)
 {
-    follow_request message {textOf(from.address()), from.subtree(), {}, readMembers(from.members())};
+    follow_request message {textOf(from.address()),
+                            {textOf(from.zone())},
+                            from.reads_store(),
+                            from.subtree(),
+                            {},
+                            readMembers(from.members())};
     if (from.known() != nullptr) {
         for (const auto *known : *from.known()) {
             message.known.push_back({textOf(known->prefix()), known->revision()});
@@ -139,14 +192,29 @@
     return message;
 }
 
+follow_beat readBeat(const fleet_wire::Beat &from)
+{
+    return {from.subtree(), {readMembers(from.joined()), readMembers(from.left())}};
+}
+
 store_items readItems(const fleet_wire::Items &from)
 {
-    store_items message {textOf(from.prefix()), from.whole(), from.revision(), {}};
+    store_items message {textOf(from.prefix()), from.whole(), from.revision(), {}, {}};
     if (from.items() != nullptr) {
         for (const auto *item : *from.items()) {
             message.items.push_back({textOf(item->key()), item->revision(), item->deleted(), textOf(item->value())});
         }
     }
+    if (from.patches() != nullptr) {
+        for (const auto *patch : *from.patches()) {
+            message.patches.push_back({textOf(patch->key()),
+                                       patch->revision(),
+                                       patch->base_revision(),
+                                       patch->digest(),
+                                       patch->size(),
+                                       textOf(patch->bytes())});
+        }
+    }
     return message;
 }
 
@@ -169,10 +237,42 @@
 {
     return {from.accepted(),
             from.store_ok(),
+            from.starting(),
             from.fleet_size(),
             textsOf(from.path()),
             textsOf(from.elsewhere()),
-            readMembers(from.members())};
+            readMembers(from.members()),
+            {readMembers(from.joined()), readMembers(from.left())}};
+}
+
+/** @return the envelope compressed, or nothing if that is no shorter. */
+std::optional<std::string> packedFrame(std::span<const std::uint8_t> envelope)
+{
+    const std::string_view text(reinterpret_cast<const char *>(envelope.data()), envelope.size());
+    const std::string bytes = packed(text, {});
+    if (bytes.size() >= text.size()) {
+        return std::nullopt;
+    }
+    FlatBufferBuilder builder;
+    const auto all = bytesOf(builder, bytes);
+    const auto wrapped = fleet_wire::CreatePacked(builder, static_cast<std::uint32_t>(text.size()), all).Union();
+    builder.Finish(fleet_wire::CreateEnvelope(builder, fleet_wire::Message::Packed, wrapped));
+    return frameOf({builder.GetBufferPointer(), builder.GetSize()});
+}
+
+tl::expected<fleet_message, fleet_wire_error> readEnvelope(std::span<const std::uint8_t> bytes, bool mayBePacked);
+
+tl::expected<fleet_message, fleet_wire_error> readPacked(const fleet_wire::Packed &from)
+{
+    if (from.bytes() == nullptr || from.size() > maxFrameBytes) {
+        return tl::unexpected(fleet_wire_error::Unpackable);
+    }
+    const std::string_view bytes(reinterpret_cast<const char *>(from.bytes()->data()), from.bytes()->size());
+    const std::optional<std::string> text = unpacked(bytes, {}, from.size());
+    if (!text) {
+        return tl::unexpected(fleet_wire_error::Unpackable);
+    }
+    return readEnvelope({reinterpret_cast<const std::uint8_t *>(text->data()), text->size()}, false);
 }
 
 } // namespace
@@ -181,10 +281,15 @@
 {
     FlatBufferBuilder builder;
     builder.Finish(std::visit(message_writer {builder}, message));
-    return frameOf({builder.GetBufferPointer(), builder.GetSize()});
+    const std::span<const std::uint8_t> envelope(builder.GetBufferPointer(), builder.GetSize());
+    std::optional<std::string> shorter =
+        envelope.size() >= leastPackedBytes ? packedFrame(envelope) : std::optional<std::string>();
+    return shorter ? *std::move(shorter) : frameOf(envelope);
 }
 
-tl::expected<fleet_message, fleet_wire_error> decodeFleetPayload(std::span<const std::uint8_t> bytes)
+namespace {
+
+tl::expected<fleet_message, fleet_wire_error> readEnvelope(std::span<const std::uint8_t> bytes, bool mayBePacked)
 {
     const std::vector<std::uint64_t> aligned = alignedCopy(bytes);
     const auto *payload = reinterpret_cast<const std::uint8_t *>(aligned.data());
@@ -197,16 +302,25 @@
     case fleet_wire::Message::Follow:
         return readFollow(*envelope.message_as_Follow());
     case fleet_wire::Message::Beat:
-        return follow_beat {envelope.message_as_Beat()->subtree(), readMembers(envelope.message_as_Beat()->members())};
+        return readBeat(*envelope.message_as_Beat());
     case fleet_wire::Message::State:
         return readState(*envelope.message_as_State());
     case fleet_wire::Message::Items:
         return readItems(*envelope.message_as_Items());
     case fleet_wire::Message::Reports:
         return readReports(*envelope.message_as_Reports());
+    case fleet_wire::Message::Packed:
+        return mayBePacked ? readPacked(*envelope.message_as_Packed()) : tl::unexpected(fleet_wire_error::Malformed);
     default:
         return tl::unexpected(fleet_wire_error::UnknownMessage);
     }
 }
 
+} // namespace
+
+tl::expected<fleet_message, fleet_wire_error> decodeFleetPayload(std::span<const std::uint8_t> bytes)
+{
+    return readEnvelope(bytes, true);
+}
+
 } // namespace chivelock
--- a/libs/fleet/src/fleet_members.cpp
+++ b/libs/fleet/src/fleet_members.cpp
@@ -1,4 +1,4 @@
-/** @file Who the fleet is, as the tree tells: up what is below, down the whole. */
+/** @file Who the fleet is, as the tree tells: up what is below, down the whole; changes only, once all is told. */
 
 #include <fleet/fleet.h>
 
@@ -6,6 +6,27 @@
 
 namespace chivelock {
 
+member_changes differenceOf(std::span<const fleet_member> before, std::span<const fleet_member> after)
+{
+    member_changes changes;
+    std::ranges::set_difference(after, before, std::back_inserter(changes.joined));
+    std::ranges::set_difference(before, after, std::back_inserter(changes.left));
+    return changes;
+}
+
+std::vector<fleet_member> applied(std::span<const fleet_member> before, const member_changes &changes)
+{
+    std::vector<fleet_member> left = changes.left;
+    std::vector<fleet_member> joined = changes.joined;
+    std::ranges::sort(left);
+    std::ranges::sort(joined);
+    std::vector<fleet_member> staying;
+    std::ranges::set_difference(before, left, std::back_inserter(staying));
+    std::vector<fleet_member> after;
+    std::ranges::set_union(staying, joined, std::back_inserter(after));
+    return after;
+}
+
 std::vector<fleet_member> fleet_node::subtreeMembers() const
 {
     std::vector<fleet_member> members = {{m_settings.address, m_settings.zone}};
@@ -13,6 +34,9 @@
         std::ranges::copy(one.members, std::back_inserter(members));
     }
     std::ranges::sort(members);
+    // A process that changed its place is below two others until the old one has noticed.
+    const auto doubled = std::ranges::unique(members);
+    members.erase(doubled.begin(), doubled.end());
     members.resize(std::min(members.size(), m_settings.mostMembers));
     return members;
 }
@@ -25,16 +49,24 @@
     }
 }
 
+void fleet_node::hearMembers(const upstream_state &state)
+{
+    if (!state.members.empty()) {
+        std::vector<fleet_member> members = state.members;
+        std::ranges::sort(members);
+        setMembers(std::move(members));
+    } else if (!state.changes.empty()) {
+        setMembers(applied(*m_members, state.changes));
+    }
+}
+
 void fleet_node::setMembers(std::vector<fleet_member> members)
 {
-    if (members.empty() || members == m_members) {
+    if (members.empty() || members == *m_members) {
         return;
     }
-    m_members = std::move(members);
-    for (auto &[link, one] : m_followers) {
-        one.membersTold = false;
-    }
-    m_actions.emplace_back(members_action {m_members});
+    m_members = std::make_shared<const std::vector<fleet_member>>(std::move(members));
+    m_actions.emplace_back(members_action {*m_members});
 }
 
 } // namespace chivelock
--- a/libs/fleet/src/fleet_reports.cpp
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -71,7 +71,7 @@
             }
         }
         if (!news.reports.empty()) {
-            m_actions.emplace_back(tell_action {link, std::move(news)});
+            tell(link, std::move(news));
         }
     }
 }
--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -42,6 +42,12 @@
     return applyChanges(std::move(items), revision);
 }
 
+const store_view::held *store_view::find(std::string_view key) const
+{
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? nullptr : &found->second;
+}
+
 std::optional<std::vector<store_item>> store_view::changesSince(std::uint64_t revision) const
 {
     if (!m_known || revision < m_deletionsSince) {
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -67,7 +67,6 @@
     std::uint16_t helperPort = 0; ///< for VMs that ask leafs for each other; the same on all
     double cpuShare = 1; ///< of a core that this VM has
     std::vector<std::string> seeds; ///< addresses of a few of them; may be stale
-    bool fleetStarts = false; ///< all processes start for the first time, so none can tell the others anything yet
     std::string storeAddress; ///< IP number and port
     millis applyLimit {3000}; ///< from the store's word to a configuration in force everywhere
     millis storeWait {900}; ///< how long the store holds a watch; bounds how long a lost answer goes unnoticed
--- a/libs/settings/src/gateway_settings.cpp
+++ b/libs/settings/src/gateway_settings.cpp
@@ -29,7 +29,6 @@
         "wait_ms": {"type": "integer", "minimum": 100, "maximum": 30000}
       }},
     "seeds": {"type": "array", "items": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}},
-    "fleet_starts": {"type": "boolean"},
     "cpu_share": {"type": "number", "exclusiveMinimum": 0},
     "log": {"enum": ["debug", "info", "warning", "error"]},
     "log_lines_per_s": {"type": "integer", "minimum": 10, "maximum": 100000},
@@ -87,7 +86,6 @@
         settings.readiness = readAddress(listen.at("readiness"));
         settings.peers = readAddress(listen.at("peers"));
         take(document, "seeds", settings.seeds);
-        take(document, "fleet_starts", settings.fleetStarts);
         take(document, "cpu_share", settings.cpuShare);
         take(listen, "helper_port", settings.helperPort);
         if (listen.contains("metrics")) {
--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -23,15 +23,6 @@
     return XXH64(to.data(), to.size(), seed);
 }
 
-/** Number of VMs in the same zone that come before this one. @param vm address without port, and zone. */
-std::size_t rankOf(const fleet_member &vm, const std::vector<fleet_member> &members)
-{
-    const auto before = std::ranges::count_if(members, [&](const fleet_member &one) {
-        return one.zone == vm.zone && hostOf(one.address) < vm.address;
-    });
-    return static_cast<std::size_t>(before);
-}
-
 } // namespace
 
 helper_links::helper_links(boost::asio::io_context &reactor,
@@ -62,28 +53,30 @@
     m_mesh.close();
 }
 
+/** The first word at once, later ones with the next look: when many start, each word changes the list, and choosing
+ *  among 300 VMs takes a small VM some milliseconds. */
+void helper_links::setMembers(const std::vector<fleet_member> &members)
+{
+    m_members = members;
+    m_membersChanged = true;
+    if (m_helpers.empty()) {
+        chooseHelpers();
+    }
+}
+
 /** Each VM chooses by its own weights, so that all are chosen about equally often and few choices change with one VM.
  */
-void helper_links::setMembers(const std::vector<fleet_member> &members)
+void helper_links::chooseHelpers()
 {
-    std::map<zone_name, std::vector<std::pair<std::uint64_t, std::string>>> byZone;
-    for (const fleet_member &member : members) {
-        const std::string ip(hostOf(member.address));
-        if (ip != m_settings.address) {
-            byZone[member.zone].emplace_back(rendezvousWeight(m_settings.address, ip),
-                                             ip + ":" + std::to_string(m_settings.port));
-        }
+    m_membersChanged = false;
+    std::map<zone_name, std::vector<std::string>> byZone;
+    for (const fleet_member &member : m_members) {
+        byZone[member.zone].emplace_back(hostOf(member.address));
     }
-    m_ownRank = rankOf({m_settings.address, m_settings.zone}, members);
     std::set<std::string> wanted;
-    for (auto &[zone, all] : byZone) {
-        std::ranges::sort(all, std::greater<>());
-        all.resize(std::min(all.size(), zone == m_settings.zone ? helpersInOwnZone : helpersInOtherZone));
-        for (const auto &[weight, address] : all) {
-            wanted.insert(address);
-            m_helpers[address].zone = zone;
-            m_helpers[address].rank = rankOf({std::string(hostOf(address)), zone}, members);
-        }
+    for (auto &[zone, hosts] : byZone) {
+        std::ranges::sort(hosts);
+        chooseInZone(zone, hosts, wanted);
     }
     std::erase_if(m_helpers, [&](const auto &one) {
         const bool gone = !wanted.contains(one.first);
@@ -96,9 +89,40 @@
     tellHelpers();
 }
 
+/** @param hosts all VMs of the zone, in the order by which each has its rank. */
+void helper_links::chooseInZone(const zone_name &zone,
+                                std::span<const std::string> hosts,
+                                std::set<std::string> &wanted)
+{
+    const auto rankOf = [&](const std::string &host) {
+        return static_cast<std::size_t>(std::ranges::lower_bound(hosts, host) - hosts.begin());
+    };
+    const bool own = zone == m_settings.zone;
+    if (own) {
+        m_ownRank = rankOf(m_settings.address);
+    }
+    std::vector<std::pair<std::uint64_t, std::string>> weighted;
+    for (const std::string &host : hosts) {
+        if (host != m_settings.address) {
+            weighted.emplace_back(rendezvousWeight(m_settings.address, host), host);
+        }
+    }
+    std::ranges::sort(weighted, std::greater<>());
+    weighted.resize(std::min(weighted.size(), own ? helpersInOwnZone : helpersInOtherZone));
+    for (const auto &[weight, host] : weighted) {
+        const std::string address = host + ":" + std::to_string(m_settings.port);
+        wanted.insert(address);
+        m_helpers[address].zone = zone;
+        m_helpers[address].rank = rankOf(host);
+    }
+}
+
 void helper_links::dialDue()
 {
     const millis now = m_clock.now();
+    if (m_membersChanged) {
+        chooseHelpers();
+    }
     for (auto &[address, one] : m_helpers) {
         if (one.link == 0 && now >= one.redialAt) {
             one.link = m_nextLink++;
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -16,6 +16,8 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -83,6 +85,8 @@
     bool onLinkFrame(link_id link, std::span<const std::uint8_t> payload) override;
 
     [[nodiscard]] std::map<std::string, helper>::iterator findByLink(link_id link);
+    void chooseHelpers();
+    void chooseInZone(const zone_name &zone, std::span<const std::string> hosts, std::set<std::string> &wanted);
     void tellHelpers();
     void dialDue();
 
@@ -94,6 +98,8 @@
     boot_clock m_clock;
     peer_mesh m_mesh;
     boost::asio::steady_timer m_timer;
+    std::vector<fleet_member> m_members; ///< of the fleet
+    bool m_membersChanged = false; ///< since helpers were chosen among them
     std::size_t m_ownRank = 0; ///< among the VMs of the own zone
     std::map<std::string, helper> m_helpers; ///< by address with port
     link_id m_nextLink = 1;
--- a/programs/chivelockd/gateway/peer_traffic.cpp
+++ b/programs/chivelockd/gateway/peer_traffic.cpp
@@ -27,12 +27,12 @@
 
     peer_message_kind operator()(const follow_beat &message) const
     {
-        return message.members.empty() ? peer_message_kind::FleetState : peer_message_kind::FleetMembers;
+        return message.changes.empty() ? peer_message_kind::FleetState : peer_message_kind::FleetMembers;
     }
 
     peer_message_kind operator()(const upstream_state &message) const
     {
-        const bool told = !message.members.empty();
+        const bool told = !message.members.empty() || !message.changes.empty();
         return told ? peer_message_kind::FleetMembers : peer_message_kind::FleetState;
     }
 
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -10,14 +10,12 @@
 
 constexpr millis tickInterval(100); // a quarter of the beat among processes
 
-// After a restart callers wait already: whoever follows nobody by then reads for itself. Some round trips.
-constexpr millis restartSeekFor(250);
-
 // Shares of the time in which a configuration must be in force. A third of it passes until the reader notices that the
-// store has left it; the rest is for one more seed to fail, then each process by itself, and the reading.
+// store has left it; the rest is for one more seed to fail, then others by the draw (ten of them at most, a fifth of
+// the time), and the reading.
 constexpr double seedPatienceShare = 0.08;
-constexpr double leastPatienceShare = 0.15;
-constexpr double mostPatienceShare = 0.33;
+constexpr double patienceShare = 0.15;
+constexpr double drawShare = 0.02;
 
 std::string textOf(const listen_address &address)
 {
@@ -32,11 +30,8 @@
     settings.seeds = from.seeds;
     settings.prefixes = {std::string(platform::configPrefix), std::string(platform::leafPrefix)};
     settings.seedPatience = from.applyLimit * seedPatienceShare;
-    settings.leastPatience = from.applyLimit * leastPatienceShare;
-    settings.mostPatience = from.applyLimit * mostPatienceShare;
-    if (!from.fleetStarts) {
-        settings.firstSeekFor = restartSeekFor;
-    }
+    settings.patience = from.applyLimit * patienceShare;
+    settings.drawInterval = from.applyLimit * drawShare;
     return settings;
 }
 
@@ -175,8 +170,10 @@
 void store_feed::perform(const tell_action &action)
 {
     const std::string frame = encodeFleetFrame(action.message);
-    m_traffic.count(kindOf(action.message), m_mesh.peerOf(action.link), frame.size());
-    m_mesh.tell(action.link, frame);
+    for (const link_id link : action.links) {
+        m_traffic.count(kindOf(action.message), m_mesh.peerOf(link), frame.size());
+        m_mesh.tell(link, frame);
+    }
 }
 
 /** One prefix tells whether the store answers; the others are asked for only then, so that a store that is down for the
--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -16,7 +16,11 @@
 
 constexpr std::size_t readBytes = 65536;
 constexpr std::size_t mostBodyBytes = 16 << 20; // a page of a megabyte in base64, many times over
-constexpr millis answerLimit(500); // far above the few milliseconds that the store takes
+constexpr millis answerLimit(500); // of silence: far above the few milliseconds that the store takes
+
+// For a whole answer, however steadily it comes: a megabyte on a small VM's link that others press on. Cut off by the
+// limit for silence while it was arriving, a whole document was asked for again and again on a busy link.
+constexpr millis wholeLimit(5000);
 constexpr millis firstWait(50);
 constexpr millis firstRetry(400);
 constexpr millis mostRetry(1000); // a store that is back is read again within about that time
@@ -77,6 +81,7 @@
     m_input.clear();
     m_reader.expect(false, mostBodyBytes);
     m_turn += 1;
+    m_wholeBy = m_clock.now() + wait + wholeLimit;
     armTimeout(m_watching ? wait + answerLimit : answerLimit);
     if (m_socket) {
         write();
@@ -135,6 +140,7 @@
         m_input.append(m_chunk.data(), count);
         const read_state state = m_reader.feed(m_input);
         if (state == read_state::NeedMore) {
+            armTimeout(std::clamp(m_wholeBy - m_clock.now(), millis(), answerLimit));
             read(turn);
         } else if (state == read_state::Complete) {
             onAnswer(m_reader.take());
--- a/programs/chivelockd/gateway/store_reader.h
+++ b/programs/chivelockd/gateway/store_reader.h
@@ -105,6 +105,8 @@
     std::uint64_t m_revision = 0; ///< up to which everything is known
     std::string m_after; ///< last key of the pages read so far
     std::vector<store_item> m_pages;
+    boot_clock m_clock;
+    millis m_wholeBy; ///< what has not come by then is given up
     std::uint64_t m_turn = 0; ///< rises when what is on its way is given up
     std::uint64_t m_calls = 0;
     unsigned m_failures = 0; ///< since the last answer
