--- a/libs/delegation/src/delegation_codec.cpp
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -26,6 +26,7 @@
         const auto after = builder.CreateString(message.afterTime);
         const auto route = builder.CreateString(message.work.route);
         const auto shardNames = builder.CreateVectorOfStrings(shards);
+        const auto tried = builder.CreateVectorOfStrings(message.work.triedLeafs);
         const auto table = delegation_wire::CreateRequest(builder,
                                                           message.id,
                                                           requestId,
@@ -38,7 +39,9 @@
                                                           message.work.objective.micros(),
                                                           message.work.speakIn.micros(),
                                                           message.work.cutoffIn.micros(),
-                                                          message.work.limitIn.micros());
+                                                          message.work.limitIn.micros(),
+                                                          tried,
+                                                          message.work.alone);
         return wrap(delegation_wire::Message::Request, table.Union());
     }
 
@@ -51,7 +54,9 @@
         }
         std::vector<Offset<delegation_wire::Lost>> lost;
         for (const lost_shard &shard : message.progress.lost) {
-            lost.push_back(delegation_wire::CreateLost(builder, shard.shard, shard.mayHaveRun, shard.reachedLeaf));
+            const auto leafId = builder.CreateString(shard.leafId);
+            lost.push_back(
+                delegation_wire::CreateLost(builder, shard.shard, shard.mayHaveRun, shard.reachedLeaf, leafId));
         }
         std::vector<Offset<delegation_wire::Pending>> pending;
         for (const pending_shard &shard : message.progress.pending) {
@@ -105,6 +110,10 @@
             message.work.shards.push_back({textOf(shard)});
         }
     }
+    message.work.alone = from.alone();
+    if (from.tried() != nullptr) {
+        std::ranges::transform(*from.tried(), std::back_inserter(message.work.triedLeafs), textOf);
+    }
     return message;
 }
 
@@ -123,7 +132,8 @@
     }
     if (from.lost() != nullptr) {
         for (const auto *lost : *from.lost()) {
-            message.progress.lost.push_back({lost->shard(), lost->may_have_run(), lost->reached_leaf()});
+            message.progress.lost.push_back(
+                {lost->shard(), lost->may_have_run(), lost->reached_leaf(), textOf(lost->leaf())});
         }
     }
     if (from.pending() != nullptr) {
--- a/libs/delegation/tests/test_delegation.cpp
+++ b/libs/delegation/tests/test_delegation.cpp
@@ -42,11 +42,12 @@
     progress.id = 8;
     progress.progress.parts = {{1, "digest"}};
     progress.progress.records = std::string("\0\xff", 2);
-    progress.progress.lost = {{2, true, false}};
+    progress.progress.lost = {{2, true, false, "lost"}};
     progress.progress.pending = {{3, "leaf"}};
     progress.progress.last = true;
     const delegate_progress read = thereAndBack(progress);
     BOOST_TEST(read.progress.parts[0].stamp == "digest");
+    BOOST_TEST(read.progress.lost[0].leafId == "lost");
     BOOST_TEST(read.progress.records == progress.progress.records);
     BOOST_TEST(read.progress.lost[0].mayHaveRun);
     BOOST_TEST(!read.progress.lost[0].reachedLeaf);
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -35,6 +35,7 @@
     std::string_view host;
     std::string_view target;
     std::optional<millis> patience; ///< how long the caller will wait, if it said so
+    std::optional<millis> roundTrip {}; ///< to the caller and back, if it was measured
 };
 
 /** A leaf's whole answer. */
@@ -109,6 +110,7 @@
     unsigned hedges = 0;
     unsigned retries = 0;
     millis elapsed;
+    millis ways; ///< of the caller's time, taken for the way and the answering
 };
 
 /** A decision that touches a request while it is under way, or what is believed of a leaf; for the log. */
@@ -135,8 +137,9 @@
 using delegation_id = std::uint64_t;
 
 /**
- * What another VM is to do: ask one leaf of each shard, once. Hedges and retries stay with the VM that hands it out: it
- * alone counts how many leafs may run a request, so that the count holds whatever is lost between the two.
+ * What another VM is to do: ask one leaf of each shard, once. A second leaf is asked by further work, for which the VM
+ * that hands it out spends an attempt and a part of its budget at that moment: it alone counts how many leafs may run a
+ * request, so that the count holds whatever is lost between the two.
  */
 struct delegated_work {
     std::string route; ///< name, by which both know how long leafs take
@@ -146,6 +149,8 @@
     millis speakIn; ///< a first word is due then at the latest, also if nothing has come
     millis cutoffIn; ///< what has come is told then, and the rest as it comes
     millis limitIn; ///< nothing is of use any more then
+    std::vector<std::string> triedLeafs; ///< ids of leafs of these shards that others may be asked before
+    bool alone = false; ///< each shard is to be told by itself: another VM may bring some of them first
 };
 
 /** A shard that answered. */
@@ -159,6 +164,7 @@
     std::uint32_t shard = 0;
     bool mayHaveRun = false;
     bool reachedLeaf = false; ///< a leaf got it, also if that refused it
+    std::string leafId; ///< of the last leaf that was asked; empty if none was
 };
 
 /** A shard whose leaf is silent so far. */
@@ -212,7 +218,7 @@
     double retrySlack = 10; ///< extra sends in each window besides, over the whole fleet
     millis retryWindow {10000};
     millis drainLimit {3000}; ///< a leaving leaf may be asked no later than this after the store knew
-    millis callerRoundTrip {6}; ///< to a caller and back, for the moment of answering in time
+    millis callerRoundTrip {6}; ///< to a caller and back where it was not measured, for the moment of answering in time
     millis answerMargin {4}; ///< from deciding to answer to the last byte on its way, on a VM that is busy
     std::size_t shardsAtOnce = 25; ///< more than that are shared with other VMs: asking them takes this one too long
     millis removalHold {2200}; ///< how long a leaf stays usable whose entry lapsed while the store was away
@@ -322,8 +328,10 @@
         exchange_id exchange = 0;
         std::string helper;
         std::vector<std::size_t> calls; ///< of the exchange, in the order of the work's shards
-        millis takeOverAt;
+        std::vector<bool> ended; ///< shards of which the last word has come, in the same order
+        millis wordDueIn; ///< from handing it out until the first word should be there
         bool heard = false;
+        bool late = false; ///< the first word is overdue; second leafs may be asked
     };
 
     /** Calls of one exchange for one VM. */
@@ -370,6 +378,7 @@
     void begin(exchange &work, millis now);
     void beginSingle(exchange &work, millis now);
     void beginGather(exchange &work, millis now);
+    [[nodiscard]] millis timeOnTheWay(const caller_request &request) const;
     [[nodiscard]] choice chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now);
     [[nodiscard]] double expectedCost(const leaf &candidate, const route_pace &pace, millis now);
     [[nodiscard]] static bool isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now);
@@ -396,14 +405,20 @@
     [[nodiscard]] std::string helperFor(const zone_name &zone, std::size_t part, std::size_t parts, millis now);
     void planZone(
         const zone_name &zone, std::span<const std::size_t> calls, std::size_t parts, helper_plan &plan, millis now);
-    [[nodiscard]] helper_plan planHelpers(const exchange &work, millis now);
+    [[nodiscard]] helper_plan planHelpers(exchange &work, millis now);
     void delegateCalls(exchange &work, const std::string &helper, std::vector<std::size_t> calls, millis now);
+    void hand(exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now);
+    void askSecond(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
+    void handSecondSends(exchange &work, millis now);
+    [[nodiscard]] static bool endsNow(delegation &from, std::uint32_t shard);
+    void onWordDue(delegation_id id, millis now);
     void takeOver(delegation_id id, std::string_view cause, millis now);
     void resumeCall(exchange &work, std::size_t call, const lost_shard &lost, millis now);
     void notePending(exchange &work, std::size_t call, const pending_shard &pending, millis now);
     void askElsewhere(exchange &work, std::size_t call, std::string_view cause, millis now);
     void dropDelegations(exchange &work, bool callerLeft);
-    void takeParts(exchange &work, delegated_progress &progress, std::span<const std::size_t> calls);
+    void takeParts(exchange &work, delegated_progress &progress, delegation &from);
+    void noteTried(exchange &work, std::span<const std::string> leafIds);
     exchange_id refuseDelegated(exchange &work, millis now);
     void tellProgress(exchange &work, bool last, millis now);
     void tellAlone(const exchange &work, std::uint32_t shard);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t fleetSizeGuess = 16; // until peers are counted: twice the fleets of today
 constexpr double waysBeforeArrival = 1.0; // round trips a caller may have spent on a new connection before we count
 constexpr double waysBack = 0.5; // of a round trip until it has the answer
+constexpr millis mostRoundTrip(200); // a measurement above that tells of a lost packet and not of the way
 constexpr double leastUseOfObjective = 0.5; // a partial answer is never given before that share of the objective
 constexpr double holdShare = 0.2; // of the objective: longest wait for a free connection before a refusal
 
@@ -20,12 +21,6 @@
     target.mixedWork = first ? work : target.mixedWork * (1 - newestShare) + work * newestShare;
 }
 
-/** What of a caller's time is not this VM's to spend. */
-millis timeOnTheWay(const gateway_settings &settings)
-{
-    return settings.callerRoundTrip * (waysBeforeArrival + waysBack) + settings.answerMargin;
-}
-
 millis patienceAfterWays(millis patience, millis ways)
 {
     return patience > ways * 2 ? patience - ways : patience * 0.5;
@@ -33,6 +28,16 @@
 
 } // namespace
 
+/**
+ * What of a caller's time is not this VM's to spend. Measured where the kernel has measured it: callers one millisecond
+ * away were taken for three, which took 6 ms from the 50 of a quick lookup over 180 shards.
+ */
+millis gateway_engine::timeOnTheWay(const caller_request &request) const
+{
+    const millis roundTrip = std::min(request.roundTrip.value_or(m_settings.callerRoundTrip), mostRoundTrip);
+    return roundTrip * (waysBeforeArrival + waysBack) + m_settings.answerMargin;
+}
+
 std::string_view toString(send_failure failure)
 {
     switch (failure) {
@@ -115,8 +120,8 @@
     work->route = route;
     work->pace = &paceOf(*route);
     work->arrivedAt = now;
-    const millis patience =
-        request.patience ? patienceAfterWays(*request.patience, timeOnTheWay(m_settings)) : route->timeout;
+    work->ways = timeOnTheWay(request);
+    const millis patience = request.patience ? patienceAfterWays(*request.patience, work->ways) : route->timeout;
     work->limit = now + std::min(patience, route->timeout);
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
     begin(kept, now);
@@ -154,8 +159,7 @@
 
 void gateway_engine::beginGather(exchange &work, millis now)
 {
-    const millis ways = timeOnTheWay(m_settings);
-    const millis inTime = std::max(work.route->objective - ways, work.route->objective * leastUseOfObjective);
+    const millis inTime = std::max(work.route->objective - work.ways, work.route->objective * leastUseOfObjective);
     work.cutoff = now + inTime;
     addCalls(work, work.route->shards);
     bool overloaded = false;
@@ -189,7 +193,7 @@
 {
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         shard_call &call = work.calls[at];
-        if (call.delegated) {
+        if (call.handed > 0) {
             continue;
         }
         budgetOf(call.service).countRequest(now);
@@ -235,6 +239,7 @@
     mixIn(*to, work.pace->typical.estimate());
     to->open.push_back({one.id, now, now + hedgeAfter});
     call.tried.push_back(to);
+    call.lastAsked = to->entry.id;
     call.open += 1;
     call.mayHaveRun += 1;
     call.sends += 1;
@@ -268,6 +273,7 @@
 
 void gateway_engine::settle(exchange &work, millis now)
 {
+    handSecondSends(work, now);
     schedule(work, now);
     if (work.ended) {
         erase(work.id);
@@ -418,10 +424,7 @@
         return;
     }
     if (next.kind == due_kind::Delegation) {
-        const auto late = m_delegations.find(next.id);
-        if (late != m_delegations.end() && !late->second.heard) {
-            takeOver(next.id, "helper_silent", now);
-        }
+        onWordDue(next.id, now);
         return;
     }
     const auto found = m_exchanges.find(next.id);
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -80,6 +80,7 @@
     result.hedges = work.hedges;
     result.retries = work.retries;
     result.elapsed = now - work.arrivedAt;
+    result.ways = work.ways;
     work.ended = true;
 }
 
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -5,7 +5,7 @@
 void gateway_engine::retryCall(exchange &work, std::size_t at, std::string_view cause, millis now)
 {
     shard_call &call = work.calls[at];
-    if (call.open > 0 || call.delegated) {
+    if (call.open > 0 || call.handed > 0) {
         return; // another send may still bring it
     }
     if (work.isDelegated()) {
@@ -37,7 +37,7 @@
 {
     work.retries += 1;
     note(work, "resend", cause, to.get(), work.calls[at].service, now - work.arrivedAt, now);
-    sendCall(work, at, to, now);
+    askSecond(work, at, to, now);
 }
 
 void gateway_engine::failCall(exchange &work, std::size_t at, std::string_view cause, millis now)
@@ -64,7 +64,7 @@
     constexpr millis lookAgain(10); // when no second leaf is free: pauses end after some tens of milliseconds
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         shard_call &call = work.calls[at];
-        const bool underWay = call.open > 0 || call.delegated;
+        const bool underWay = call.open > 0 || call.handed > 0;
         if (call.done || call.missing || !underWay || now < call.nextHedge) {
             continue;
         }
@@ -79,7 +79,7 @@
         }
         work.hedges += 1;
         note(work, "hedge", "silent", chosen.to.get(), call.service, work.pace->hedgeAfter(), now);
-        sendCall(work, at, chosen.to, now);
+        askSecond(work, at, chosen.to, now);
     }
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace chivelock {
 
@@ -66,7 +67,8 @@
     bool done = false; ///< has its part
     bool missing = false; ///< given up
     bool reachedLeaf = false; ///< a leaf got it, also if that refused it
-    bool delegated = false; ///< in another VM's hands
+    std::string lastAsked; ///< id of the leaf that was asked last
+    unsigned handed = 0; ///< pieces of work in other VMs' hands
     bool pendingTold = false; ///< the VM for which it is may ask a second leaf
     bool told = false; ///< its end was told to the VM for which it is
     gateway_reply part;
@@ -81,6 +83,7 @@
     std::optional<gateway_route> ownRoute; ///< of work for another VM: it knows the route, this one what to do
     route_pace *pace = nullptr;
     millis arrivedAt;
+    millis ways; ///< of the caller's time, spent before and after this VM's part
     millis limit; ///< final answer then at the latest
     millis cutoff = millis::never(); ///< a partial answer is given from then on
     millis sendBy = millis::never(); ///< refused if nothing was sent by then
@@ -92,6 +95,9 @@
     bool spoke = false; ///< the VM for which it is has heard of it
     bool pendingTold = false; ///< and knows which shards are still out
     std::vector<delegation_id> delegations;
+    std::map<zone_name, std::size_t> partsIn; ///< of its shards in each zone, see partsOf
+    std::map<std::string, std::vector<std::size_t>> secondSends; ///< calls that go out with this step, by VM
+    bool alone = false; ///< of work for another VM: each shard is told by itself
     std::vector<std::string> mergedRecords; ///< of parts that other VMs brought
     std::optional<gateway_reply> failure; ///< of a request to one leaf: the last failing answer
     unsigned sends = 0;
--- a/libs/gateway/src/helpers.cpp
+++ b/libs/gateway/src/helpers.cpp
@@ -92,7 +92,7 @@
  * Who asks which leafs. Leafs of the own zone are asked from the own zone; those of other zones by VMs next to them,
  * since one message with the merged parts replaces a request and an answer for each shard on the way between zones.
  */
-gateway_engine::helper_plan gateway_engine::planHelpers(const exchange &work, millis now)
+gateway_engine::helper_plan gateway_engine::planHelpers(exchange &work, millis now)
 {
     helper_plan plan;
     if (m_helpers.empty()) {
@@ -113,11 +113,14 @@
             std::ranges::for_each(zones.usable, [&](const zone_name &zone) { byZone[zone].push_back(at); });
         }
     }
+    for (const auto &[zone, shards] : shardsIn) {
+        work.partsIn[zone] = partsOf(zone, shards);
+    }
     // The zone that has most first: fewer messages.
     while (!byZone.empty()) {
         const auto most = std::ranges::max_element(byZone, {}, [](const auto &one) { return one.second.size(); });
         const std::size_t planned = plan.size();
-        planZone(most->first, most->second, partsOf(most->first, shardsIn[most->first]), plan, now);
+        planZone(most->first, most->second, work.partsIn[most->first], plan, now);
         byZone.erase(most);
         std::set<std::size_t> taken;
         for (std::size_t at = planned; at < plan.size(); ++at) {
@@ -135,6 +138,47 @@
                                    const std::string &helper,
                                    std::vector<std::size_t> calls,
                                    millis now)
+{
+    std::ranges::for_each(calls, [&](std::size_t at) { budgetOf(work.calls[at].service).countRequest(now); });
+    hand(work, helper, std::move(calls), false, now);
+}
+
+/**
+ * Asks a second leaf, by the VM that has the leaf in its part unless this one has a connection itself. A VM that took a
+ * lookup of 180 shards asked 96 in 100 second leafs itself before, on new connections through zones: a round trip and
+ * some milliseconds of a slot of the leaf, each.
+ */
+void gateway_engine::askSecond(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
+{
+    const auto parts = work.partsIn.find(to->entry.zone);
+    const bool apart = parts != work.partsIn.end() && to->keptConnections == 0 && !work.isDelegated();
+    std::string helper = apart ? helperFor(to->entry.zone, at % parts->second, parts->second, now) : std::string();
+    if (helper.empty()) {
+        sendCall(work, at, to, now);
+        return;
+    }
+    shard_call &call = work.calls[at];
+    call.handed += 1;
+    call.mayHaveRun += 1;
+    call.sends += 1;
+    call.waiting = false;
+    call.nextHedge = millis::never();
+    work.secondSends[std::move(helper)].push_back(at);
+}
+
+/** One message for each VM, with all that this step asks of it. */
+void gateway_engine::handSecondSends(exchange &work, millis now)
+{
+    for (auto &[helper, calls] : std::exchange(work.secondSends, {})) {
+        if (!work.ended) {
+            hand(work, helper, std::move(calls), true, now);
+        }
+    }
+}
+
+/** @param second attempts beyond the first of these calls, counted already by askSecond. */
+void gateway_engine::hand(
+    exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now)
 {
     delegate_action action;
     action.id = m_nextId++;
@@ -146,19 +190,23 @@
     action.work.speakIn = work.pace->hedgeAfter();
     action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
     action.work.limitIn = std::max(work.limit - now - hopMargin, hopMargin);
+    action.work.alone = second;
     for (const std::size_t at : calls) {
         shard_call &call = work.calls[at];
-        call.delegated = true;
-        call.mayHaveRun = 1;
-        budgetOf(call.service).countRequest(now);
+        call.handed += second ? 0 : 1;
+        call.mayHaveRun += second ? 0 : 1;
         action.work.shards.push_back(call.service);
+        for (const std::shared_ptr<leaf> &one : call.tried) {
+            action.work.triedLeafs.push_back(one->entry.id);
+        }
     }
     delegation made;
     made.exchange = work.id;
     made.helper = helper;
+    made.ended.resize(calls.size());
     made.calls = std::move(calls);
-    made.takeOverAt = now + action.work.speakIn * silentAfter + hopMargin * 2;
-    m_due.push({made.takeOverAt, due_kind::Delegation, action.id});
+    made.wordDueIn = action.work.speakIn * silentAfter + hopMargin * 2;
+    m_due.push({now + made.wordDueIn, due_kind::Delegation, action.id});
     work.delegations.push_back(action.id);
     work.sends += 1;
     m_delegations.emplace(action.id, std::move(made));
@@ -172,22 +220,28 @@
         return;
     }
     found->second.heard = true;
-    const std::vector<std::size_t> calls = found->second.calls;
+    if (found->second.late) {
+        m_distrustedUntil.erase(found->second.helper);
+    }
     exchange &work = *m_exchanges.at(found->second.exchange);
+    takeParts(work, progress, found->second);
+    std::vector<lost_shard> lost;
+    std::ranges::copy_if(progress.lost, std::back_inserter(lost), [&](const lost_shard &one) {
+        return endsNow(found->second, one.shard);
+    });
+    const delegation from = found->second;
     if (progress.last) {
         m_delegations.erase(found);
         std::erase(work.delegations, id);
     }
-    const auto valid = [&](std::uint32_t shard) { return shard < calls.size(); };
-    takeParts(work, progress, calls);
-    for (const lost_shard &lost : progress.lost) {
-        if (valid(lost.shard) && work.calls[calls[lost.shard]].delegated && !work.ended) {
-            resumeCall(work, calls[lost.shard], lost, now);
+    for (const lost_shard &one : lost) {
+        if (!work.ended) {
+            resumeCall(work, from.calls[one.shard], one, now);
         }
     }
     for (const pending_shard &pending : progress.pending) {
-        if (valid(pending.shard)) {
-            notePending(work, calls[pending.shard], pending, now);
+        if (pending.shard < from.calls.size() && !from.ended[pending.shard]) {
+            notePending(work, from.calls[pending.shard], pending, now);
         }
     }
     if (!work.ended) {
@@ -202,20 +256,22 @@
  * the meantime, its records would count twice in the answer; a helper therefore tells shards of which a second leaf may
  * be asked one by one, and what overlaps is left out.
  */
-void gateway_engine::takeParts(exchange &work, delegated_progress &progress, std::span<const std::size_t> calls)
+void gateway_engine::takeParts(exchange &work, delegated_progress &progress, delegation &from)
 {
     const auto isOpen = [&](const delegated_part &part) {
-        return part.shard < calls.size() && !work.calls[calls[part.shard]].done
-            && !work.calls[calls[part.shard]].missing;
+        return part.shard < from.calls.size() && !from.ended[part.shard] && !work.calls[from.calls[part.shard]].done
+            && !work.calls[from.calls[part.shard]].missing;
     };
     const bool allOpen = std::ranges::all_of(progress.parts, isOpen);
     for (delegated_part &part : progress.parts) {
         if (!allOpen && isOpen(part)) {
-            progress.lost.push_back({part.shard, true, true});
+            progress.lost.push_back({part.shard, true, true, {}});
+        } else if (!allOpen && endsNow(from, part.shard)) {
+            work.calls[from.calls[part.shard]].handed -= 1;
         }
-        if (allOpen) {
-            shard_call &call = work.calls[calls[part.shard]];
-            call.delegated = false;
+        if (allOpen && endsNow(from, part.shard)) {
+            shard_call &call = work.calls[from.calls[part.shard]];
+            call.handed -= 1;
             call.done = true;
             call.part.stamp = std::move(part.stamp);
             work.done += 1;
@@ -226,11 +282,21 @@
     }
 }
 
+/** @return whether this is the last word of a shard of this work, and not said before. */
+bool gateway_engine::endsNow(delegation &from, std::uint32_t shard)
+{
+    if (shard >= from.calls.size() || from.ended[shard]) {
+        return false;
+    }
+    from.ended[shard] = true;
+    return true;
+}
+
 /** The leaf that the helper asked is silent: this VM, which counts the attempts, may ask another. */
 void gateway_engine::notePending(exchange &work, std::size_t at, const pending_shard &pending, millis now)
 {
     shard_call &call = work.calls[at];
-    if (call.done || call.missing || !call.delegated) {
+    if (call.done || call.missing) {
         return;
     }
     if (std::shared_ptr<leaf> asked = m_leafs.find(pending.leafId)) {
@@ -243,9 +309,12 @@
 void gateway_engine::resumeCall(exchange &work, std::size_t at, const lost_shard &lost, millis now)
 {
     shard_call &call = work.calls[at];
-    call.delegated = false;
+    call.handed -= 1;
     call.mayHaveRun -= lost.mayHaveRun ? 0 : 1;
-    if (call.done || call.missing || call.open > 0) {
+    if (std::shared_ptr<leaf> asked = m_leafs.find(lost.leafId)) {
+        call.tried.push_back(std::move(asked));
+    }
+    if (call.done || call.missing || call.open > 0 || call.handed > 0) {
         return;
     }
     if (lost.mayHaveRun || lost.reachedLeaf) {
@@ -260,6 +329,35 @@
     }
 }
 
+/**
+ * A first word that is overdue makes second leafs be asked, as if the first ones were silent; what the helper brings
+ * all the same is taken. Only one that says nothing for as long again has lost the work. Taken over at once, the work
+ * of helpers that were some milliseconds late was lost: on a calm day of 295 VMs with 0.12 of a core one lookup in six
+ * missed nine parts or more of 180 for that.
+ */
+void gateway_engine::onWordDue(delegation_id id, millis now)
+{
+    const auto found = m_delegations.find(id);
+    if (found == m_delegations.end() || found->second.heard) {
+        return;
+    }
+    if (found->second.late) {
+        takeOver(id, "helper_silent", now);
+        return;
+    }
+    delegation &late = found->second;
+    late.late = true;
+    m_due.push({now + late.wordDueIn, due_kind::Delegation, id});
+    m_distrustedUntil[late.helper] = now + distrustFor;
+    exchange &work = *m_exchanges.at(late.exchange);
+    note(work, "helper_late", "silent", nullptr, {late.helper}, now - work.arrivedAt, now);
+    for (const std::size_t at : late.calls) {
+        work.calls[at].nextHedge = std::min(work.calls[at].nextHedge, now);
+    }
+    hedgeDue(work, now);
+    settle(work, now);
+}
+
 void gateway_engine::takeOver(delegation_id id, std::string_view cause, millis now)
 {
     const auto found = m_delegations.find(id);
@@ -273,10 +371,10 @@
     exchange &work = *m_exchanges.at(ended.exchange);
     std::erase(work.delegations, id);
     note(work, "helper_given_up", cause, nullptr, {ended.helper}, now - work.arrivedAt, now);
-    for (const std::size_t at : ended.calls) {
-        if (work.calls[at].delegated && !work.ended) {
+    for (std::size_t shard = 0; shard < ended.calls.size(); ++shard) {
+        if (!ended.ended[shard] && !work.ended) {
             // Whether a leaf got it is not known: it counts as run and as arrived.
-            resumeCall(work, at, {0, true, true}, now);
+            resumeCall(work, ended.calls[shard], {0, true, true, {}}, now);
         }
     }
     settle(work, now);
@@ -328,7 +426,9 @@
     work->cutoff = now + asked.cutoffIn;
     work->speakBy = now + asked.speakIn;
     work->limit = now + asked.limitIn;
+    work->alone = asked.alone;
     addCalls(*work, route.shards);
+    noteTried(*work, asked.triedLeafs);
     if (!m_table) {
         return refuseDelegated(*work, now); // just started: it knows no leafs yet
     }
@@ -354,6 +454,20 @@
     return id;
 }
 
+void gateway_engine::noteTried(exchange &work, std::span<const std::string> leafIds)
+{
+    for (const std::string &id : leafIds) {
+        const std::shared_ptr<leaf> tried = m_leafs.find(id);
+        if (!tried) {
+            continue;
+        }
+        const auto call = std::ranges::find(work.calls, tried->entry.service, &shard_call::service);
+        if (call != work.calls.end()) {
+            call->tried.push_back(tried);
+        }
+    }
+}
+
 exchange_id gateway_engine::refuseDelegated(exchange &work, millis now)
 {
     std::ranges::for_each(work.calls, [](shard_call &call) { call.missing = true; });
@@ -392,7 +506,7 @@
         const auto shard = static_cast<std::uint32_t>(at);
         if (call.done && !call.told) {
             call.told = true;
-            if (call.pendingTold) {
+            if (call.pendingTold || work.alone) {
                 tellAlone(work, shard);
                 continue;
             }
@@ -400,10 +514,10 @@
             parts.emplace_back(call.part.body);
         } else if (call.missing && !call.told) {
             call.told = true;
-            word.lost.push_back({shard, call.mayHaveRun > 0, call.reachedLeaf});
-        } else if (pendingDue && !call.done && !call.missing && !call.tried.empty()) {
+            word.lost.push_back({shard, call.mayHaveRun > 0, call.reachedLeaf, call.lastAsked});
+        } else if (pendingDue && !call.done && !call.missing && !call.lastAsked.empty()) {
             call.pendingTold = true;
-            word.pending.push_back({shard, call.tried.back()->entry.id});
+            word.pending.push_back({shard, call.lastAsked});
         }
     }
     word.records = mergeRecords(parts, work.route->topRecords);
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -128,7 +128,7 @@
     exchange_id ask(const std::string &target, millis patience = millis(2000), std::optional<millis> work = {})
     {
         const std::string id = "q" + std::to_string(++m_asked);
-        const exchange_id exchange = engine.arrive({id, "h", target, patience}, now);
+        const exchange_id exchange = arrive({id, "h", target, patience});
         if (work) {
             m_workOf[exchange] = *work;
         }
@@ -136,6 +136,11 @@
         return exchange;
     }
 
+    exchange_id arrive(const caller_request &request)
+    {
+        return engine.arrive(request, now);
+    }
+
     void leave(exchange_id exchange)
     {
         engine.onCallerLeft(exchange, now);
--- a/libs/gateway/tests/test_helpers.cpp
+++ b/libs/gateway/tests/test_helpers.cpp
@@ -129,6 +129,89 @@
     BOOST_TEST(world.mostRunsOfOneShard() <= 2U);
 }
 
+// Symptom: the VM that took a lookup opens a new connection through zones for each second leaf.
+// Sequence: a leaf that the helper asked is silent, refuses or breaks off.
+// Cause: second leafs were asked by the VM that counts the attempts and not by the one that has connections to them.
+// Before: 96 in 100 second sends from the VM that took the lookup; now none of these.
+BOOST_AUTO_TEST_CASE(second_leafs_are_asked_by_the_vm_near_them)
+{
+    for (int kind = 0; kind < 3; ++kind) {
+        two_vms world;
+        std::size_t bad = 0;
+        for (auto &[id, behaviour] : world.behaviours) {
+            const bool first = ++bad % 2 == 1; // one of the two leafs of each shard
+            behaviour.silent = first && kind == 0;
+            behaviour.refuses = first && kind == 1;
+            behaviour.breaks = first && kind == 2;
+        }
+        const exchange_id id = world.ask();
+        world.run(millis(150));
+        BOOST_TEST(world.answers.at(id).missing == 0U);
+        BOOST_TEST(world.answers.at(id).elapsed.count() < 90);
+        BOOST_TEST(world.sends[0] == 0U);
+        BOOST_TEST(world.mostRunsOfOneShard() <= 2U);
+        BOOST_TEST(hasEachShardOnce(world.answers.at(id)));
+    }
+}
+
+// Symptom: one lookup in six of a calm day misses all parts that one helper was asked for.
+// Sequence: the helper's first word is some milliseconds late; its work is taken over and what it brings is dropped.
+// Cause: late was taken for lost.
+BOOST_AUTO_TEST_CASE(what_a_late_helper_brings_is_taken)
+{
+    two_vms world;
+    for (auto &[id, behaviour] : world.behaviours) {
+        behaviour.work = millis(30);
+    }
+    world.helperFrozen = true;
+    const exchange_id id = world.ask();
+    world.run(millis(46)); // the word was due 45 ms after the lookup came
+    world.helperFrozen = false;
+    world.run(millis(200));
+    BOOST_TEST(world.answers.at(id).missing == 0U);
+    BOOST_TEST(world.answers.at(id).elapsed.count() < 92);
+    BOOST_TEST(world.mostRunsOfOneShard() <= 2U);
+}
+
+// Symptom: a shard of one lookup runs on more leafs than its route allows, or a part is lost that could be had.
+// Sequence: each message between the two VMs in turn is lost, doubled or late, or the helper dies or freezes at that
+// moment, while leafs answer, are silent, refuse or break off. Cause: none known; the count must hold whatever happens.
+BOOST_AUTO_TEST_CASE(attempts_hold_whatever_becomes_of_a_message)
+{
+    using enum message_fault;
+    std::size_t cases = 0;
+    for (const message_fault fault : {Lost, Doubled, Late, VeryLate, HelperKilled, HelperFrozen}) {
+        for (int kind = 0; kind < 4; ++kind) {
+            for (std::size_t at = 0; at < 24; ++at) {
+                two_vms world;
+                world.faultAt = at;
+                world.faultThen = fault;
+                std::size_t bad = 0;
+                for (auto &[id, behaviour] : world.behaviours) {
+                    const bool first = ++bad % 2 == 1;
+                    behaviour.silent = first && kind == 1;
+                    behaviour.refuses = first && kind == 2;
+                    behaviour.breaks = first && kind == 3;
+                }
+                const exchange_id id = world.ask();
+                world.run(millis(1500));
+                BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault) << " kind " << kind << " message " << at)
+                {
+                    BOOST_TEST(world.mostRunsOfOneShard() <= 2U);
+                    BOOST_REQUIRE(world.answers.contains(id));
+                    const answer_action &answer = world.answers.at(id);
+                    BOOST_TEST(hasEachShardOnce(answer));
+                    BOOST_TEST(answer.elapsed.count() <= 600);
+                    // With sound leafs the other attempt brings what the lost message cost.
+                    BOOST_TEST((kind != 0 || answer.missing == 0U));
+                }
+                cases += 1;
+            }
+        }
+    }
+    BOOST_TEST(cases == 576U);
+}
+
 // Symptom: a process that has just started ends by a signal.
 // Sequence: others hand it work before it has read a configuration.
 // Cause: it looked up the leafs' limits in a configuration that it did not have.
--- a/libs/gateway/tests/two_vms.h
+++ b/libs/gateway/tests/two_vms.h
@@ -8,6 +8,17 @@
 
 namespace chivelock::testing {
 
+/** What becomes of one message between the two VMs. */
+enum class message_fault : std::uint8_t {
+    None,
+    Lost,
+    Doubled,
+    Late, ///< by much of the objective
+    VeryLate, ///< after the answer
+    HelperKilled, ///< and started again, with its link
+    HelperFrozen ///< for much of the objective
+};
+
 /** VM 0 takes the caller's requests; VM 1 is near the leafs. */
 class two_vms
 {
@@ -113,6 +124,9 @@
     std::map<exchange_id, answer_action> answers;
     std::array<std::size_t, 2> sends {}; ///< by each VM
     std::size_t cancels = 0;
+    std::size_t messages = 0; ///< between the VMs so far
+    std::size_t faultAt = ~std::size_t {0}; ///< the message that meets with the fault
+    message_fault faultThen = message_fault::None;
 
 private:
     static constexpr millis hop {1};
@@ -148,7 +162,29 @@
         if (linkCut) {
             return;
         }
-        later(hop, [this, to, what = std::move(what)] { deliver(to, what); });
+        const message_fault fault = messages++ == faultAt ? faultThen : message_fault::None;
+        const auto arrive = [this, to, what = std::move(what)] { deliver(to, what); };
+        constexpr millis late(40);
+        constexpr millis veryLate(400);
+        if (fault == message_fault::HelperKilled) {
+            replaceHelper();
+            later(hop, [this] {
+                m_vms[0]->onHelperLost("helper", now);
+                act(0);
+            });
+            return;
+        }
+        if (fault == message_fault::HelperFrozen) {
+            helperFrozen = true;
+            later(late, [this] { helperFrozen = false; });
+        }
+        if (fault == message_fault::Lost) {
+            return;
+        }
+        later(fault == message_fault::Late ? late : (fault == message_fault::VeryLate ? veryLate : hop), arrive);
+        if (fault == message_fault::Doubled) {
+            later(hop * 2, arrive);
+        }
     }
 
     void deliver(std::size_t to, const std::function<void()> &what)
@@ -175,10 +211,27 @@
         sends[vm] += 1;
         const std::string id = sent.to->entry.id;
         const fake_behaviour behaviour = behaviours.at(id);
+        if (behaviour.refuses) {
+            later(hop, [this, vm, send = sent.id] {
+                gateway_reply reply;
+                reply.status = 503;
+                reply.notRun = true;
+                m_vms[vm]->onReply(send, std::move(reply), now);
+                act(vm);
+            });
+            return;
+        }
         runs.push_back(id);
         if (behaviour.silent) {
             return;
         }
+        if (behaviour.breaks) {
+            later(hop, [this, vm, send = sent.id] {
+                m_vms[vm]->onSendFailed(send, send_failure::Broken, now);
+                act(vm);
+            });
+            return;
+        }
         later(behaviour.work, [this, vm, id, send = sent.id] {
             gateway_reply reply;
             reply.status = 200;
@@ -205,7 +258,11 @@
 
     void perform(std::size_t, const delegate_action &action)
     {
-        post(1, [this, action] { m_taken[action.id] = m_vms[1]->arriveDelegated("q", action.work, now); });
+        post(1, [this, action] {
+            if (!m_taken.contains(action.id)) { // as the daemon does
+                m_taken[action.id] = m_vms[1]->arriveDelegated("q", action.work, now);
+            }
+        });
     }
 
     void perform(std::size_t, const delegate_cancel_action &action)
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -7,6 +7,9 @@
 #include <array>
 #include <vector>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace chivelock {
 
 namespace asio = boost::asio;
@@ -56,6 +59,16 @@
             });
     }
 
+    [[nodiscard]] std::optional<millis> roundTrip()
+    {
+        tcp_info info {};
+        socklen_t size = sizeof info;
+        if (getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_rtt == 0) {
+            return std::nullopt;
+        }
+        return millis::fromMicros(info.tcpi_rtt);
+    }
+
     void closeIfIdle()
     {
         if (m_phase == phase::Waiting && m_input.empty() && !m_reader.begun()) {
@@ -246,6 +259,12 @@
     m_maxSessions = maxSessions;
 }
 
+std::optional<millis> caller_server::roundTripTo(session_id id) const
+{
+    const auto found = m_sessions.find(id);
+    return found == m_sessions.end() ? std::nullopt : found->second->roundTrip();
+}
+
 void caller_server::accept()
 {
     m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
--- a/programs/chivelockd/gateway/caller_server.h
+++ b/programs/chivelockd/gateway/caller_server.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -57,6 +58,10 @@
     /** Sends @p bytes as the answer to the session's request. @param close the connection ends after it. */
     void reply(session_id session, std::string bytes, bool close);
 
+    /** @return how long a packet to the session's caller and back takes, as the kernel has measured it; nothing if it
+     *  has not. */
+    [[nodiscard]] std::optional<millis> roundTripTo(session_id session) const;
+
     /** Takes no further connections. */
     void stopListening();
 
--- a/programs/chivelockd/gateway/gateway_delegation.cpp
+++ b/programs/chivelockd/gateway/gateway_delegation.cpp
@@ -66,6 +66,11 @@
 void gateway_service::onDelegated(link_id from, delegate_request request)
 {
     const millis now = m_clock.now();
+    if (m_askedWork.contains({from, request.id})) {
+        logEvent(
+            log_level::Warning, "work_asked_twice", {{"id", request.requestId}, {"outcome", std::string("ignored")}});
+        return;
+    }
     m_counts.takenIn += 1;
     const exchange_id id = m_engine.arriveDelegated(request.requestId, request.work, now);
     pending &kept = m_pending[id];
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -32,6 +32,11 @@
 constexpr double shardsPerCore = 100;
 constexpr std::size_t leastShardsAtOnce = 8;
 
+// From deciding to the answer's last byte on its way: part of it is work, half a millisecond of a core for the merged
+// answer of some hundred shards behind whatever the VM is doing.
+constexpr millis leastAnswerMargin(3);
+constexpr millis answerWork(0.5);
+
 gateway_settings engineSettings(const gateway_daemon_settings &from)
 {
     gateway_settings settings;
@@ -41,6 +46,7 @@
     settings.retryWindow = from.retryWindow;
     settings.drainLimit = from.drainLimit;
     settings.callerRoundTrip = from.callerRoundTrip;
+    settings.answerMargin = leastAnswerMargin + answerWork * (1 / from.cpuShare);
     settings.shardsAtOnce = std::max(leastShardsAtOnce, static_cast<std::size_t>(from.cpuShare * shardsPerCore));
     constexpr double holdShare = 0.73; // of the drain limit; the rest is for the store's word to arrive
     settings.removalHold = from.drainLimit * holdShare;
@@ -149,6 +155,7 @@
     asked.host = findHeader(request.headers, "Host");
     asked.target = request.target;
     asked.patience = marks.patience;
+    asked.roundTrip = m_callers->roundTripTo(session);
     const exchange_id id = m_engine.arrive(asked, now);
     pending &kept = m_pending[id];
     kept.session = session;
@@ -247,6 +254,7 @@
               {"hedges", std::uint64_t {action.hedges}},
               {"retries", std::uint64_t {action.retries}},
               {"elapsed_ms", action.elapsed.ceiled()},
+              {"ways_us", action.ways.micros()},
               {"retry_after_ms", action.retryAfter.ceiled()}});
 }
 
