--- a/libs/delegation/tests/test_delegation.cpp
+++ b/libs/delegation/tests/test_delegation.cpp
@@ -29,11 +29,15 @@
     request.work.shards = {{"a"}, {"b"}};
     request.work.topRecords = 10;
     request.work.cutoffIn = millis(80.5);
+    request.work.triedLeafs = {"tried", "too"};
+    request.work.alone = true;
     const delegate_request read = thereAndBack(request);
     BOOST_TEST(read.afterTime == request.afterTime);
     BOOST_TEST(read.work.shards[1].value == "b");
     BOOST_TEST((read.work.cutoffIn == millis(80.5)));
     BOOST_TEST(read.work.topRecords == 10U);
+    BOOST_TEST(read.work.triedLeafs == request.work.triedLeafs);
+    BOOST_TEST(read.work.alone);
 }
 
 BOOST_AUTO_TEST_CASE(progress_and_cancel_come_back_whole)
--- /dev/null
+++ b/libs/gateway/src/work_sharing.cpp
@@ -0,0 +1,136 @@
+/** @file Who asks which leafs of a lookup over many shards. */
+
+#include "exchange.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace chivelock {
+
+namespace {
+
+constexpr std::size_t leastWorthHanding = 3; // shards; for fewer, the message costs as much as it saves
+
+std::size_t piecesFor(std::size_t calls, std::size_t atOnce)
+{
+    return (calls + atOnce - 1) / atOnce;
+}
+
+} // namespace
+
+bool gateway_engine::isTrusted(const std::string &helper, millis now) const
+{
+    const auto distrusted = m_distrustedUntil.find(helper);
+    return distrusted == m_distrustedUntil.end() || distrusted->second <= now;
+}
+
+gateway_engine::shard_zones gateway_engine::zonesOf(const shard_call &call, millis now) const
+{
+    shard_zones zones;
+    for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
+        if (one->isLeaving()) {
+            continue;
+        }
+        zones.all.insert(one->entry.zone);
+        if (mayAsk(*one, now) && one->stalledSince() > now) {
+            zones.usable.insert(one->entry.zone);
+        }
+    }
+    return zones;
+}
+
+/**
+ * Into how many parts the shards of a zone are divided: call n belongs to part n % count, as does the VM of rank n. The
+ * same for all who ask, so that a leaf knows two or three VMs and not all of the zone: with random helpers 67 VMs held
+ * so many connections that after a loss of power leafs, which still counted the dead ones, reset new ones for five
+ * seconds. And each VM meets its few leafs often enough to know at once how they are.
+ */
+std::size_t gateway_engine::partsOf(const zone_name &zone, std::size_t shards) const
+{
+    std::size_t vms = zone == m_settings.zone ? m_ownRank + 1 : 1;
+    for (const helper_vm &helper : m_helpers) {
+        vms = helper.zone == zone ? std::max<std::size_t>(vms, helper.rank + 1) : vms;
+    }
+    return std::max<std::size_t>(1, std::min(piecesFor(shards, m_settings.shardsAtOnce), vms));
+}
+
+/** @return the address of a VM that is to ask for the part; empty if that is for this VM, or if there is none. */
+std::string gateway_engine::helperFor(const zone_name &zone, std::size_t part, std::size_t parts, millis now)
+{
+    if (zone == m_settings.zone && m_ownRank % parts == part) {
+        return {};
+    }
+    std::vector<std::string> meant;
+    std::vector<std::string> others;
+    for (const helper_vm &helper : m_helpers) {
+        if (helper.zone == zone && isTrusted(helper.address, now)) {
+            (helper.rank % parts == part ? meant : others).push_back(helper.address);
+        }
+    }
+    const std::vector<std::string> &from = meant.empty() ? others : meant;
+    return from.empty() ? std::string() : from[m_random.below(from.size())];
+}
+
+/** Hands out the calls whose leafs are in @p zone, part by part; what is left is asked from here. */
+void gateway_engine::planZone(
+    const zone_name &zone, std::span<const std::size_t> calls, std::size_t parts, helper_plan &plan, millis now)
+{
+    std::vector<std::vector<std::size_t>> groups(parts);
+    std::ranges::for_each(calls, [&](std::size_t at) { groups[at % parts].push_back(at); });
+    for (std::size_t part = 0; part < parts; ++part) {
+        std::string helper =
+            groups[part].size() < leastWorthHanding ? std::string() : helperFor(zone, part, parts, now);
+        if (!helper.empty()) {
+            plan.push_back({std::move(helper), std::move(groups[part])});
+        }
+    }
+}
+
+/**
+ * Who asks which leafs. Leafs of the own zone are asked from the own zone; those of other zones by VMs next to them,
+ * since one message with the merged parts replaces a request and an answer for each shard on the way between zones.
+ */
+gateway_engine::helper_plan gateway_engine::planHelpers(exchange &work, millis now)
+{
+    helper_plan plan;
+    if (m_helpers.empty()) {
+        return plan;
+    }
+    std::map<zone_name, std::vector<std::size_t>> byZone;
+    std::map<zone_name, std::size_t> shardsIn; // pausing leafs count: parts should stay as they are
+    for (std::size_t at = 0; at < work.calls.size(); ++at) {
+        const shard_call &call = work.calls[at];
+        if (call.missing || call.waiting) {
+            continue;
+        }
+        const shard_zones zones = zonesOf(call, now);
+        std::ranges::for_each(zones.all, [&](const zone_name &zone) { shardsIn[zone] += 1; });
+        if (zones.usable.contains(m_settings.zone)) {
+            byZone[m_settings.zone].push_back(at);
+        } else {
+            std::ranges::for_each(zones.usable, [&](const zone_name &zone) { byZone[zone].push_back(at); });
+        }
+    }
+    for (const auto &[zone, shards] : shardsIn) {
+        work.partsIn[zone] = partsOf(zone, shards);
+    }
+    // The zone that has most first: fewer messages.
+    while (!byZone.empty()) {
+        const auto most = std::ranges::max_element(byZone, {}, [](const auto &one) { return one.second.size(); });
+        const std::size_t planned = plan.size();
+        planZone(most->first, most->second, work.partsIn[most->first], plan, now);
+        byZone.erase(most);
+        std::set<std::size_t> taken;
+        for (std::size_t at = planned; at < plan.size(); ++at) {
+            taken.insert(plan[at].calls.begin(), plan[at].calls.end());
+        }
+        for (auto &[zone, rest] : byZone) {
+            std::erase_if(rest, [&](std::size_t call) { return taken.contains(call); });
+        }
+        std::erase_if(byZone, [](const auto &one) { return one.second.empty(); });
+    }
+    return plan;
+}
+
+} // namespace chivelock
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -1,5 +1,6 @@
 #include "gateway_service.h"
 
+#include "engine_settings.h"
 #include "pending.h"
 #include "status_pages.h"
 
@@ -22,36 +23,6 @@
 constexpr millis trafficLineInterval(10000); // coarse enough to cost nothing, fine enough to see what one trouble sent
 constexpr millis standstillGap(300); // a timer is never that late on a VM that merely is busy
 constexpr millis longStandstill(1000); // leafs close idle connections meanwhile
-constexpr millis stopLook(50);
-constexpr millis closeBeforeGrace(1500); // for what was read last to be answered before the process is killed
-constexpr millis endBeforeGrace(500); // for the threads to end and the last lines to be written, on a busy VM
-constexpr unsigned noticesToEnd = 3; // the platform takes a VM out after two; one more in case one crossed the signal
-
-// A leaf request costs some 60 microseconds of a core, all included: a core does a hundred in 6 ms, beside leafs that
-// take 4 to 15 ms. Handing work out pays from about eight requests on.
-constexpr double shardsPerCore = 100;
-constexpr std::size_t leastShardsAtOnce = 8;
-
-// From deciding to the answer's last byte on its way: part of it is work, half a millisecond of a core for the merged
-// answer of some hundred shards behind whatever the VM is doing.
-constexpr millis leastAnswerMargin(3);
-constexpr millis answerWork(0.5);
-
-gateway_settings engineSettings(const gateway_daemon_settings &from)
-{
-    gateway_settings settings;
-    settings.zone = from.zone;
-    settings.retryRatio = from.retryRatio;
-    settings.retrySlack = from.retrySlack;
-    settings.retryWindow = from.retryWindow;
-    settings.drainLimit = from.drainLimit;
-    settings.callerRoundTrip = from.callerRoundTrip;
-    settings.answerMargin = leastAnswerMargin + answerWork * (1 / from.cpuShare);
-    settings.shardsAtOnce = std::max(leastShardsAtOnce, static_cast<std::size_t>(from.cpuShare * shardsPerCore));
-    constexpr double holdShare = 0.73; // of the drain limit; the rest is for the store's word to arrive
-    settings.removalHold = from.drainLimit * holdShare;
-    return settings;
-}
 
 } // namespace
 
@@ -310,21 +281,6 @@
     });
 }
 
-/** Bytes so far, as own zone/other zones/unknown: a process that is killed has told most of them before. */
-void gateway_service::logTraffic()
-{
-    logEvent(log_level::Info,
-             "peer_traffic",
-             {{"to_other_zones", m_traffic.bytesToOtherZones()},
-              {"whole_documents", m_traffic.bytesOf(peer_message_kind::WholeDocuments)},
-              {"document_changes", m_traffic.bytesOf(peer_message_kind::DocumentChanges)},
-              {"fleet_state", m_traffic.bytesOf(peer_message_kind::FleetState)},
-              {"fleet_members", m_traffic.bytesOf(peer_message_kind::FleetMembers)},
-              {"leaf_reports", m_traffic.bytesOf(peer_message_kind::LeafReports)},
-              {"handed_work", m_traffic.bytesOf(peer_message_kind::HandedWork)},
-              {"work_progress", m_traffic.bytesOf(peer_message_kind::WorkProgress)}});
-}
-
 void gateway_service::noticeStandstill(millis now)
 {
     const millis gap = now - m_nextHousekeeping;
@@ -337,98 +293,4 @@
     }
 }
 
-// ---- start and stop
-
-bool gateway_service::answerReadiness()
-{
-    m_notReadyTold += m_stopping ? 1 : 0;
-    return !m_stopping && m_leafsKnown && m_engine.config() != nullptr;
-}
-
-void gateway_service::beginStop()
-{
-    asio::post(m_reactor, [this] {
-        if (m_stopping) {
-            return;
-        }
-        m_stopping = true;
-        m_stopBegan = m_clock.now();
-        m_feed->leave();
-        logEvent(log_level::Info, "stopping", {{"callers", std::uint64_t {m_callers->sessions()}}});
-        continueStop();
-    });
-}
-
-void gateway_service::changeSettings(gateway_daemon_settings settings)
-{
-    asio::post(m_reactor, [this, changed = std::move(settings)]() mutable {
-        changed.callers = m_settings.callers;
-        changed.readiness = m_settings.readiness;
-        changed.metrics = m_settings.metrics;
-        changed.storeAddress = m_settings.storeAddress;
-        m_settings = std::move(changed);
-        m_engine.changeSettings(engineSettings(m_settings));
-    });
-}
-
-/**
- * New callers keep coming until the platform has noticed that this VM is not ready; they are served. Connections that
- * stay open are closed late, so that no request crosses the close that could still have been answered.
- */
-void gateway_service::continueStop()
-{
-    const millis spent = m_clock.now() - m_stopBegan;
-    const bool noticed = m_notReadyTold >= noticesToEnd && m_callers->sessions() == 0;
-    if (!m_closing && (spent >= m_settings.grace - closeBeforeGrace || noticed)) {
-        m_closing = true;
-        m_callers->stopListening();
-    }
-    if (m_closing) {
-        m_callers->closeIdle();
-    }
-    const bool done = m_closing && m_callers->sessions() == 0;
-    if (done || spent >= m_settings.grace - endBeforeGrace) {
-        logTraffic();
-        logEvent(log_level::Info,
-                 "stopped",
-                 {{"spent_ms", spent.ceiled()}, {"unanswered", std::uint64_t {m_pending.size()}}});
-        const std::uint64_t one = 1;
-        (void)!write(m_finishedFd, &one, sizeof one);
-        return;
-    }
-    m_stopTimer.expires_after(std::chrono::milliseconds(stopLook.ceiled()));
-    m_stopTimer.async_wait([this](const error_code &stopped) {
-        if (!stopped) {
-            continueStop();
-        }
-    });
-}
-
-std::string gateway_service::metricsPage() const
-{
-    const auto number = [](std::uint64_t value) { return static_cast<double>(value); };
-    const std::uint64_t version = m_engine.config() == nullptr ? 0 : m_engine.config()->config().version;
-    std::vector<metric_value> values = {
-        {"chivelock_gateway_requests_total", "Requests read from callers.", number(m_counts.requests), {}},
-        {"chivelock_gateway_partial_total", "Merged answers with shards missing.", number(m_counts.partial), {}},
-        {"chivelock_gateway_refused_total", "Requests that were not run.", number(m_counts.refused), {}},
-        {"chivelock_gateway_failed_total", "Requests given up that may have run.", number(m_counts.failed), {}},
-        {"chivelock_gateway_callers_left_total", "Callers that left unanswered.", number(m_counts.callersLeft), {}},
-        {"chivelock_gateway_hedges_total", "Second requests to silent shards.", number(m_counts.hedges), {}},
-        {"chivelock_gateway_retries_total", "Requests sent again after a failure.", number(m_counts.retries), {}},
-        {"chivelock_gateway_standstills_total", "Times this process stood still.", number(m_counts.standstills), {}},
-        {"chivelock_leaf_sends_total", "Requests to leafs.", number(m_pool->counts().sent), {}},
-        {"chivelock_leaf_connections_opened_total", "New connections.", number(m_pool->counts().opened), {}},
-        {"chivelock_leaf_stray_answers_total", "Answers to other requests.", number(m_pool->counts().strayAnswers), {}},
-        {"chivelock_work_handed_out_total", "Shards of a request given to another VM.", number(m_counts.handedOut), {}},
-        {"chivelock_work_taken_in_total", "Shards of a request taken for another VM.", number(m_counts.takenIn), {}},
-        {"chivelock_store_calls_total", "Calls to the store.", number(m_feed->storeCalls()), {}},
-        {"chivelock_callers", "Open connections of callers.", number(m_callers->sessions()), {}},
-        {"chivelock_exchanges", "Requests under way.", number(m_engine.openExchanges()), {}},
-        {"chivelock_config_version", "Configuration in force.", number(version), {}},
-    };
-    m_traffic.write(values);
-    return m_latencies.write(values);
-}
-
 } // namespace chivelock
