--- a/libs/fleet/src/fleet_members.cpp
+++ b/libs/fleet/src/fleet_members.cpp
@@ -35,8 +35,7 @@
     }
     std::ranges::sort(members);
     // A process that changed its place is below two others until the old one has noticed.
-    const auto doubled = std::ranges::unique(members);
-    members.erase(doubled.begin(), doubled.end());
+    members.erase(std::unique(members.begin(), members.end()), members.end());
     members.resize(std::min(members.size(), m_settings.mostMembers));
     return members;
 }
