--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -109,6 +109,7 @@
     unsigned sends = 0;
     unsigned hedges = 0;
     unsigned retries = 0;
+    unsigned handedSeconds = 0; ///< of the hedges and retries, those that other VMs send
     millis elapsed;
     millis ways; ///< of the caller's time, taken for the way and the answering
 };
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -79,6 +79,7 @@
     result.sends = work.sends;
     result.hedges = work.hedges;
     result.retries = work.retries;
+    result.handedSeconds = work.handedSeconds;
     result.elapsed = now - work.arrivedAt;
     result.ways = work.ways;
     work.ended = true;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -103,6 +103,7 @@
     unsigned sends = 0;
     unsigned hedges = 0;
     unsigned retries = 0;
+    unsigned handedSeconds = 0; ///< of the hedges and retries, those that other VMs send
     bool ended = false;
 
     [[nodiscard]] bool isDelegated() const
--- a/libs/gateway/src/handed_work.cpp
+++ b/libs/gateway/src/handed_work.cpp
@@ -43,6 +43,7 @@
     call.sends += 1;
     call.waiting = false;
     call.nextHedge = millis::never();
+    work.handedSeconds += 1;
     work.secondSends[std::move(helper)].push_back(at);
 }
 
--- a/libs/gateway/tests/test_helpers.cpp
+++ b/libs/gateway/tests/test_helpers.cpp
@@ -149,6 +149,7 @@
         BOOST_TEST(world.answers.at(id).missing == 0U);
         BOOST_TEST(world.answers.at(id).elapsed.count() < 90);
         BOOST_TEST(world.sends[0] == 0U);
+        BOOST_TEST(world.answers.at(id).handedSeconds == world.answers.at(id).hedges + world.answers.at(id).retries);
         BOOST_TEST(world.mostRunsOfOneShard() <= 2U);
         BOOST_TEST(hasEachShardOnce(world.answers.at(id)));
     }
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -207,6 +207,7 @@
     m_callers->reply(session, platform::writeCallerAnswer(action, m_stopping), m_stopping);
     m_counts.hedges += action.hedges;
     m_counts.retries += action.retries;
+    m_counts.handedSeconds += action.handedSeconds;
     m_counts.refused += action.outcome == exchange_outcome::Refused ? 1 : 0;
     m_counts.failed += action.outcome == exchange_outcome::Failed ? 1 : 0;
     m_counts.partial += action.outcome == exchange_outcome::Merged && action.missing > 0 ? 1 : 0;
@@ -224,6 +225,7 @@
               {"sends", std::uint64_t {action.sends}},
               {"hedges", std::uint64_t {action.hedges}},
               {"retries", std::uint64_t {action.retries}},
+              {"second_handed", std::uint64_t {action.handedSeconds}},
               {"elapsed_ms", action.elapsed.ceiled()},
               {"ways_us", action.ways.micros()},
               {"retry_after_ms", action.retryAfter.ceiled()}});
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -126,6 +126,7 @@
         std::uint64_t requests = 0;
         std::uint64_t hedges = 0;
         std::uint64_t retries = 0;
+        std::uint64_t handedSeconds = 0;
         std::uint64_t refused = 0;
         std::uint64_t failed = 0;
         std::uint64_t partial = 0;
