Whether the store is lost is asked in one place; attempts are counted by who hands work out

Cause: three places of the fleet told a lost store by their own words where storeOk() says the same (in each phase it is its negation), and hand() took a flag to count attempts that its other caller had counted already. Change: storeOk() is called; delegateCalls counts its attempts as askSecond does; no behaviour changes.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -197,7 +197,7 @@
                               ///< begun can be found before the next
     millis patience {450}; ///< with a process above whose store is lost, before the draws begin
     millis seedPatience {240}; ///< the same of a seed: the others look to the seeds
-    std::size_t mostMembers = 4096; ///< that are told of: a fleet of letter size, some hundred kilobytes of memory
+    std::size_t mostMembers = 4096; ///< that are told of: a fleet of some thousands, some hundred kilobytes of memory
     millis mergeInterval {3000}; ///< between a reader's looks for another reader to follow
     millis reportInterval {200}; ///< between messages with reports: each is a packet, however little it says
     std::size_t mostReports = 20; ///< in one message: 1.2 kB a second on each link of the tree on the worst day
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -109,9 +109,7 @@
  *  through the seeds, and whoever is below is told at once. */
 void fleet_node::noticeReader(const follow_request &request)
 {
-    const bool lost = m_phase == phase::Following ? !m_upstreamState.storeOk && !m_upstreamState.starting
-                                                  : m_phase == phase::Reading && !ownStoreOk() && !m_starting;
-    if (request.readsStore && lost) {
+    if (request.readsStore && !storeOk()) {
         dial(request.address);
     }
 }
@@ -183,7 +181,7 @@
     state.storeOk = follows ? m_upstreamState.storeOk : m_phase == phase::Seeking || ownStoreOk();
     state.starting = follows ? m_upstreamState.starting : m_starting;
     state.fleetSize = m_size;
-    state.path = m_phase == phase::Following ? m_upstreamState.path : std::vector<std::string>();
+    state.path = follows ? m_upstreamState.path : std::vector<std::string>();
     state.path.push_back(m_settings.address);
     return state;
 }
--- a/libs/fleet/src/fleet_search.cpp
+++ b/libs/fleet/src/fleet_search.cpp
@@ -39,7 +39,7 @@
 std::vector<std::string> fleet_node::candidates() const
 {
     const auto self = std::ranges::find(m_settings.seeds, m_settings.address);
-    const bool readsInVain = m_phase == phase::Reading && !ownStoreOk() && !m_starting;
+    const bool readsInVain = m_phase == phase::Reading && !storeOk();
     std::vector<std::string> result(m_settings.seeds.begin(), readsInVain ? m_settings.seeds.end() : self);
     std::erase(result, m_settings.address);
     return result;
@@ -263,7 +263,7 @@
         loseUpstream("silent", now);
         return;
     }
-    if (m_upstreamState.storeOk || m_upstreamState.starting) {
+    if (storeOk()) {
         m_upstreamBadSince = millis::never();
         return;
     }
--- a/libs/gateway/src/handed_work.cpp
+++ b/libs/gateway/src/handed_work.cpp
@@ -19,7 +19,12 @@
                                    std::vector<std::size_t> calls,
                                    millis now)
 {
-    std::ranges::for_each(calls, [&](std::size_t at) { budgetOf(work.calls[at].service).countRequest(now); });
+    for (const std::size_t at : calls) {
+        shard_call &call = work.calls[at];
+        budgetOf(call.service).countRequest(now);
+        call.handed += 1;
+        call.mayHaveRun += 1;
+    }
     hand(work, helper, std::move(calls), false, now);
 }
 
@@ -57,7 +62,7 @@
     }
 }
 
-/** @param second attempts beyond the first of these calls, counted already by askSecond. */
+/** @param calls of which the attempt is counted already. @param second each is to be told by itself. */
 void gateway_engine::hand(
     exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now)
 {
@@ -73,9 +78,7 @@
     action.work.limitIn = std::max(work.limit - now - hopMargin, hopMargin);
     action.work.alone = second;
     for (const std::size_t at : calls) {
-        shard_call &call = work.calls[at];
-        call.handed += second ? 0 : 1;
-        call.mayHaveRun += second ? 0 : 1;
+        const shard_call &call = work.calls[at];
         action.work.shards.push_back(call.service);
         for (const std::shared_ptr<leaf> &one : call.tried) {
             action.work.triedLeafs.push_back(one->entry.id);
