Requests have a key across attempts; a leaf that ends is told from a connection that breaks

Cause: logs could not tell whether leafs end under one request or under many: an attempt's id is its own, and a lost answer and a leaf that ended both read connection_broken. Change: each request has a key (digest of the caller's IP number; digest of host, method, target, body), in the log and with work handed to other VMs. A connection that ends without an answer is followed by a new one: refused, the leaf has ended; taken, it is kept for the next request. No decision goes by either yet. Conclusion: the hypotheses can be told apart now.

--- a/libs/delegation/src/delegation_codec.cpp
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -41,7 +41,9 @@
                                                           message.work.cutoffIn.micros(),
                                                           message.work.limitIn.micros(),
                                                           tried,
-                                                          message.work.alone);
+                                                          message.work.alone,
+                                                          message.work.key.caller,
+                                                          message.work.key.content);
         return wrap(delegation_wire::Message::Request, table.Union());
     }
 
@@ -111,6 +113,7 @@
         }
     }
     message.work.alone = from.alone();
+    message.work.key = {from.key_caller(), from.key_content()};
     if (from.tried() != nullptr) {
         std::ranges::transform(*from.tried(), std::back_inserter(message.work.triedLeafs), textOf);
     }
--- a/libs/delegation/tests/test_delegation.cpp
+++ b/libs/delegation/tests/test_delegation.cpp
@@ -31,6 +31,7 @@
     request.work.cutoffIn = millis(80.5);
     request.work.triedLeafs = {"tried", "too"};
     request.work.alone = true;
+    request.work.key = {8, 9};
     const delegate_request read = thereAndBack(request);
     BOOST_TEST(read.afterTime == request.afterTime);
     BOOST_TEST(read.work.shards[1].value == "b");
@@ -38,6 +39,7 @@
     BOOST_TEST(read.work.topRecords == 10U);
     BOOST_TEST(read.work.triedLeafs == request.work.triedLeafs);
     BOOST_TEST(read.work.alone);
+    BOOST_TEST((read.work.key == request.work.key));
 }
 
 BOOST_AUTO_TEST_CASE(progress_and_cancel_come_back_whole)
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -9,6 +9,7 @@
 
 #include <base/base.h>
 #include <leafs/leafs.h>
+#include <quarantine/quarantine.h>
 #include <routing/routing.h>
 
 #include <cstddef>
@@ -36,6 +37,7 @@
     std::string_view target;
     std::optional<millis> patience; ///< how long the caller will wait, if it said so
     std::optional<millis> roundTrip {}; ///< to the caller and back, if it was measured
+    request_fingerprint key {}; ///< the same for each attempt of the same request
 };
 
 /** A leaf's whole answer. */
@@ -59,6 +61,7 @@
 enum class send_failure : std::uint8_t {
     NotSent, ///< no byte reached the leaf: it can't have run
     Broken, ///< the connection ended or spoke nonsense: it may have run
+    LeafEnded, ///< the connection ended without an answer and the leaf takes no new one: it may have run
     TimedOut ///< silence until the deadline: it may have run
 };
 
@@ -102,6 +105,7 @@
     std::string body; ///< of a merged one
     std::vector<std::string> stamps; ///< of a merged one
     std::string requestId;
+    request_fingerprint key;
     std::string route;
     std::uint64_t version = 0; ///< of the configuration that decided
     std::size_t shards = 0;
@@ -117,6 +121,7 @@
 /** A decision that touches a request while it is under way, or what is believed of a leaf; for the log. */
 struct note_action {
     std::string requestId; ///< empty for a belief
+    request_fingerprint key; ///< not known for a belief
     std::string_view event;
     std::string_view cause;
     std::string leafId;
@@ -144,6 +149,7 @@
  */
 struct delegated_work {
     std::string route; ///< name, by which both know how long leafs take
+    request_fingerprint key;
     std::vector<service_name> shards;
     std::size_t topRecords = 0;
     millis objective; ///< of the route
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -45,6 +45,8 @@
         return "not_sent";
     case send_failure::Broken:
         return "connection_broken";
+    case send_failure::LeafEnded:
+        return "leaf_ended";
     case send_failure::TimedOut:
         return "silent";
     }
@@ -116,6 +118,7 @@
     auto work = std::make_unique<exchange>();
     work->id = id;
     work->requestId = request.id;
+    work->key = request.key;
     work->table = m_table;
     work->route = route;
     work->pace = &paceOf(*route);
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -72,6 +72,7 @@
     result.outcome = outcome;
     result.cause = cause;
     result.requestId = work.requestId;
+    result.key = work.key;
     result.route = work.route->name;
     result.version = work.table->config().version;
     result.shards = work.route->isGather() ? work.calls.size() : 0;
@@ -96,6 +97,7 @@
     result.cause = cause;
     result.retryAfter = mostRetryAfter;
     result.requestId = request.id;
+    result.key = request.key;
     result.version = m_table ? m_table->config().version : 0;
     m_actions.emplace_back(std::move(result));
 }
@@ -109,6 +111,7 @@
                           millis now)
 {
     m_actions.emplace_back(note_action {work.requestId,
+                                        work.key,
                                         event,
                                         cause,
                                         about == nullptr ? std::string() : about->entry.id,
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -78,6 +78,7 @@
 struct gateway_engine::exchange {
     exchange_id id = 0;
     std::string requestId;
+    request_fingerprint key;
     std::shared_ptr<const route_table> table; ///< keeps the route alive, and the shards of one version together
     const gateway_route *route = nullptr;
     std::optional<gateway_route> ownRoute; ///< of work for another VM: it knows the route, this one what to do
--- a/libs/gateway/src/handed_work.cpp
+++ b/libs/gateway/src/handed_work.cpp
@@ -71,6 +71,7 @@
     action.exchange = work.id;
     action.helper = helper;
     action.work.route = work.route->name;
+    action.work.key = work.key;
     action.work.topRecords = work.route->topRecords;
     action.work.objective = work.route->objective;
     action.work.speakIn = work.pace->hedgeAfter();
--- a/libs/gateway/src/taken_work.cpp
+++ b/libs/gateway/src/taken_work.cpp
@@ -20,6 +20,7 @@
     route.minCoverage = 0;
     work->id = m_nextId++;
     work->requestId = std::move(requestId);
+    work->key = asked.key;
     work->table = m_table;
     work->route = &*work->ownRoute;
     work->pace = &paceOf(route);
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -170,6 +170,7 @@
     double refusing = 0; ///< share of refusals among recent answers
     millis refusingAt;
     unsigned keptConnections = 0; ///< idle ones, ready for the next request
+    millis takesConnectionsAt = millis() - millis::never(); ///< when it took one after another had ended unanswered
     unsigned failuresInRow = 0; ///< without any answer between
     millis downUntil = millis() - millis::never();
     leaf_load load;
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -69,6 +69,13 @@
         return millis::fromMicros(info.tcpi_rtt);
     }
 
+    [[nodiscard]] std::string peerAddress() const
+    {
+        error_code error;
+        const tcp::endpoint peer = m_socket.remote_endpoint(error);
+        return error ? std::string() : peer.address().to_string();
+    }
+
     void closeIfIdle()
     {
         if (m_phase == phase::Waiting && m_input.empty() && !m_reader.begun()) {
@@ -265,6 +272,12 @@
     return found == m_sessions.end() ? std::nullopt : found->second->roundTrip();
 }
 
+std::string caller_server::addressOf(session_id id) const
+{
+    const auto found = m_sessions.find(id);
+    return found == m_sessions.end() ? std::string() : found->second->peerAddress();
+}
+
 void caller_server::accept()
 {
     m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -127,6 +127,8 @@
     asked.target = request.target;
     asked.patience = marks.patience;
     asked.roundTrip = m_callers->roundTripTo(session);
+    const std::string caller = m_callers->addressOf(session);
+    asked.key = fingerprintOf({caller, asked.host, request.method, request.target, request.body});
     const exchange_id id = m_engine.arrive(asked, now);
     pending &kept = m_pending[id];
     kept.session = session;
@@ -215,6 +217,7 @@
     logEvent(log_level::Info,
              "request",
              {{"id", action.requestId},
+              {"key", toString(action.key)},
               {"route", action.route},
               {"version", action.version},
               {"outcome", std::string(toString(action.outcome))},
@@ -236,6 +239,7 @@
     logEvent(log_level::Info,
              action.event,
              {{"id", action.requestId},
+              {"key", action.key.isKnown() ? toString(action.key) : std::string()},
               {"cause", std::string(action.cause)},
               {"service", action.service},
               {"leaf", action.leafId},
--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -27,6 +27,9 @@
 constexpr millis idleGuess(4000); // kept without a word from the leaf on how long
 constexpr double idleShare = 0.7; // of the leaf's time: its close and our request must not cross
 constexpr millis onceIdle(500); // for requests that must not run twice: a close that crosses one can't be made good
+constexpr millis confirmLimit(30); // some round trips: the retry waits for it
+constexpr millis
+    aliveFor(200); // a leaf that took a connection is not asked again so soon: full ones reset many at once
 constexpr unsigned mostStrayAnswers = 2; // late second answers on one connection before it is given up
 
 } // namespace
@@ -134,7 +137,7 @@
         asio::async_write(
             m_socket, asio::buffer(m_output), [self = shared_from_this()](const error_code &error, std::size_t count) {
                 self->m_written = !error;
-                if (error && count == 0) {
+                if (error && count == 0 && !self->m_confirming) {
                     self->fail(send_failure::NotSent); // the kernel took no byte, so the leaf got none
                 }
             });
@@ -185,7 +188,72 @@
             onAnswer();
             return;
         }
-        fail(send_failure::Broken);
+        if (m_reader.begun() || !m_input.empty()) {
+            fail(send_failure::Broken);
+            return;
+        }
+        confirmEnd();
+    }
+
+    /**
+     * A connection ends without an answer because the leaf has ended, or because it is full, has lost the answer or
+     * was cut off for a moment. Only the first says something about the request, and only a new connection tells: a
+     * process that has ended refuses it at once.
+     */
+    void confirmEnd()
+    {
+        m_confirming = true;
+        error_code error;
+        m_socket.close(error);
+        const auto endpoint = parseEndpoint(peer().entry.address);
+        if (!endpoint || boot_clock().now() - peer().takesConnectionsAt < aliveFor) {
+            fail(send_failure::Broken);
+            return;
+        }
+        m_socket.open(tcp::v4(), error);
+        if (error) {
+            fail(send_failure::Broken);
+            return;
+        }
+        m_pool.m_counts.opened += 1;
+        m_connectTimer.expires_after(std::chrono::milliseconds(confirmLimit.ceiled()));
+        m_connectTimer.async_wait([self = shared_from_this()](const error_code &stopped) {
+            if (!stopped) {
+                self->fail(send_failure::Broken);
+            }
+        });
+        m_socket.async_connect(*endpoint,
+                               [self = shared_from_this()](const error_code &failed) { self->onConfirmed(failed); });
+    }
+
+    /** The new connection is kept for the next request: it has cost the leaf a slot for a moment. */
+    void onConfirmed(const error_code &failed)
+    {
+        if (m_closed) {
+            return;
+        }
+        m_connectTimer.cancel();
+        if (failed) {
+            fail(failed == asio::error::connection_refused ? send_failure::LeafEnded : send_failure::Broken);
+            return;
+        }
+        const send_id id = m_message.id;
+        m_message.to->takesConnectionsAt = boot_clock().now();
+        m_reader.expect(false, mostBodyBytes);
+        m_keepFor = idleGuess;
+        m_confirming = false;
+        m_pool.m_busy.erase(id);
+        keepIdle();
+        read();
+        m_pool.m_listener.onLeafFailure(id, send_failure::Broken);
+    }
+
+    void keepIdle()
+    {
+        m_busy = false;
+        m_idleSince = boot_clock().now();
+        m_pool.m_idle[&peer()].push_back(shared_from_this());
+        m_message.to->keptConnections += 1;
     }
 
     void onAnswer()
@@ -202,12 +270,10 @@
         const bool reusable = answer.keepsConnection && m_written && m_input.empty() && m_strays == 0 && !m_ended;
         const auto self = shared_from_this();
         m_pool.m_busy.erase(id);
-        m_busy = false;
         if (reusable) {
-            m_idleSince = boot_clock().now();
-            m_pool.m_idle[&peer()].push_back(self);
-            m_message.to->keptConnections += 1;
+            keepIdle();
         } else {
+            m_busy = false;
             close();
         }
         m_pool.m_listener.onLeafReply(id, std::move(answer.reply));
@@ -270,6 +336,7 @@
     bool m_busy = false;
     bool m_written = false;
     bool m_ended = false;
+    bool m_confirming = false; ///< unanswered; finds out whether the leaf has ended
     bool m_closed = false;
 };
 
