--- a/libs/delegation/include/delegation/delegation.h
+++ b/libs/delegation/include/delegation/delegation.h
@@ -36,6 +36,7 @@
 struct delegate_cancel {
     delegation_id id = 0;
     bool callerLeft = false; ///< leafs that are still at work should stop
+    bool survived = false; ///< a leaf ran the request to its end
 };
 
 using delegation_message = std::variant<delegate_request, delegate_progress, delegate_cancel>;
--- a/libs/delegation/src/delegation_codec.cpp
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -43,7 +43,8 @@
                                                           tried,
                                                           message.work.alone,
                                                           message.work.key.caller,
-                                                          message.work.key.content);
+                                                          message.work.key.content,
+                                                          message.work.attempt);
         return wrap(delegation_wire::Message::Request, table.Union());
     }
 
@@ -57,8 +58,8 @@
         std::vector<Offset<delegation_wire::Lost>> lost;
         for (const lost_shard &shard : message.progress.lost) {
             const auto leafId = builder.CreateString(shard.leafId);
-            lost.push_back(
-                delegation_wire::CreateLost(builder, shard.shard, shard.mayHaveRun, shard.reachedLeaf, leafId));
+            lost.push_back(delegation_wire::CreateLost(
+                builder, shard.shard, shard.mayHaveRun, shard.reachedLeaf, leafId, shard.leafEnded));
         }
         std::vector<Offset<delegation_wire::Pending>> pending;
         for (const pending_shard &shard : message.progress.pending) {
@@ -78,7 +79,7 @@
     Offset<delegation_wire::Envelope> operator()(const delegate_cancel &message) const
     {
         return wrap(delegation_wire::Message::Cancel,
-                    delegation_wire::CreateCancel(builder, message.id, message.callerLeft).Union());
+                    delegation_wire::CreateCancel(builder, message.id, message.callerLeft, message.survived).Union());
     }
 
 private:
@@ -114,6 +115,7 @@
     }
     message.work.alone = from.alone();
     message.work.key = {from.key_caller(), from.key_content()};
+    message.work.attempt = from.attempt();
     if (from.tried() != nullptr) {
         std::ranges::transform(*from.tried(), std::back_inserter(message.work.triedLeafs), textOf);
     }
@@ -136,7 +138,7 @@
     if (from.lost() != nullptr) {
         for (const auto *lost : *from.lost()) {
             message.progress.lost.push_back(
-                {lost->shard(), lost->may_have_run(), lost->reached_leaf(), textOf(lost->leaf())});
+                {lost->shard(), lost->may_have_run(), lost->reached_leaf(), lost->leaf_ended(), textOf(lost->leaf())});
         }
     }
     if (from.pending() != nullptr) {
@@ -171,7 +173,9 @@
     case delegation_wire::Message::Progress:
         return readProgress(*envelope.message_as_Progress());
     case delegation_wire::Message::Cancel:
-        return delegate_cancel {envelope.message_as_Cancel()->id(), envelope.message_as_Cancel()->caller_left()};
+        return delegate_cancel {envelope.message_as_Cancel()->id(),
+                                envelope.message_as_Cancel()->caller_left(),
+                                envelope.message_as_Cancel()->survived()};
     default:
         return tl::unexpected(delegation_wire_error::UnknownMessage);
     }
--- a/libs/delegation/tests/test_delegation.cpp
+++ b/libs/delegation/tests/test_delegation.cpp
@@ -32,6 +32,7 @@
     request.work.triedLeafs = {"tried", "too"};
     request.work.alone = true;
     request.work.key = {8, 9};
+    request.work.attempt = 10;
     const delegate_request read = thereAndBack(request);
     BOOST_TEST(read.afterTime == request.afterTime);
     BOOST_TEST(read.work.shards[1].value == "b");
@@ -40,6 +41,7 @@
     BOOST_TEST(read.work.triedLeafs == request.work.triedLeafs);
     BOOST_TEST(read.work.alone);
     BOOST_TEST((read.work.key == request.work.key));
+    BOOST_TEST(read.work.attempt == request.work.attempt);
 }
 
 BOOST_AUTO_TEST_CASE(progress_and_cancel_come_back_whole)
@@ -48,7 +50,7 @@
     progress.id = 8;
     progress.progress.parts = {{1, "digest"}};
     progress.progress.records = std::string("\0\xff", 2);
-    progress.progress.lost = {{2, true, false, "lost"}};
+    progress.progress.lost = {{2, true, false, true, "lost"}};
     progress.progress.pending = {{3, "leaf"}};
     progress.progress.last = true;
     const delegate_progress read = thereAndBack(progress);
@@ -57,9 +59,11 @@
     BOOST_TEST(read.progress.records == progress.progress.records);
     BOOST_TEST(read.progress.lost[0].mayHaveRun);
     BOOST_TEST(!read.progress.lost[0].reachedLeaf);
+    BOOST_TEST(read.progress.lost[0].leafEnded);
     BOOST_TEST(read.progress.pending[0].leafId == "leaf");
     BOOST_TEST(read.progress.last);
-    BOOST_TEST(thereAndBack(delegate_cancel {9, true}).callerLeft);
+    BOOST_TEST(thereAndBack(delegate_cancel {9, true, false}).callerLeft);
+    BOOST_TEST(thereAndBack(delegate_cancel {9, false, true}).survived);
 }
 
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_are_refused)
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -9,6 +9,7 @@
 
 #include <base/base.h>
 #include <leafs/leafs.h>
+#include <quarantine/quarantine.h>
 
 #include <tl/expected.hpp>
 
@@ -165,7 +166,12 @@
     std::vector<leaf_report> reports; ///< with ages on the wire; decoded as observed that long before zero
 };
 
-using fleet_message = std::variant<follow_request, follow_beat, upstream_state, store_items, leaf_news>;
+/** Up and down, at once: what VMs found out about requests that end leafs. */
+struct request_news {
+    std::vector<request_evidence> requests; ///< with ages on the wire; decoded as seen that long before zero
+};
+
+using fleet_message = std::variant<follow_request, follow_beat, upstream_state, store_items, leaf_news, request_news>;
 
 /** Why bytes are not a message of the fleet. */
 enum class fleet_wire_error : std::uint8_t {
@@ -241,6 +247,17 @@
     std::vector<leaf_report> reports;
 };
 
+/** What other processes found out about requests; what of it is news here goes to @ref fleet_node::tellRequests. */
+struct requests_action {
+    link_id from = 0;
+    std::vector<request_evidence> requests;
+};
+
+/** A process has come to the link: tell it all that is known of requests. */
+struct greet_action {
+    link_id link = 0;
+};
+
 /** A change of what this process believes of the tree; for the log. */
 struct tree_note_action {
     std::string_view event;
@@ -255,6 +272,8 @@
                                   news_action,
                                   members_action,
                                   reports_action,
+                                  requests_action,
+                                  greet_action,
                                   tree_note_action>;
 
 /** This process's place in the tree. */
@@ -283,6 +302,12 @@
     /** Tells the fleet what this process found out about leafs, with the next tick. */
     void report(std::span<const leaf_report> reports);
 
+    /** Tells what was found out about requests, at once. @param except the link from which it came; 0 for none. */
+    void tellRequests(std::span<const request_evidence> requests, link_id except, millis now);
+
+    /** Tells one process all that is known of requests. */
+    void greet(link_id link, std::span<const request_evidence> requests, millis now);
+
     /** Does what is due; call it some times a second. */
     void tick(millis now);
 
@@ -383,6 +408,8 @@
     [[nodiscard]] std::vector<item_patch> takePatches(std::string_view prefix, std::vector<store_item> &items) const;
 
     void onLeafNews(link_id link, leaf_news news, millis now);
+    void onRequestNews(link_id link, request_news news, millis now);
+    [[nodiscard]] bool isNeighbour(link_id link) const;
     void keepReport(const leaf_report &report, link_id from);
     void tellReports(millis now);
     [[nodiscard]] std::vector<link_id> neighbours() const;
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -38,6 +38,14 @@
     return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
 }
 
+constexpr millis longestAge(4.0e9); // some weeks: as many milliseconds as the wire takes
+
+/** @param at relative to now. */
+std::uint32_t ageOf(millis at)
+{
+    return static_cast<std::uint32_t>(std::clamp(millis() - at, millis(), longestAge).count());
+}
+
 Offset<flatbuffers::Vector<std::uint8_t>> bytesOf(FlatBufferBuilder &builder, std::string_view bytes)
 {
     return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
@@ -126,6 +134,24 @@
         return wrap(fleet_wire::Message::Reports, fleet_wire::CreateReports(builder, all).Union());
     }
 
+    Offset<fleet_wire::Envelope> operator()(const request_news &message) const
+    {
+        std::vector<Offset<fleet_wire::Request>> requests;
+        for (const request_evidence &one : message.requests) {
+            std::vector<fleet_wire::LeafEnd> ends;
+            for (const leaf_end &end : one.ends) {
+                ends.emplace_back(end.attempt, end.leaf, ageOf(end.at));
+            }
+            const auto all = builder.CreateVectorOfStructs(ends);
+            const bool answered = one.answeredAt > millis() - longestAge;
+            const std::uint32_t age = answered ? ageOf(one.answeredAt) : 0;
+            requests.push_back(
+                fleet_wire::CreateRequest(builder, one.key.caller, one.key.content, one.route, all, answered, age));
+        }
+        const auto all = builder.CreateVector(requests);
+        return wrap(fleet_wire::Message::Requests, fleet_wire::CreateRequests(builder, all).Union());
+    }
+
 private:
     [[nodiscard]] Offset<flatbuffers::Vector<Offset<fleet_wire::Patch>>>
     patchesOf(std::span<const item_patch> patches) const
@@ -233,6 +259,28 @@
     return message;
 }
 
+request_news readRequests(const fleet_wire::Requests &from)
+{
+    request_news message;
+    if (from.requests() == nullptr) {
+        return message;
+    }
+    for (const auto *one : *from.requests()) {
+        request_evidence &read = message.requests.emplace_back();
+        read.key = {one->caller(), one->content()};
+        read.route = one->route();
+        if (one->answered()) {
+            read.answeredAt = millis() - millis(one->answered_age());
+        }
+        if (one->ends() != nullptr) {
+            for (const auto *end : *one->ends()) {
+                read.ends.push_back({end->attempt(), end->leaf(), millis() - millis(end->age())});
+            }
+        }
+    }
+    return message;
+}
+
 upstream_state readState(const fleet_wire::State &from)
 {
     return {from.accepted(),
@@ -309,6 +357,8 @@
         return readItems(*envelope.message_as_Items());
     case fleet_wire::Message::Reports:
         return readReports(*envelope.message_as_Reports());
+    case fleet_wire::Message::Requests:
+        return readRequests(*envelope.message_as_Requests());
     case fleet_wire::Message::Packed:
         return mayBePacked ? readPacked(*envelope.message_as_Packed()) : tl::unexpected(fleet_wire_error::Malformed);
     default:
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -94,6 +94,7 @@
     upstream_state welcome = ownState(true);
     welcome.members = *m_members;
     tell(link, std::move(welcome));
+    m_actions.emplace_back(greet_action {link}); // before the configuration, with which it begins to serve
     sendMissing(link, request);
 }
 
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -45,6 +45,8 @@
         onItems(link, std::move(*items), now);
     } else if (auto *news = std::get_if<leaf_news>(&message)) {
         onLeafNews(link, std::move(*news), now);
+    } else if (auto *requests = std::get_if<request_news>(&message)) {
+        onRequestNews(link, std::move(*requests), now);
     }
 }
 
--- a/libs/fleet/src/fleet_reports.cpp
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -27,8 +27,7 @@
 
 void fleet_node::onLeafNews(link_id link, leaf_news news, millis now)
 {
-    const bool fromUpstream = link == m_upstream && m_phase == phase::Following;
-    if (!fromUpstream && !m_followers.contains(link)) {
+    if (!isNeighbour(link)) {
         return;
     }
     for (leaf_report &one : news.reports) {
--- a/libs/fleet/tests/fleet_world.h
+++ b/libs/fleet/tests/fleet_world.h
@@ -188,6 +188,37 @@
         m_nodes[at].node->report(reports);
     }
 
+    /** A node finds out that leafs ended under an attempt, and tells. */
+    void accuse(std::size_t at, const request_fingerprint &key, attempt_tag attempt, std::span<const leaf_digest> leafs)
+    {
+        member &one = m_nodes[at];
+        one.ledger.addEnds(key, 0, attempt, leafs, m_now);
+        tellRequests(at);
+    }
+
+    void clear(std::size_t at, const request_fingerprint &key)
+    {
+        m_nodes[at].ledger.addAnswer(key, m_now);
+        tellRequests(at);
+    }
+
+    /** @return of the nodes that run, those for which the request has this standing. */
+    [[nodiscard]] std::size_t standing(const request_fingerprint &key, request_standing as) const
+    {
+        return countIf([&](const member &one) { return one.ledger.standingOf(key, m_now) == as; });
+    }
+
+    void forgetUnwarned()
+    {
+        std::ranges::for_each(m_nodes, [](member &one) { one.unwarned.clear(); });
+    }
+
+    /** @return nodes that began to know the store's word without what others knew of requests. */
+    [[nodiscard]] std::size_t servedUnwarned(const request_fingerprint &key) const
+    {
+        return countIf([&](const member &one) { return one.unwarned.contains(key); });
+    }
+
     /** Reports that a node has heard. */
     [[nodiscard]] const std::vector<leaf_report> &reportsAt(std::size_t at) const
     {
@@ -235,6 +266,7 @@
     std::size_t storeCalls = 0;
     std::size_t connections = 0; ///< that were opened
     std::size_t bytesAcross = 0; ///< sent to another zone
+    std::size_t requestMessages = 0; ///< about requests that end leafs, that arrived
     std::vector<std::string> notes; ///< event and what it is about
 
 private:
@@ -253,6 +285,8 @@
         std::uint64_t calls = 0;
         std::size_t members = 0;
         std::vector<leaf_report> reports;
+        request_ledger ledger {quarantine_settings()};
+        std::set<request_fingerprint> unwarned; ///< requests that others knew of when this node knew the store's word
         std::uint64_t readUpTo = 0;
         millis startedAt;
         millis knewAt = millis::never();
@@ -436,6 +470,7 @@
         }
         if (one.knewAt == millis::never() && one.node->view(prefix).known()) {
             one.knewAt = m_now;
+            noteUnwarned(one);
         }
     }
 
@@ -568,6 +603,37 @@
         notes.push_back(std::string(said.event) + " " + said.about);
     }
 
+    void perform(std::size_t at, const requests_action &heard)
+    {
+        const std::vector<request_evidence> news = m_nodes[at].ledger.join(heard.requests, m_now);
+        requestMessages += 1;
+        m_nodes[at].node->tellRequests(news, heard.from, m_now);
+        collect(at);
+    }
+
+    void perform(std::size_t at, const greet_action &greeted)
+    {
+        m_nodes[at].node->greet(greeted.link, m_nodes[at].ledger.all(), m_now);
+        collect(at);
+    }
+
+    void tellRequests(std::size_t at)
+    {
+        m_nodes[at].node->tellRequests(m_nodes[at].ledger.takeNews(), 0, m_now);
+        collect(at);
+    }
+
+    void noteUnwarned(member &starting) const
+    {
+        for (const member &other : m_nodes) {
+            for (const request_evidence &known : other.ledger.all()) {
+                if (starting.ledger.find(known.key) == nullptr) {
+                    starting.unwarned.insert(known.key);
+                }
+            }
+        }
+    }
+
     fleet_world_settings m_settings;
     seeded_random m_random;
     millis m_now {1000};
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -130,6 +130,16 @@
     millis input; ///< the time that decided: silence, or what the leaf took
 };
 
+/** What is held against a request has changed, by what this VM saw; for the log. */
+struct verdict_action {
+    exchange_id exchange = 0; ///< of the attempt that changed it; perhaps answered already
+    request_fingerprint key;
+    request_standing standing = request_standing::Clear;
+    std::size_t leafs = 0; ///< that ended under it, as far as they are kept
+    std::size_t attempts = 0; ///< in which they did
+    millis heldFor; ///< of a quarantined one
+};
+
 // ---- shards that another VM asks for
 
 /** Another VM of the fleet that can be reached now. */
@@ -150,6 +160,7 @@
 struct delegated_work {
     std::string route; ///< name, by which both know how long leafs take
     request_fingerprint key;
+    attempt_tag attempt = 0; ///< the same on both VMs, so that a leaf's end that both tell counts once
     std::vector<service_name> shards;
     std::size_t topRecords = 0;
     millis objective; ///< of the route
@@ -171,6 +182,7 @@
     std::uint32_t shard = 0;
     bool mayHaveRun = false;
     bool reachedLeaf = false; ///< a leaf got it, also if that refused it
+    bool leafEnded = false; ///< the leaf ended while it ran it
     std::string leafId; ///< of the last leaf that was asked; empty if none was
 };
 
@@ -202,6 +214,7 @@
     delegation_id id = 0;
     std::string helper;
     bool callerLeft = false;
+    bool survived = false; ///< a leaf ran the request to its end
 };
 
 /** Word to the VM for which an exchange was taken. */
@@ -214,6 +227,7 @@
                                     cancel_action,
                                     answer_action,
                                     note_action,
+                                    verdict_action,
                                     delegate_action,
                                     delegate_cancel_action,
                                     progress_action>;
@@ -229,6 +243,7 @@
     millis answerMargin {4}; ///< from deciding to answer to the last byte on its way, on a VM that is busy
     std::size_t shardsAtOnce = 25; ///< more than that are shared with other VMs: asking them takes this one too long
     millis removalHold {2200}; ///< how long a leaf stays usable whose entry lapsed while the store was away
+    quarantine_settings quarantine;
 };
 
 /** All requests of one process. */
@@ -284,7 +299,10 @@
     void onHelperLost(std::string_view address, millis now);
 
     /** An exchange that was taken for another VM is not needed any more. */
-    void onUnneeded(exchange_id id);
+    void onUnneeded(exchange_id id, millis now);
+
+    /** A leaf that the other VM asked ran the request of this exchange to its end. */
+    void onSurvived(exchange_id id);
 
     void onReply(send_id id, gateway_reply reply, millis now);
     void onSendFailed(send_id id, send_failure failure, millis now);
@@ -296,6 +314,17 @@
     /** What other VMs found out. @return how many leafs are thought slow for it that were not, or no longer are. */
     std::size_t onReports(std::span<const leaf_report> reports);
 
+    /** What this VM saw of requests that end leafs, since the last call, for the other VMs. */
+    [[nodiscard]] std::vector<request_evidence> takeRequestNews();
+
+    /** What other VMs saw. @return what was not known here, to be passed on. */
+    [[nodiscard]] std::vector<request_evidence> onRequestNews(std::span<const request_evidence> news, millis now);
+
+    [[nodiscard]] const request_ledger &requests() const
+    {
+        return m_requests;
+    }
+
     /** This process stood still: what leafs seem to owe since then says nothing of them. */
     void onStandstill(millis gap);
 
@@ -315,6 +344,7 @@
 private:
     struct shard_call;
     struct exchange;
+    struct attempt_evidence;
 
     /** One request on its way to a leaf; outlives its exchange until the leaf has answered or time is up. */
     struct send {
@@ -322,6 +352,7 @@
         exchange_id exchange = 0;
         std::size_t call = 0;
         std::shared_ptr<leaf> to;
+        std::shared_ptr<attempt_evidence> evidence;
         route_pace *pace = nullptr;
         millis sentAt;
         millis deadline; ///< the leaf may stop then
@@ -406,6 +437,23 @@
     void finishGatherIfDone(exchange &work, millis now);
     void advanceDue(const due &next, millis now);
     void addCalls(exchange &work, std::span<const service_name> shards);
+    void fanOut(exchange &work, millis now);
+    void beginTrial(exchange &work, millis now);
+    [[nodiscard]] bool maySendMore(const exchange &work, millis now) const;
+    [[nodiscard]] bool mayHedge(const exchange &work, const shard_call &call, millis now) const;
+    [[nodiscard]] bool isTester(const exchange &work) const;
+    void sendTrials(exchange &work, millis now);
+    [[nodiscard]] bool hasSpareLeaf(const service_name &shard, millis now) const;
+    void continueTrial(exchange &work, millis now);
+    void holdCall(exchange &work, std::size_t call, millis now);
+    void endTrial(const exchange &work);
+    void releaseHeld(exchange &work, millis now);
+    void noteSurvived(exchange &work, millis now);
+    static void noteEnded(exchange &work, const leaf &ended);
+    void noteOutcome(const send &ended, bool survived, bool leafEnded, millis now);
+    void settleEvidence(exchange &work, millis now);
+    void tellVerdict(exchange_id attempt, const request_fingerprint &key, millis now);
+    void refuseQuarantined(const caller_request &request, const gateway_route &route, exchange_id id, millis now);
     [[nodiscard]] bool isTrusted(const std::string &helper, millis now) const;
     [[nodiscard]] shard_zones zonesOf(const shard_call &call, millis now) const;
     [[nodiscard]] std::size_t partsOf(const zone_name &zone, std::size_t shards) const;
@@ -424,7 +472,7 @@
     void notePending(exchange &work, std::size_t call, const pending_shard &pending, millis now);
     void askElsewhere(exchange &work, std::size_t call, std::string_view cause, millis now);
     void dropDelegations(exchange &work, bool callerLeft);
-    void takeParts(exchange &work, delegated_progress &progress, delegation &from);
+    void takeParts(exchange &work, delegated_progress &progress, delegation &from, millis now);
     void noteTried(exchange &work, std::span<const std::string> leafIds);
     exchange_id refuseDelegated(exchange &work, millis now);
     void tellProgress(exchange &work, bool last, millis now);
@@ -469,6 +517,9 @@
     std::size_t m_ownRank = 0;
     std::unordered_map<std::string, millis> m_distrustedUntil; ///< helpers that did not answer in time
     std::map<leaf_digest, leaf_report> m_reports; ///< for other VMs, by leaf
+    request_ledger m_requests;
+    seeded_random m_tags; ///< of its own: drawing a tag must not change what leafs are chosen
+    std::map<request_fingerprint, exchange_id> m_trials; ///< suspect requests of which one leaf is being asked
     std::unordered_map<delegation_id, delegation> m_delegations;
     std::priority_queue<due, std::vector<due>, std::greater<>> m_due;
     std::uint64_t m_nextId = 1;
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -89,6 +89,8 @@
     , m_random(seed)
     , m_leafs(m_settings.removalHold)
     , m_fleetSize(fleetSizeGuess)
+    , m_requests(m_settings.quarantine, seed)
+    , m_tags(seed)
 {
 }
 
@@ -115,6 +117,10 @@
         answerWithout(request, exchange_outcome::NoRoute, "no_route", id);
         return id;
     }
+    if (m_requests.standingOf(request.key, now) == request_standing::Quarantined) {
+        refuseQuarantined(request, *route, id, now);
+        return id;
+    }
     auto work = std::make_unique<exchange>();
     work->id = id;
     work->requestId = request.id;
@@ -127,6 +133,7 @@
     const millis patience = request.patience ? patienceAfterWays(*request.patience, work->ways) : route->timeout;
     work->limit = now + std::min(patience, route->timeout);
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
+    beginTrial(kept, now);
     begin(kept, now);
     if (kept.ended) {
         erase(id);
@@ -151,7 +158,9 @@
     call.service = pickShare(*work.route);
     budgetOf(call.service).countRequest(now);
     const choice chosen = chooseLeaf(work, call, false, now);
-    if (chosen.to) {
+    if (chosen.to && !maySendMore(work, now)) {
+        call.waiting = true; // another attempt of the same request finds out whether a leaf survives it
+    } else if (chosen.to) {
         sendCall(work, 0, chosen.to, now);
     } else if (chosen.full) {
         call.waiting = true;
@@ -178,6 +187,17 @@
         answerUnserved(work, overloaded ? "shards_overloaded" : "too_few_shards", false, now);
         return;
     }
+    if (work.trialWidth > 0) {
+        std::ranges::for_each(work.calls, [](shard_call &call) { call.held = !call.missing; });
+        sendTrials(work, now);
+        return;
+    }
+    fanOut(work, now);
+}
+
+/** Asks for all shards for which nobody has been asked. */
+void gateway_engine::fanOut(exchange &work, millis now)
+{
     for (helper_group &group : planHelpers(work, now)) {
         delegateCalls(work, group.helper, std::move(group.calls), now);
     }
@@ -196,7 +216,7 @@
 {
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         shard_call &call = work.calls[at];
-        if (call.handed > 0) {
+        if (!call.isUntouched() && !call.missing) {
             continue;
         }
         budgetOf(call.service).countRequest(now);
@@ -232,6 +252,7 @@
     one.exchange = work.id;
     one.call = at;
     one.to = to;
+    one.evidence = work.evidence;
     one.pace = work.pace;
     one.sentAt = now;
     one.idempotent = work.route->idempotent;
@@ -276,6 +297,7 @@
 
 void gateway_engine::settle(exchange &work, millis now)
 {
+    continueTrial(work, now);
     handSecondSends(work, now);
     schedule(work, now);
     if (work.ended) {
@@ -290,8 +312,11 @@
         return;
     }
     noteLeafReply(*ended->to, *ended, reply, now);
+    constexpr unsigned timeIsUp = 504; // it may still have ended the leaf, with more time
+    const bool survived = !reply.notRun && !reply.wrongInstance && reply.status != timeIsUp;
     exchange *owner = ownerOf(*ended);
     if (owner == nullptr) {
+        noteOutcome(*ended, survived, false, now);
         return;
     }
     exchange &work = *owner;
@@ -300,6 +325,9 @@
     const bool notRun = reply.notRun || reply.wrongInstance;
     call.mayHaveRun -= notRun ? 1 : 0;
     call.reachedLeaf = true;
+    if (survived) {
+        noteSurvived(work, now);
+    }
     if (notRun || !reply.isSuccess()) {
         const std::string_view cause = reply.wrongInstance ? "wrong_instance" : (notRun ? "refused" : "failed");
         note(work, "send_in_vain", cause, ended->to.get(), call.service, now - ended->sentAt, now);
@@ -326,8 +354,11 @@
         return;
     }
     noteLeafFailure(*ended->to, failure, now);
+    // One that leaves closes its connections and ends as it was told to.
+    const bool leafEnded = failure == send_failure::LeafEnded && !ended->to->isLeaving();
     exchange *owner = ownerOf(*ended);
     if (owner == nullptr) {
+        noteOutcome(*ended, false, leafEnded, now);
         return;
     }
     exchange &work = *owner;
@@ -335,6 +366,10 @@
     call.open -= 1;
     call.mayHaveRun -= failure == send_failure::NotSent ? 1 : 0;
     call.reachedLeaf = call.reachedLeaf || failure != send_failure::NotSent;
+    call.leafEnded = call.leafEnded || leafEnded;
+    if (leafEnded) {
+        noteEnded(work, *ended->to);
+    }
     note(work, "send_in_vain", toString(failure), ended->to.get(), call.service, now - ended->sentAt, now);
     if (!call.done && !call.missing) {
         retryCall(work, ended->call, toString(failure), now);
@@ -454,11 +489,14 @@
         next = std::min(next, work.speakBy);
     }
     for (const shard_call &call : work.calls) {
-        if (call.done || call.missing) {
+        if (call.done || call.missing || call.held) {
             continue;
         }
         next = std::min(next, call.waiting ? now + waitingLook : call.nextHedge);
     }
+    if (work.trialWidth > 0) {
+        next = std::min(next, now + waitingLook);
+    }
     // An earlier time that is still to come does: looking once too often is cheaper than a heap full of old times.
     if (work.scheduled > now && work.scheduled <= next) {
         return;
@@ -479,7 +517,9 @@
 
 void gateway_engine::erase(exchange_id id)
 {
-    dropDelegations(*m_exchanges.at(id), false);
+    exchange &ended = *m_exchanges.at(id);
+    dropDelegations(ended, false);
+    endTrial(ended);
     m_exchanges.erase(id);
 }
 
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -42,6 +42,7 @@
         tellProgress(work, true, now);
         return;
     }
+    settleEvidence(work, now);
     answer_action result;
     result.timedOut = timedOut;
     exchange_outcome outcome = work.mayHaveRun() ? exchange_outcome::Failed : exchange_outcome::Refused;
@@ -59,7 +60,8 @@
             soonest = std::min(soonest, std::max(one->downUntil - now, millis()));
         }
     }
-    result.retryAfter = std::clamp(soonest, leastRetryAfter, mostRetryAfter);
+    result.retryAfter =
+        std::max(std::clamp(soonest, leastRetryAfter, mostRetryAfter), m_requests.heldFor(work.key, now));
     m_actions.emplace_back(std::move(result));
     answer(work, outcome, cause, now);
 }
@@ -139,6 +141,8 @@
             m_due.push({one.closeAt, due_kind::Send, sendId});
         }
     }
+    settleEvidence(*found->second, now);
+    endTrial(*found->second);
     dropDelegations(*found->second, true);
     note(*found->second, "caller_left", "closed", nullptr, {}, now - found->second->arrivedAt, now);
     m_exchanges.erase(found);
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -12,6 +12,10 @@
         askElsewhere(work, at, cause, now);
         return;
     }
+    if (!maySendMore(work, now)) {
+        holdCall(work, at, now);
+        return;
+    }
     constexpr unsigned refusalsBeyondAttempts = 2; // sends that did not run are no attempts, yet have an end too
     const bool mayRunAgain = call.mayHaveRun == 0 || work.route->idempotent;
     const bool attemptsLeft =
@@ -72,7 +76,7 @@
             call.nextHedge = millis::never();
             continue;
         }
-        const choice chosen = chooseLeaf(work, call, true, now);
+        const choice chosen = mayHedge(work, call, now) ? chooseLeaf(work, call, true, now) : choice();
         if (!chosen.to || !takeBudget(call.service, hedgeReserve, now)) {
             call.nextHedge = now + lookAgain;
             continue;
@@ -87,7 +91,7 @@
 {
     for (std::size_t at = 0; at < work.calls.size() && !work.ended; ++at) {
         shard_call &call = work.calls[at];
-        if (!call.waiting || call.done || call.missing) {
+        if (!call.waiting || call.done || call.missing || !maySendMore(work, now)) {
             continue;
         }
         const choice chosen = chooseLeaf(work, call, false, now);
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 namespace chivelock {
 
@@ -64,14 +65,32 @@
     unsigned sends = 0;
     millis nextHedge = millis::never();
     bool waiting = false; ///< not sent yet: no leaf has a free connection
+    bool held = false; ///< not sent, or not sent again, until a leaf has survived the request
     bool done = false; ///< has its part
     bool missing = false; ///< given up
     bool reachedLeaf = false; ///< a leaf got it, also if that refused it
+    bool leafEnded = false; ///< a leaf ended while it ran it
     std::string lastAsked; ///< id of the leaf that was asked last
     unsigned handed = 0; ///< pieces of work in other VMs' hands
+    bool helperLate = false; ///< the VM that has it in hand has not spoken when it should have
     bool pendingTold = false; ///< the VM for which it is may ask a second leaf
     bool told = false; ///< its end was told to the VM for which it is
     gateway_reply part;
+
+    /** Nobody has been asked for it. */
+    [[nodiscard]] bool isUntouched() const
+    {
+        return !done && !missing && open == 0 && handed == 0 && sends == 0;
+    }
+};
+
+/** What one attempt shows of its request; its sends keep it when it has been answered. */
+struct gateway_engine::attempt_evidence {
+    request_fingerprint key;
+    route_digest route = 0;
+    attempt_tag attempt = 0;
+    std::set<leaf_digest> ended; ///< leafs that ended while they ran it
+    bool survived = false; ///< a leaf ran it to its end
 };
 
 /** One request. */
@@ -100,6 +119,8 @@
     std::map<std::string, std::vector<std::size_t>> secondSends; ///< calls that go out with this step, by VM
     bool alone = false; ///< of work for another VM: each shard is told by itself
     std::vector<std::string> mergedRecords; ///< of parts that other VMs brought
+    std::shared_ptr<attempt_evidence> evidence;
+    std::size_t trialWidth = 0; ///< leafs that may be asked before one has survived it; 0 for any number
     std::optional<gateway_reply> failure; ///< of a request to one leaf: the last failing answer
     unsigned sends = 0;
     unsigned hedges = 0;
@@ -112,6 +133,12 @@
         return ownRoute.has_value();
     }
 
+    /** A leaf or another VM may still bring something. */
+    [[nodiscard]] bool isUnderWay() const
+    {
+        return std::ranges::any_of(calls, [](const shard_call &call) { return call.open > 0 || call.handed > 0; });
+    }
+
     [[nodiscard]] bool mayHaveRun() const;
 
     /** Shards that a merged answer needs. */
--- a/libs/gateway/src/handed_work.cpp
+++ b/libs/gateway/src/handed_work.cpp
@@ -72,6 +72,7 @@
     action.helper = helper;
     action.work.route = work.route->name;
     action.work.key = work.key;
+    action.work.attempt = work.evidence->attempt;
     action.work.topRecords = work.route->topRecords;
     action.work.objective = work.route->objective;
     action.work.speakIn = work.pace->hedgeAfter();
@@ -109,7 +110,7 @@
         m_distrustedUntil.erase(found->second.helper);
     }
     exchange &work = *m_exchanges.at(found->second.exchange);
-    takeParts(work, progress, found->second);
+    takeParts(work, progress, found->second, now);
     std::vector<lost_shard> lost;
     std::ranges::copy_if(progress.lost, std::back_inserter(lost), [&](const lost_shard &one) {
         return endsNow(found->second, one.shard);
@@ -141,7 +142,7 @@
  * the meantime, its records would count twice in the answer; a helper therefore tells shards of which a second leaf may
  * be asked one by one, and what overlaps is left out.
  */
-void gateway_engine::takeParts(exchange &work, delegated_progress &progress, delegation &from)
+void gateway_engine::takeParts(exchange &work, delegated_progress &progress, delegation &from, millis now)
 {
     const auto isOpen = [&](const delegated_part &part) {
         return part.shard < from.calls.size() && !from.ended[part.shard] && !work.calls[from.calls[part.shard]].done
@@ -150,7 +151,7 @@
     const bool allOpen = std::ranges::all_of(progress.parts, isOpen);
     for (delegated_part &part : progress.parts) {
         if (!allOpen && isOpen(part)) {
-            progress.lost.push_back({part.shard, true, true, {}});
+            progress.lost.push_back({part.shard, true, true, false, {}});
         } else if (!allOpen && endsNow(from, part.shard)) {
             work.calls[from.calls[part.shard]].handed -= 1;
         }
@@ -160,6 +161,7 @@
             call.done = true;
             call.part.stamp = std::move(part.stamp);
             work.done += 1;
+            noteSurvived(work, now);
         }
     }
     if (allOpen) {
@@ -197,6 +199,9 @@
     call.handed -= 1;
     call.mayHaveRun -= lost.mayHaveRun ? 0 : 1;
     if (std::shared_ptr<leaf> asked = m_leafs.find(lost.leafId)) {
+        if (lost.leafEnded) {
+            noteEnded(work, *asked);
+        }
         call.tried.push_back(std::move(asked));
     }
     if (call.done || call.missing || call.open > 0 || call.handed > 0) {
@@ -206,6 +211,10 @@
         retryCall(work, at, "helper_gave_up", now);
         return;
     }
+    if (!maySendMore(work, now)) {
+        holdCall(work, at, now);
+        return;
+    }
     const choice chosen = chooseLeaf(work, call, false, now);
     if (chosen.to) {
         sendCall(work, at, chosen.to, now);
@@ -237,6 +246,7 @@
     exchange &work = *m_exchanges.at(late.exchange);
     note(work, "helper_late", "silent", nullptr, {late.helper}, now - work.arrivedAt, now);
     for (const std::size_t at : late.calls) {
+        work.calls[at].helperLate = true;
         work.calls[at].nextHedge = std::min(work.calls[at].nextHedge, now);
     }
     hedgeDue(work, now);
@@ -252,14 +262,14 @@
     const delegation ended = std::move(found->second);
     m_delegations.erase(found);
     m_distrustedUntil[ended.helper] = now + distrustFor;
-    m_actions.emplace_back(delegate_cancel_action {id, ended.helper, false});
+    m_actions.emplace_back(delegate_cancel_action {id, ended.helper, false, false});
     exchange &work = *m_exchanges.at(ended.exchange);
     std::erase(work.delegations, id);
     note(work, "helper_given_up", cause, nullptr, {ended.helper}, now - work.arrivedAt, now);
     for (std::size_t shard = 0; shard < ended.calls.size(); ++shard) {
         if (!ended.ended[shard] && !work.ended) {
             // Whether a leaf got it is not known: it counts as run and as arrived.
-            resumeCall(work, ended.calls[shard], {0, true, true, {}}, now);
+            resumeCall(work, ended.calls[shard], {0, true, true, false, {}}, now);
         }
     }
     settle(work, now);
@@ -281,7 +291,8 @@
     for (const delegation_id id : work.delegations) {
         const auto found = m_delegations.find(id);
         if (found != m_delegations.end()) {
-            m_actions.emplace_back(delegate_cancel_action {id, found->second.helper, callerLeft});
+            m_actions.emplace_back(
+                delegate_cancel_action {id, found->second.helper, callerLeft, work.evidence->survived});
             m_delegations.erase(found);
         }
     }
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -154,8 +154,7 @@
     from.failuresInRow += 1;
     from.failing = from.failing * (1 - failureWeight) + failureWeight;
     from.failingAt = now;
-    const bool connectionOnly = failure == send_failure::Broken || failure == send_failure::LeafEnded;
-    if (!connectionOnly || from.failuresInRow >= brokenInRow) {
+    if (failure != send_failure::Broken || from.failuresInRow >= brokenInRow) {
         from.downUntil = now + downFor(from.failuresInRow);
         noteBelief(
             "leaf_down", failure == send_failure::TimedOut ? "silent" : "unreachable", from, from.downUntil - now);
--- a/libs/gateway/src/taken_work.cpp
+++ b/libs/gateway/src/taken_work.cpp
@@ -21,6 +21,10 @@
     work->id = m_nextId++;
     work->requestId = std::move(requestId);
     work->key = asked.key;
+    work->evidence = std::make_shared<attempt_evidence>();
+    work->evidence->key = asked.key;
+    work->evidence->route = digestOfRoute(asked.route);
+    work->evidence->attempt = asked.attempt;
     work->table = m_table;
     work->route = &*work->ownRoute;
     work->pace = &paceOf(route);
@@ -31,8 +35,9 @@
     work->alone = asked.alone;
     addCalls(*work, route.shards);
     noteTried(*work, asked.triedLeafs);
-    if (!m_table) {
-        return refuseDelegated(*work, now); // just started: it knows no leafs yet
+    const bool quarantined = m_requests.standingOf(asked.key, now) == request_standing::Quarantined;
+    if (!m_table || quarantined) {
+        return refuseDelegated(*work, now); // just started, it knows no leafs yet; or it knows more of the request
     }
     const exchange_id id = work->id;
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
@@ -116,7 +121,7 @@
             parts.emplace_back(call.part.body);
         } else if (call.missing && !call.told) {
             call.told = true;
-            word.lost.push_back({shard, call.mayHaveRun > 0, call.reachedLeaf, call.lastAsked});
+            word.lost.push_back({shard, call.mayHaveRun > 0, call.reachedLeaf, call.leafEnded, call.lastAsked});
         } else if (pendingDue && !call.done && !call.missing && !call.lastAsked.empty()) {
             call.pendingTold = true;
             word.pending.push_back({shard, call.lastAsked});
@@ -141,12 +146,21 @@
     m_actions.emplace_back(progress_action {work.id, std::move(word)});
 }
 
-void gateway_engine::onUnneeded(exchange_id id)
+void gateway_engine::onSurvived(exchange_id id)
+{
+    const auto found = m_exchanges.find(id);
+    if (found != m_exchanges.end()) {
+        found->second->evidence->survived = true;
+    }
+}
+
+void gateway_engine::onUnneeded(exchange_id id, millis now)
 {
     const auto found = m_exchanges.find(id);
     if (found == m_exchanges.end()) {
         return;
     }
+    settleEvidence(*found->second, now);
     for (auto &[sendId, one] : m_sends) {
         if (one.exchange == id) {
             one.exchange = 0; // its answer still tells of the leaf
--- a/libs/gateway/src/work_sharing.cpp
+++ b/libs/gateway/src/work_sharing.cpp
@@ -101,7 +101,7 @@
     std::map<zone_name, std::size_t> shardsIn; // pausing leafs count: parts should stay as they are
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         const shard_call &call = work.calls[at];
-        if (call.missing || call.waiting) {
+        if (!call.isUntouched() || call.waiting) {
             continue;
         }
         const shard_zones zones = zonesOf(call, now);
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -23,6 +23,7 @@
     bool refusesConnections = false;
     bool refuses = false; ///< says that it did not run the request
     bool breaks = false; ///< runs the request and ends the connection without an answer
+    bool endsUnder = false; ///< ends some time after it has begun to run a request
     bool wrongInstance = false;
     unsigned status = 200;
     bool stamped = true;
@@ -128,7 +129,7 @@
     exchange_id ask(const std::string &target, millis patience = millis(2000), std::optional<millis> work = {})
     {
         const std::string id = "q" + std::to_string(++m_asked);
-        const exchange_id exchange = arrive({id, "h", target, patience});
+        const exchange_id exchange = arrive({id, "h", target, patience, {}, keyOf(target)});
         if (work) {
             m_workOf[exchange] = *work;
         }
@@ -136,6 +137,42 @@
         return exchange;
     }
 
+    request_fingerprint keyOf(const std::string &target) const
+    {
+        return fingerprintOf({caller, "h", "GET", target, ""});
+    }
+
+    /** The leaf's process ends: what it works on breaks, and it takes no connection. */
+    void endLeaf(const std::string &id)
+    {
+        if (!m_ended.insert(id).second) {
+            return;
+        }
+        behaviours.at(id).refusesConnections = true;
+        constexpr millis noticed(0.3);
+        for (const send_id send : m_atWork[id]) {
+            later(noticed, [this, send] { engine.onSendFailed(send, send_failure::LeafEnded, now); });
+        }
+    }
+
+    /** A new process of each service that lacks one. */
+    void replaceEnded()
+    {
+        for (const std::string &id : m_ended) {
+            if (const std::shared_ptr<leaf> gone = engine.leafs().find(id)) {
+                const leaf_entry entry = gone->entry;
+                engine.leafs().remove(id, now - millis(100000));
+                engine.leafs().expire(now);
+                addLeaf(entry.service.value, ordinary(behaviours.at(id)), entry.zone.value);
+            }
+        }
+    }
+
+    [[nodiscard]] std::size_t endedLeafs() const
+    {
+        return m_ended.size();
+    }
+
     exchange_id arrive(const caller_request &request)
     {
         return engine.arrive(request, now);
@@ -197,6 +234,11 @@
     std::vector<leaf_run> runs; ///< begun by leafs
     std::vector<leaf_run> arrivals; ///< begun or refused by leafs
     std::vector<std::pair<send_id, millis>> cancels;
+    std::vector<verdict_action> verdicts;
+    std::string caller = "caller";
+    /** Whether a leaf that runs the exchange ends some time after it has begun. */
+    std::function<bool(exchange_id)> endsLeafs = [](exchange_id) { return false; };
+    millis endsAfter {30};
     millis workInVain; ///< of slots, on what came after its answer was given or was never finished
 
 private:
@@ -211,6 +253,8 @@
                 } else if (auto *answer = std::get_if<answer_action>(&action)) {
                     const exchange_id exchange = answer->exchange;
                     answers[exchange] = {std::move(*answer), now};
+                } else if (const auto *verdict = std::get_if<verdict_action>(&action)) {
+                    verdicts.push_back(*verdict);
                 }
             }
         }
@@ -243,12 +287,21 @@
         if (behaviour.silent) {
             return;
         }
+        m_atWork[id].push_back(send);
+        if (endsLeafs(sent.exchange)) {
+            later(wait + endsAfter, [this, id] { endLeaf(id); });
+            return;
+        }
         const auto asked = m_workOf.find(sent.exchange);
         const millis work = (asked == m_workOf.end() ? behaviour.work : asked->second) * behaviour.slower;
         const millis end = std::min(now + wait + work, sent.deadline);
         const bool finished = end == now + wait + work;
         slots.push_back(end);
         later(end - now, [this, send, id, behaviour, exchange = sent.exchange, finished, worked = end - now - wait] {
+            if (m_ended.contains(id)) {
+                return;
+            }
+            std::erase(m_atWork[id], send);
             workInVain = workInVain + (finished && !answers.contains(exchange) ? millis() : worked);
             if (behaviour.breaks) {
                 engine.onSendFailed(send, send_failure::Broken, now);
@@ -304,6 +357,12 @@
         m_coming.emplace(now + after, std::move(what));
     }
 
+    static fake_behaviour ordinary(fake_behaviour as)
+    {
+        as.refusesConnections = false;
+        return as;
+    }
+
     static constexpr unsigned timedOutStatus = 504;
 
     seeded_random m_random {11};
@@ -312,6 +371,8 @@
     unsigned m_nextLeaf = 0;
     unsigned m_asked = 0;
     std::multimap<millis, std::function<void()>> m_coming;
+    std::set<std::string> m_ended; ///< leafs whose process is gone
+    std::map<std::string, std::vector<send_id>> m_atWork; ///< by leaf
     std::map<std::string, std::vector<millis>> m_slots; ///< when the requests at a leaf end
 };
 
--- a/libs/gateway/tests/two_vms.h
+++ b/libs/gateway/tests/two_vms.h
@@ -61,7 +61,8 @@
 
     exchange_id ask()
     {
-        const exchange_id id = m_vms[0]->arrive({"q", "h", "/all/x", millis(600)}, now);
+        const request_fingerprint key = fingerprintOf({"caller", "h", "GET", "/all/x", ""});
+        const exchange_id id = m_vms[0]->arrive({"q", "h", "/all/x", millis(600), {}, key}, now);
         act(0);
         return id;
     }
@@ -130,6 +131,7 @@
 
 private:
     static constexpr millis hop {1};
+    static constexpr millis endsAfter {30};
 
     static gateway_settings settingsOf(const std::string &zone)
     {
@@ -204,6 +206,11 @@
                 std::visit([&](auto &one) { perform(vm, one); }, action);
             }
         }
+        const std::vector<request_evidence> news = m_vms[vm]->takeRequestNews();
+        if (!news.empty()) {
+            const std::size_t other = 1 - vm;
+            post(other, [this, other, news] { std::ignore = m_vms[other]->onRequestNews(news, now); });
+        }
     }
 
     void perform(std::size_t vm, send_action &sent)
@@ -221,7 +228,15 @@
             });
             return;
         }
+        if (m_ended.contains(id)) {
+            later(hop, [this, vm, send = sent.id] { fail(vm, send, send_failure::NotSent); });
+            return;
+        }
         runs.push_back(id);
+        if (behaviour.endsUnder) {
+            later(endsAfter, [this, vm, id, send = sent.id] { endLeaf(vm, id, send); });
+            return;
+        }
         if (behaviour.silent) {
             return;
         }
@@ -242,6 +257,21 @@
         });
     }
 
+    void fail(std::size_t vm, send_id send, send_failure failure)
+    {
+        m_vms[vm]->onSendFailed(send, failure, now);
+        act(vm);
+    }
+
+    /** It is back, under the same id, after a while. */
+    void endLeaf(std::size_t vm, const std::string &id, send_id send)
+    {
+        constexpr millis backAfter(1000);
+        m_ended.insert(id);
+        later(backAfter, [this, id] { m_ended.erase(id); });
+        fail(vm, send, send_failure::LeafEnded);
+    }
+
     void perform(std::size_t, const cancel_action &)
     {
         cancels += 1;
@@ -256,6 +286,10 @@
     {
     }
 
+    void perform(std::size_t, const verdict_action &)
+    {
+    }
+
     void perform(std::size_t, const delegate_action &action)
     {
         post(1, [this, action] {
@@ -268,10 +302,13 @@
     void perform(std::size_t, const delegate_cancel_action &action)
     {
         post(1, [this, action] {
+            if (action.survived) {
+                m_vms[1]->onSurvived(m_taken[action.id]);
+            }
             if (action.callerLeft) {
                 m_vms[1]->onCallerLeft(m_taken[action.id], now);
             } else {
-                m_vms[1]->onUnneeded(m_taken[action.id]);
+                m_vms[1]->onUnneeded(m_taken[action.id], now);
             }
         });
     }
@@ -290,6 +327,7 @@
     }
 
     std::array<std::unique_ptr<gateway_engine>, 2> m_vms;
+    std::set<std::string> m_ended; ///< leafs whose process is gone for now
     unsigned m_nextLeaf = 0;
     std::multimap<millis, std::function<void()>> m_coming;
     std::map<delegation_id, exchange_id> m_taken;
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -7,10 +7,16 @@
  */
 
 #include <base/base.h>
+#include <leafs/leafs.h>
 
+#include <compare>
 #include <cstdint>
+#include <map>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chivelock {
 
@@ -42,4 +48,114 @@
 /** @return the key in hexadecimal digits, for logs. */
 [[nodiscard]] std::string toString(const request_fingerprint &key);
 
+/** Stands for a route by its name, which all VMs share. */
+using route_digest = std::uint32_t;
+
+[[nodiscard]] route_digest digestOfRoute(std::string_view name);
+
+/** Drawn for each attempt: ids of attempts are the callers' choice. */
+using attempt_tag = std::uint32_t;
+
+/** A leaf that ended while it ran an attempt. */
+struct leaf_end {
+    attempt_tag attempt = 0;
+    leaf_digest leaf = 0;
+    millis at; ///< on the clock of whoever holds it
+};
+
+/**
+ * What is known against one request and for it. Two of the same request are joined by taking all ends and the later
+ * answer, whichever way round and however often, so VMs need no order and nobody who decides.
+ */
+struct request_evidence {
+    request_fingerprint key;
+    route_digest route = 0;
+    std::vector<leaf_end> ends; ///< since the last answer, by attempt and leaf
+    millis answeredAt = millis() - millis::never(); ///< when a leaf last ran the request to its end
+};
+
+/** How a request is treated. */
+enum class request_standing : std::uint8_t {
+    Clear,
+    Suspect, ///< leafs ended under it and none has answered it: one leaf at a time
+    Quarantined ///< refused
+};
+
+[[nodiscard]] std::string_view toString(request_standing standing);
+
+/** Figures of the verdict; each with its reason. */
+struct quarantine_settings {
+    std::size_t leafsForVerdict = 3; ///< that end under a request before it is refused
+    /** Leafs end for other reasons, and then every request under way seems guilty. That one is there a second time, and
+     *  no leaf has answered it in between, is chance squared. */
+    std::size_t attemptsForVerdict = 2;
+    millis hold {600000}; ///< a leaf's software or data are mended in minutes at the soonest
+    unsigned mostDoublings = 2; ///< of the hold, by one for each further attempt under which a leaf ended
+    double spread =
+        0.5; ///< of the hold, by chance for each VM: the first to try again tells the others what came of it
+    std::size_t leafsForGuard = 2; ///< that end under one attempt before others of the route are sent with care
+    millis guardFor {10000}; ///< leafs are back after some seconds, and the next such request meets them
+    std::size_t capacity = 512; ///< requests; some 200 kB, and as much once for each VM that joins
+};
+
+/** What one VM believes of requests, from what it saw and what others told it. */
+class request_ledger
+{
+public:
+    explicit request_ledger(quarantine_settings settings, std::uint64_t seed = 0);
+
+    [[nodiscard]] request_standing standingOf(const request_fingerprint &key, millis now) const;
+
+    /** @return how long the request is still refused. */
+    [[nodiscard]] millis heldFor(const request_fingerprint &key, millis now) const;
+
+    /** Whether leafs ended of late under a request of the route, which may be followed by others like it. */
+    [[nodiscard]] bool isGuarded(route_digest route, millis now) const;
+
+    /** An attempt that no leaf has answered ended these leafs. */
+    void addEnds(const request_fingerprint &key,
+                 route_digest route,
+                 attempt_tag attempt,
+                 std::span<const leaf_digest> leafs,
+                 millis now);
+
+    /** A leaf ran the request to its end. Costs nothing for one that nothing is held against. */
+    void addAnswer(const request_fingerprint &key, millis now);
+
+    /** Joins what another VM knows. @return what was new here, to be passed on. */
+    std::vector<request_evidence> join(std::span<const request_evidence> told, millis now);
+
+    /** @return what this VM saw itself since the last call. */
+    [[nodiscard]] std::vector<request_evidence> takeNews();
+
+    /** @return all that is known, for a VM that has just come. */
+    [[nodiscard]] std::vector<request_evidence> all() const;
+
+    /** @return what is known of the request; nullptr for nothing. Until the next change. */
+    [[nodiscard]] const request_evidence *find(const request_fingerprint &key) const;
+
+    /** Forgets what is too old to matter. */
+    void expire(millis now);
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_known.size();
+    }
+
+private:
+    bool joinOne(const request_evidence &told);
+    bool addEnd(request_evidence &to, const leaf_end &end) const;
+    void updateGuard(const request_evidence &about);
+    void makeRoom();
+    [[nodiscard]] bool isGuilty(const request_evidence &about) const;
+    [[nodiscard]] millis releaseAt(const request_evidence &about) const;
+    [[nodiscard]] millis forgetAt(const request_evidence &about) const;
+
+    quarantine_settings m_settings;
+    std::uint64_t m_seed;
+    std::map<request_fingerprint, request_evidence> m_known;
+    std::map<route_digest, millis> m_guardedUntil;
+    std::set<request_fingerprint> m_news;
+};
+
 } // namespace chivelock
--- a/programs/chivelockd/gateway/gateway_delegation.cpp
+++ b/programs/chivelockd/gateway/gateway_delegation.cpp
@@ -29,7 +29,7 @@
 
 void gateway_service::perform(const delegate_cancel_action &action)
 {
-    m_helperLinks->cancel(action.helper, {action.id, action.callerLeft});
+    m_helperLinks->cancel(action.helper, {action.id, action.callerLeft, action.survived});
 }
 
 void gateway_service::perform(progress_action action)
@@ -83,19 +83,22 @@
     flush();
 }
 
-void gateway_service::onDelegatedCancelled(link_id from, delegation_id id, bool callerLeft)
+void gateway_service::onDelegatedCancelled(link_id from, const delegate_cancel &cancel)
 {
-    const auto found = m_askedWork.find({from, id});
+    const auto found = m_askedWork.find({from, cancel.id});
     if (found == m_askedWork.end()) {
         return;
     }
     const exchange_id exchange = found->second;
     m_askedWork.erase(found);
     m_pending.erase(exchange);
-    if (callerLeft) {
+    if (cancel.survived) {
+        m_engine.onSurvived(exchange);
+    }
+    if (cancel.callerLeft) {
         m_engine.onCallerLeft(exchange, m_clock.now());
     } else {
-        m_engine.onUnneeded(exchange);
+        m_engine.onUnneeded(exchange, m_clock.now());
     }
     flush();
 }
@@ -108,7 +111,7 @@
             lost.push_back(work.second);
         }
     }
-    std::ranges::for_each(lost, [&](delegation_id id) { onDelegatedCancelled(from, id, true); });
+    std::ranges::for_each(lost, [&](delegation_id id) { onDelegatedCancelled(from, {id, true, false}); });
 }
 
 } // namespace chivelock
--- a/programs/chivelockd/gateway/gateway_metrics.cpp
+++ b/programs/chivelockd/gateway/gateway_metrics.cpp
@@ -15,6 +15,7 @@
               {"fleet_state", m_traffic.bytesOf(peer_message_kind::FleetState)},
               {"fleet_members", m_traffic.bytesOf(peer_message_kind::FleetMembers)},
               {"leaf_reports", m_traffic.bytesOf(peer_message_kind::LeafReports)},
+              {"request_news", m_traffic.bytesOf(peer_message_kind::RequestNews)},
               {"handed_work", m_traffic.bytesOf(peer_message_kind::HandedWork)},
               {"work_progress", m_traffic.bytesOf(peer_message_kind::WorkProgress)}});
 }
@@ -35,6 +36,14 @@
          "Of hedges and retries, those that other VMs sent.",
          number(m_counts.handedSeconds),
          {}},
+        {"chivelock_gateway_quarantined_total",
+         "Of the refused, requests under which leafs end.",
+         number(m_counts.quarantined),
+         {}},
+        {"chivelock_requests_held_against",
+         "Requests under which leafs ended.",
+         number(m_engine.requests().size()),
+         {}},
         {"chivelock_gateway_standstills_total", "Times this process stood still.", number(m_counts.standstills), {}},
         {"chivelock_leaf_sends_total", "Requests to leafs.", number(m_pool->counts().sent), {}},
         {"chivelock_leaf_connections_opened_total", "New connections.", number(m_pool->counts().opened), {}},
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -172,6 +172,9 @@
             std::visit([this](auto &one) { perform(std::move(one)); }, action);
         }
     }
+    if (const std::vector<request_evidence> news = m_engine.takeRequestNews(); !news.empty()) {
+        m_feed->tellRequests(news);
+    }
     armTimer();
 }
 
@@ -211,6 +214,7 @@
     m_counts.retries += action.retries;
     m_counts.handedSeconds += action.handedSeconds;
     m_counts.refused += action.outcome == exchange_outcome::Refused ? 1 : 0;
+    m_counts.quarantined += action.cause == "quarantined" ? 1 : 0;
     m_counts.failed += action.outcome == exchange_outcome::Failed ? 1 : 0;
     m_counts.partial += action.outcome == exchange_outcome::Merged && action.missing > 0 ? 1 : 0;
     m_latencies.add({action.route, "all", std::string(toString(action.outcome))}, action.elapsed);
@@ -247,6 +251,27 @@
               {"input_ms", action.input.ceiled()}});
 }
 
+/** The request itself is named once: the lines of its attempts bear the key alone. */
+void gateway_service::perform(const verdict_action &action)
+{
+    constexpr std::size_t mostText = 200; // enough for a path; what callers send must not fill the log
+    const auto found = m_pending.find(action.exchange);
+    std::string text;
+    if (found != m_pending.end()) {
+        text =
+            found->second.text->beforeTime.substr(0, std::min(found->second.text->beforeTime.find("\r\n"), mostText));
+    }
+    logEvent(log_level::Warning,
+             "request_verdict",
+             {{"key", toString(action.key)},
+              {"outcome", std::string(toString(action.standing))},
+              {"leafs", std::uint64_t {action.leafs}},
+              {"attempts", std::uint64_t {action.attempts}},
+              {"held_ms", action.heldFor.ceiled()},
+              {"told_by", std::string("self")},
+              {"request", text}});
+}
+
 void gateway_service::armTimer()
 {
     const millis due = m_engine.nextDue();
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -65,11 +65,13 @@
     void onFleetMembers(const std::vector<fleet_member> &members) override;
     void onLeafReports(const std::vector<leaf_report> &reports) override;
     [[nodiscard]] std::vector<leaf_report> takeLeafReports() override;
+    [[nodiscard]] std::vector<request_evidence> onRequestNews(const std::vector<request_evidence> &news) override;
+    [[nodiscard]] std::vector<request_evidence> allRequests() override;
     void onHelpers(std::vector<helper_vm> helpers, std::size_t ownRank) override;
     void onHelperLost(const std::string &address) override;
     void onProgress(delegation_id id, delegated_progress progress) override;
     void onDelegated(link_id from, delegate_request request) override;
-    void onDelegatedCancelled(link_id from, delegation_id id, bool callerLeft) override;
+    void onDelegatedCancelled(link_id from, const delegate_cancel &cancel) override;
     void onAskerLost(link_id from) override;
 
     [[nodiscard]] tl::expected<void, kernel_error> open();
@@ -78,6 +80,7 @@
     void perform(const cancel_action &action);
     void perform(const answer_action &action);
     void perform(const note_action &action);
+    void perform(const verdict_action &action);
     void perform(delegate_action action);
     void perform(const delegate_cancel_action &action);
     void perform(progress_action action);
@@ -128,6 +131,7 @@
         std::uint64_t retries = 0;
         std::uint64_t handedSeconds = 0;
         std::uint64_t refused = 0;
+        std::uint64_t quarantined = 0;
         std::uint64_t failed = 0;
         std::uint64_t partial = 0;
         std::uint64_t callersLeft = 0;
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -63,6 +63,27 @@
               {"oldest_ms", (now - oldest.observedAt).ceiled()}});
 }
 
+std::vector<request_evidence> gateway_service::onRequestNews(const std::vector<request_evidence> &news)
+{
+    const millis now = m_clock.now();
+    std::vector<request_evidence> added = m_engine.onRequestNews(news, now);
+    for (const request_evidence &one : added) {
+        logEvent(log_level::Warning,
+                 "request_verdict",
+                 {{"key", toString(one.key)},
+                  {"outcome", std::string(toString(m_engine.requests().standingOf(one.key, now)))},
+                  {"leafs", std::uint64_t {one.ends.size()}},
+                  {"held_ms", m_engine.requests().heldFor(one.key, now).ceiled()},
+                  {"told_by", std::string("fleet")}});
+    }
+    return added;
+}
+
+std::vector<request_evidence> gateway_service::allRequests()
+{
+    return m_engine.requests().all();
+}
+
 /**
  * Entries that lapse while the store is in trouble come back for good. A VM that is cut off sees the same silence, but
  * no entry lapses for it: taken for trouble of the store, its return would make leafs that leave look as if they came
--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -194,7 +194,7 @@
     } else if (auto *progress = std::get_if<delegate_progress>(&*message)) {
         m_listener.onProgress(progress->id, std::move(progress->progress));
     } else if (const auto *cancelled = std::get_if<delegate_cancel>(&*message)) {
-        m_listener.onDelegatedCancelled(link, cancelled->id, cancelled->callerLeft);
+        m_listener.onDelegatedCancelled(link, *cancelled);
     }
     return true;
 }
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -40,7 +40,7 @@
 
     /** @param from link of the VM that asks; answers go there. */
     virtual void onDelegated(link_id from, delegate_request request) = 0;
-    virtual void onDelegatedCancelled(link_id from, delegation_id id, bool callerLeft) = 0;
+    virtual void onDelegatedCancelled(link_id from, const delegate_cancel &cancel) = 0;
     virtual void onAskerLost(link_id from) = 0;
 };
 
--- a/programs/chivelockd/gateway/peer_traffic.cpp
+++ b/programs/chivelockd/gateway/peer_traffic.cpp
@@ -15,6 +15,7 @@
     {"fleet_state/own_zone", "fleet_state/other_zone", "fleet_state/unknown_zone"},
     {"fleet_members/own_zone", "fleet_members/other_zone", "fleet_members/unknown_zone"},
     {"leaf_reports/own_zone", "leaf_reports/other_zone", "leaf_reports/unknown_zone"},
+    {"request_news/own_zone", "request_news/other_zone", "request_news/unknown_zone"},
     {"handed_work/own_zone", "handed_work/other_zone", "handed_work/unknown_zone"},
     {"work_progress/own_zone", "work_progress/other_zone", "work_progress/unknown_zone"},
 }};
@@ -45,6 +46,11 @@
     {
         return peer_message_kind::LeafReports;
     }
+
+    peer_message_kind operator()(const request_news &) const
+    {
+        return peer_message_kind::RequestNews;
+    }
 };
 
 } // namespace
--- a/programs/chivelockd/gateway/peer_traffic.h
+++ b/programs/chivelockd/gateway/peer_traffic.h
@@ -25,11 +25,12 @@
     FleetState, ///< signs of life, and who follows whom
     FleetMembers, ///< the same with the list of VMs
     LeafReports,
+    RequestNews, ///< what is held against requests
     HandedWork, ///< shards that another VM is to ask
     WorkProgress ///< what came of them
 };
 
-inline constexpr std::size_t peerMessageKinds = 7;
+inline constexpr std::size_t peerMessageKinds = 8;
 
 /** Where a message goes. */
 enum class peer_distance : std::uint8_t {
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -68,6 +68,12 @@
     return error;
 }
 
+void store_feed::tellRequests(const std::vector<request_evidence> &news)
+{
+    m_node.tellRequests(news, 0, m_clock.now());
+    flush();
+}
+
 void store_feed::leave()
 {
     m_mesh.close();
@@ -219,6 +225,16 @@
     m_listener.onLeafReports(action.reports);
 }
 
+void store_feed::perform(const requests_action &action)
+{
+    m_node.tellRequests(m_listener.onRequestNews(action.requests), action.from, m_clock.now());
+}
+
+void store_feed::perform(const greet_action &action)
+{
+    m_node.greet(action.link, m_listener.allRequests(), m_clock.now());
+}
+
 void store_feed::perform(const tree_note_action &action)
 {
     logEvent(log_level::Info,
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -42,6 +42,12 @@
     /** What other VMs found out about leafs. */
     virtual void onLeafReports(const std::vector<leaf_report> &reports) = 0;
 
+    /** What other VMs found out about requests. @return what of it was not known. */
+    [[nodiscard]] virtual std::vector<request_evidence> onRequestNews(const std::vector<request_evidence> &news) = 0;
+
+    /** @return all that is known of requests, for a VM that joins. */
+    [[nodiscard]] virtual std::vector<request_evidence> allRequests() = 0;
+
     /** @return what this VM found out about leafs since the last call, for the others. */
     [[nodiscard]] virtual std::vector<leaf_report> takeLeafReports() = 0;
 };
@@ -56,6 +62,9 @@
 
     [[nodiscard]] boost::system::error_code start();
 
+    /** Tells the fleet at once what this VM found out about requests. */
+    void tellRequests(const std::vector<request_evidence> &news);
+
     /** Leaves the fleet: followers look for another process at once. */
     void leave();
 
@@ -83,6 +92,8 @@
     void perform(const news_action &action);
     void perform(const members_action &action);
     void perform(const reports_action &action);
+    void perform(const requests_action &action);
+    void perform(const greet_action &action);
     void perform(const tree_note_action &action);
 
     boot_clock m_clock;
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -73,7 +73,8 @@
         self.seed, self.seconds, self.folder, self.program = seed, seconds, folder, program
         self.port = 10000 + (os.getpid() * 37 + seed * 101) % 20000  # below the system's own choice of ports
         self.store, self.leafs, self.gone = platform.Store(), [], []
-        self.attempts, self.problems, self.counts = {}, [], {"asked": 0, "ok": 0, "calm": 0, "calm_ok": 0, "calm_served": 0}
+        self.attempts, self.problems, self.counts = {}, [], {"asked": 0, "ok": 0, "calm": 0, "calm_ok": 0}
+        self.calm_outcomes = []  # (asked at, served)
         self.version, self.sets = 0, []
         self.running, self.played, self.cut_by_stop = True, [], set()
 
@@ -260,7 +261,8 @@
                 self.cut_by_stop.add(request_id)
             self.counts["calm"] += calm
             self.counts["calm_ok"] += calm and answer is not None
-            self.counts["calm_served"] += calm and answer is not None and answer[0] == 200
+            if calm:
+                self.calm_outcomes.append((began, answer is not None and answer[0] == 200))
             self.counts["ok"] += answer is not None and answer[0] == 200
             if calm and answer is None and vm.troubled_until < began:
                 self.broken("one final answer", f"{request_id} at vm-{vm.at}, which nothing troubled, got none")
