A request is the same whatever address it comes from; attempts in vain count

Requests of one client account reach the VMs of each zone from another address (a trial on a scratch copy showed each zone's VMs one address range), so the key with the address made one request of each zone, and each had its own verdict. Besides, an attempt at which leafs work until time is up told nothing. Ruled out: paths that differ (the key of a target that comes again is the same, seen in the log). Change: the key is of what a leaf gets to see: credentials, host, method, target, body. Three attempts that no leaf survives are a verdict, whether or not leafs ended in each. Requests that end leafs after 1 to 560 ms reach them in three attempts at most after the third leaf.

--- a/libs/gateway/src/request_trials.cpp
+++ b/libs/gateway/src/request_trials.cpp
@@ -253,10 +253,16 @@
 /** The attempt is over: what it shows counts from now on. */
 void gateway_engine::settleEvidence(exchange &work, millis now)
 {
-    if (work.evidence->survived || work.evidence->ended.empty() || !work.key.isKnown()) {
+    if (work.evidence->survived || !work.key.isKnown()) {
+        return;
+    }
+    std::vector<leaf_digest> ended(work.evidence->ended.begin(), work.evidence->ended.end());
+    if (ended.empty() && work.trialWidth == suspectWidth && work.mayHaveRun()) {
+        ended.push_back(noLeaf);
+    }
+    if (ended.empty()) {
         return;
     }
-    const std::vector<leaf_digest> ended(work.evidence->ended.begin(), work.evidence->ended.end());
     m_requests.addEnds(work.key, work.evidence->route, work.evidence->attempt, ended, now);
     tellVerdict(work.id, work.key, now);
 }
@@ -275,6 +281,7 @@
             attempts.insert(one.attempt);
             leafs.insert(one.leaf);
         }
+        leafs.erase(noLeaf);
         verdict.leafs = leafs.size();
         verdict.attempts = attempts.size();
     }
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -288,12 +288,13 @@
             return;
         }
         m_atWork[id].push_back(send);
-        if (endsLeafs(sent.exchange)) {
+        if (endsLeafs(sent.exchange) && now + wait + endsAfter <= sent.deadline) {
             later(wait + endsAfter, [this, id] { endLeaf(id); });
             return;
         }
         const auto asked = m_workOf.find(sent.exchange);
-        const millis work = (asked == m_workOf.end() ? behaviour.work : asked->second) * behaviour.slower;
+        const millis usual = endsLeafs(sent.exchange) ? endsAfter : behaviour.work;
+        const millis work = (asked == m_workOf.end() ? usual : asked->second) * behaviour.slower;
         const millis end = std::min(now + wait + work, sent.deadline);
         const bool finished = end == now + wait + work;
         slots.push_back(end);
--- a/libs/gateway/tests/test_request_trials.cpp
+++ b/libs/gateway/tests/test_request_trials.cpp
@@ -140,6 +140,33 @@
     BOOST_CHECK_EQUAL(world.endedLeafs(), 3U);
 }
 
+/**
+ * Symptom: a request under which many leafs ended reaches leafs again and again, some of which say that time is up.
+ * Sequence: it ends a leaf some time after this has begun; what it is given is less at one attempt and more at another.
+ * Cause: an attempt without a leaf that ended told nothing.
+ */
+BOOST_AUTO_TEST_CASE(it_reaches_leafs_in_three_attempts_at_most_whenever_it_ends_them)
+{
+    for (const double after : {1.0, 20.0, 34.0, 50.0, 78.0, 95.0, 105.0, 125.0, 300.0, 560.0}) {
+        for (const std::string target : {"/all/ending", "/one/ending"}) {
+            ending_world world;
+            world.endsAfter = millis(after);
+            std::size_t reachedLater = 0;
+            for (std::size_t attempt = 0; attempt < 30; ++attempt) {
+                const bool known = world.endedLeafs() >= 3;
+                const exchange_id id = world.askEnding(target);
+                world.run(millis(2100));
+                world.replaceEnded();
+                reachedLater += known && world.runsOf(id) > 0 ? 1 : 0;
+            }
+            BOOST_TEST_CONTEXT(target << " ends leafs after " << after << " ms; " << world.endedLeafs() << " ended")
+            {
+                BOOST_CHECK_LE(reachedLater, 3U);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(what_must_not_run_twice_ends_one_leaf_each_time_and_three_at_most)
 {
     ending_world world;
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -20,9 +20,12 @@
 
 namespace chivelock {
 
-/** What makes two attempts the same request. */
+/**
+ * What makes two attempts the same request: what a leaf gets to see of it. Not the address that it comes from: leafs
+ * see this VM's alone, and one client account reaches each zone's VMs from another address.
+ */
 struct request_identity {
-    std::string_view caller; ///< IP number; the port differs from connection to connection
+    std::string_view caller; ///< the credentials in it; empty if it has none
     std::string_view host;
     std::string_view method;
     std::string_view target; ///< path and query, byte for byte
@@ -56,10 +59,14 @@
 /** Drawn for each attempt: ids of attempts are the callers' choice. */
 using attempt_tag = std::uint32_t;
 
+/** Stands in place of a leaf for an attempt at which leafs worked until its time was up: none survived it, none ended.
+ */
+inline constexpr leaf_digest noLeaf = 0;
+
 /** A leaf that ended while it ran an attempt. */
 struct leaf_end {
     attempt_tag attempt = 0;
-    leaf_digest leaf = 0;
+    leaf_digest leaf = noLeaf;
     millis at; ///< on the clock of whoever holds it
 };
 
@@ -89,6 +96,7 @@
     /** Leafs end for other reasons, and then every request under way seems guilty. That one is there a second time, and
      *  no leaf has answered it in between, is chance squared. */
     std::size_t attemptsForVerdict = 2;
+    std::size_t triesForVerdict = 3; ///< attempts that no leaf survived, ended or not: leafs may be at work for long
     millis hold {600000}; ///< a leaf's software or data are mended in minutes at the soonest
     unsigned mostDoublings = 2; ///< of the hold, by one for each further attempt under which a leaf ended
     double spread =
--- a/libs/quarantine/src/request_ledger.cpp
+++ b/libs/quarantine/src/request_ledger.cpp
@@ -16,7 +16,8 @@
 /** What is told takes this long at most: an end that is heard after the answer that followed it must not count. */
 constexpr millis answerCovers(500);
 
-std::size_t attemptsOf(const request_evidence &about)
+/** Attempts that no leaf survived. */
+std::size_t triesOf(const request_evidence &about)
 {
     std::set<attempt_tag> attempts;
     for (const leaf_end &one : about.ends) {
@@ -25,11 +26,25 @@
     return attempts.size();
 }
 
+/** Those of them in which leafs ended. */
+std::size_t attemptsOf(const request_evidence &about)
+{
+    std::set<attempt_tag> attempts;
+    for (const leaf_end &one : about.ends) {
+        if (one.leaf != noLeaf) {
+            attempts.insert(one.attempt);
+        }
+    }
+    return attempts.size();
+}
+
 std::size_t leafsOf(const request_evidence &about)
 {
     std::set<leaf_digest> leafs;
     for (const leaf_end &one : about.ends) {
-        leafs.insert(one.leaf);
+        if (one.leaf != noLeaf) {
+            leafs.insert(one.leaf);
+        }
     }
     return leafs.size();
 }
@@ -88,14 +103,16 @@
 
 bool request_ledger::isGuilty(const request_evidence &about) const
 {
-    return leafsOf(about) >= m_settings.leafsForVerdict && attemptsOf(about) >= m_settings.attemptsForVerdict;
+    const bool isPattern =
+        attemptsOf(about) >= m_settings.attemptsForVerdict || triesOf(about) >= m_settings.triesForVerdict;
+    return leafsOf(about) >= m_settings.leafsForVerdict && isPattern;
 }
 
 /** Each further attempt that ended a leaf was a try after a hold, or one on the way while the verdict was: it doubles.
  */
 millis request_ledger::releaseAt(const request_evidence &about) const
 {
-    const std::size_t further = attemptsOf(about) - m_settings.attemptsForVerdict;
+    const std::size_t further = triesOf(about) - std::min(triesOf(about), m_settings.attemptsForVerdict);
     const auto doublings = static_cast<int>(std::min<std::size_t>(further, m_settings.mostDoublings));
     constexpr std::uint64_t steps = 1024;
     const std::uint64_t draw = XXH3_64bits_withSeed(&about.key, sizeof about.key, m_seed) % steps;
@@ -135,7 +152,7 @@
         return false;
     }
     to.ends.push_back(end);
-    if (attemptsOf(to) > mostAttempts) {
+    if (triesOf(to) > mostAttempts) {
         dropOldestAttempt(to);
     }
     return true;
@@ -169,7 +186,7 @@
 {
     for (const leaf_end &one : about.ends) {
         // While it is guarded few leafs are asked at a time, so one that ends says as much as several did before.
-        const bool goesOn = isGuarded(about.route, one.at);
+        const bool goesOn = one.leaf != noLeaf && isGuarded(about.route, one.at);
         if (goesOn || endsOfAttempt(about, one.attempt) >= m_settings.leafsForGuard || isGuilty(about)) {
             millis &until = m_guardedUntil[about.route];
             until = std::max(until, one.at + m_settings.guardFor);
--- a/libs/quarantine/tests/test_request_fingerprint.cpp
+++ b/libs/quarantine/tests/test_request_fingerprint.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-const request_identity plain {"10.0.0.1", "h", "GET", "/all/a?page=1", ""};
+const request_identity plain {"token a", "h", "GET", "/all/a?page=1", ""};
 
 request_identity with(std::string_view request_identity::*part, std::string_view text)
 {
@@ -25,7 +25,7 @@
 
 BOOST_AUTO_TEST_CASE(each_part_counts)
 {
-    BOOST_CHECK(fingerprintOf(plain) != fingerprintOf(with(&request_identity::caller, "10.0.0.2")));
+    BOOST_CHECK(fingerprintOf(plain) != fingerprintOf(with(&request_identity::caller, "token b")));
     BOOST_CHECK(fingerprintOf(plain) != fingerprintOf(with(&request_identity::host, "g")));
     BOOST_CHECK(fingerprintOf(plain) != fingerprintOf(with(&request_identity::method, "PUT")));
     BOOST_CHECK(fingerprintOf(plain) != fingerprintOf(with(&request_identity::target, "/all/a?page=2")));
@@ -45,8 +45,8 @@
 
 BOOST_AUTO_TEST_CASE(callers_are_told_apart_whatever_they_send)
 {
-    BOOST_CHECK(fingerprintOf(plain).caller != fingerprintOf(with(&request_identity::caller, "10.0.0.2")).caller);
-    BOOST_CHECK_EQUAL(fingerprintOf(plain).content, fingerprintOf(with(&request_identity::caller, "10.0.0.2")).content);
+    BOOST_CHECK(fingerprintOf(plain).caller != fingerprintOf(with(&request_identity::caller, "token b")).caller);
+    BOOST_CHECK_EQUAL(fingerprintOf(plain).content, fingerprintOf(with(&request_identity::caller, "token b")).content);
 }
 
 BOOST_AUTO_TEST_CASE(work_without_a_request_has_no_known_key)
--- a/libs/quarantine/tests/test_request_ledger.cpp
+++ b/libs/quarantine/tests/test_request_ledger.cpp
@@ -63,6 +63,32 @@
     BOOST_CHECK(standing(ledger) == request_standing::Suspect);
 }
 
+/**
+ * Symptom: a request under which many leafs ended goes on reaching leafs.
+ * Sequence: what it ends leafs by takes longer than it is given, so that the leaf that is asked alone says that time is
+ * up. Cause: only attempts that ended a leaf counted.
+ */
+BOOST_AUTO_TEST_CASE(attempts_that_no_leaf_survives_count_too)
+{
+    request_ledger ledger({});
+    const std::array<leaf_digest, 1> none {noLeaf};
+    ledger.addEnds(guilty, route, 1, leafs(10, 3), start);
+    ledger.addEnds(guilty, route, 2, none, start);
+    BOOST_CHECK(standing(ledger) == request_standing::Suspect);
+    ledger.addEnds(guilty, route, 3, none, start);
+    BOOST_CHECK(standing(ledger) == request_standing::Quarantined);
+}
+
+BOOST_AUTO_TEST_CASE(time_that_is_up_is_no_evidence_by_itself)
+{
+    request_ledger ledger({});
+    const std::array<leaf_digest, 1> none {noLeaf};
+    for (attempt_tag attempt = 1; attempt < 8; ++attempt) {
+        ledger.addEnds(guilty, route, attempt, none, start);
+    }
+    BOOST_CHECK(standing(ledger) != request_standing::Quarantined);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_clears_and_what_is_told_late_does_not_count)
 {
     request_ledger ledger = convicted();
@@ -87,7 +113,7 @@
 {
     std::array<request_ledger, 3> seen {request_ledger({}), request_ledger({}), request_ledger({})};
     for (std::uint32_t at = 0; at < seen.size(); ++at) {
-        seen[at].addEnds(guilty, route, at, leafs(at * 10, 1), start);
+        seen[at].addEnds(guilty, route, at, leafs(at * 10 + 1, 1), start);
     }
     std::array<std::size_t, 5> order {0, 1, 2, 0, 1};
     do {
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -24,6 +24,14 @@
 constexpr millis standstillGap(300); // a timer is never that late on a VM that merely is busy
 constexpr millis longStandstill(1000); // leafs close idle connections meanwhile
 
+/** What HTTP has for a client to say who it is. */
+std::string credentialsIn(const http_headers &headers)
+{
+    std::string credentials(findHeader(headers, "Authorization"));
+    credentials.push_back('\n'); // in no header's value
+    return credentials.append(findHeader(headers, "Cookie"));
+}
+
 } // namespace
 
 gateway_service::gateway_service(gateway_daemon_settings settings)
@@ -127,7 +135,7 @@
     asked.target = request.target;
     asked.patience = marks.patience;
     asked.roundTrip = m_callers->roundTripTo(session);
-    const std::string caller = m_callers->addressOf(session);
+    const std::string caller = credentialsIn(request.headers);
     asked.key = fingerprintOf({caller, asked.host, request.method, request.target, request.body});
     const exchange_id id = m_engine.arrive(asked, now);
     pending &kept = m_pending[id];
@@ -269,6 +277,7 @@
               {"attempts", std::uint64_t {action.attempts}},
               {"held_ms", action.heldFor.ceiled()},
               {"told_by", std::string("self")},
+              {"caller", found != m_pending.end() ? m_callers->addressOf(found->second.session) : std::string()},
               {"request", text}});
 }
 
