--- a/libs/fleet/tests/fleet_world.h
+++ b/libs/fleet/tests/fleet_world.h
@@ -605,7 +605,7 @@
 
     void perform(std::size_t at, const requests_action &heard)
     {
-        const std::vector<request_evidence> news = m_nodes[at].ledger.join(heard.requests, m_now);
+        const std::vector<request_evidence> news = m_nodes[at].ledger.join(heard.requests);
         requestMessages += 1;
         m_nodes[at].node->tellRequests(news, heard.from, m_now);
         collect(at);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -153,7 +153,7 @@
 
 void gateway_engine::beginSingle(exchange &work, millis now)
 {
-    work.sendBy = now + work.route->objective * holdShare;
+    work.sendBy = std::min(work.sendBy, now + work.route->objective * holdShare);
     shard_call &call = work.calls.emplace_back();
     call.service = pickShare(*work.route);
     budgetOf(call.service).countRequest(now);
@@ -431,7 +431,7 @@
     }
     retryWaiting(work, now);
     if (!work.ended && work.sends == 0 && now >= work.sendBy) {
-        answerUnserved(work, "leafs_full", false, now);
+        answerUnserved(work, maySendMore(work, now) ? "leafs_full" : "on_trial", false, now);
     }
     if (!work.ended && work.route->isGather()) {
         finishGatherIfDone(work, now);
@@ -444,6 +444,7 @@
 void gateway_engine::advance(millis now)
 {
     m_leafs.expire(now);
+    m_requests.expire(now);
     while (!m_due.empty() && m_due.top().at <= now) {
         const due next = m_due.top();
         m_due.pop();
--- a/libs/gateway/src/request_trials.cpp
+++ b/libs/gateway/src/request_trials.cpp
@@ -24,6 +24,7 @@
 
 /** Leafs asked first for a request that leafs ended under before. */
 constexpr std::size_t suspectWidth = 1;
+constexpr double waitForTrialShare = 0.5; // of the objective: longest wait for what comes of another attempt's trial
 
 /**
  * Leafs asked first for a lookup of a route under whose lookups leafs ended of late. The second one only when the first
@@ -49,6 +50,7 @@
     work.evidence->attempt = static_cast<attempt_tag>(m_tags.below(std::numeric_limits<attempt_tag>::max()));
     if (m_requests.standingOf(work.key, now) == request_standing::Suspect) {
         work.trialWidth = suspectWidth;
+        work.sendBy = now + work.route->objective * waitForTrialShare;
         m_trials.try_emplace(work.key, work.id);
     } else if (work.route->isGather() && m_requests.isGuarded(work.evidence->route, now)) {
         work.trialWidth = guardedWidth;
@@ -216,10 +218,15 @@
 /** A leaf ran the request to its end: it ends no leafs. What was held back goes out with the end of this step. */
 void gateway_engine::noteSurvived(exchange &work, millis now)
 {
-    if (work.isDelegated() || work.evidence->survived) {
-        return; // another VM's: it is told of the part, and knows more
+    if (work.evidence->survived) {
+        return;
     }
     work.evidence->survived = true;
+    const bool hedgesWaited = now - work.arrivedAt >= work.pace->hedgeAfter();
+    for (shard_call &call : work.calls) {
+        const bool isSilent = call.nextHedge < millis::never();
+        call.nextHedge = hedgesWaited && isSilent ? std::min(call.nextHedge, now) : call.nextHedge;
+    }
     if (m_requests.standingOf(work.key, now) != request_standing::Clear) {
         m_requests.addAnswer(work.key, now);
         tellVerdict(work.id, work.key, now);
@@ -275,15 +282,8 @@
     verdict.standing = m_requests.standingOf(key, now);
     verdict.heldFor = m_requests.heldFor(key, now);
     if (const request_evidence *known = m_requests.find(key)) {
-        std::set<attempt_tag> attempts;
-        std::set<leaf_digest> leafs;
-        for (const leaf_end &one : known->ends) {
-            attempts.insert(one.attempt);
-            leafs.insert(one.leaf);
-        }
-        leafs.erase(noLeaf);
-        verdict.leafs = leafs.size();
-        verdict.attempts = attempts.size();
+        verdict.leafs = endedLeafs(*known);
+        verdict.attempts = triesInVain(*known);
     }
     m_actions.emplace_back(verdict);
 }
@@ -308,9 +308,9 @@
     return m_requests.takeNews();
 }
 
-std::vector<request_evidence> gateway_engine::onRequestNews(std::span<const request_evidence> news, millis now)
+std::vector<request_evidence> gateway_engine::onRequestNews(std::span<const request_evidence> news)
 {
-    return m_requests.join(news, now);
+    return m_requests.join(news);
 }
 
 } // namespace chivelock
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -81,6 +81,12 @@
     millis answeredAt = millis() - millis::never(); ///< when a leaf last ran the request to its end
 };
 
+/** @return how many leafs ended under it since the last answer, as far as they are kept. */
+[[nodiscard]] std::size_t endedLeafs(const request_evidence &about);
+
+/** @return attempts since the last answer that no leaf survived, as far as they are kept. */
+[[nodiscard]] std::size_t triesInVain(const request_evidence &about);
+
 /** How a request is treated. */
 enum class request_standing : std::uint8_t {
     Clear,
@@ -110,8 +116,15 @@
 class request_ledger
 {
 public:
+    /** @param seed of this VM, by which its holds differ from others'. */
     explicit request_ledger(quarantine_settings settings, std::uint64_t seed = 0);
 
+    /** New figures; what is known is judged by them from now on. */
+    void changeSettings(quarantine_settings settings)
+    {
+        m_settings = settings;
+    }
+
     [[nodiscard]] request_standing standingOf(const request_fingerprint &key, millis now) const;
 
     /** @return how long the request is still refused. */
@@ -131,7 +144,7 @@
     void addAnswer(const request_fingerprint &key, millis now);
 
     /** Joins what another VM knows. @return what was new here, to be passed on. */
-    std::vector<request_evidence> join(std::span<const request_evidence> told, millis now);
+    std::vector<request_evidence> join(std::span<const request_evidence> told);
 
     /** @return what this VM saw itself since the last call. */
     [[nodiscard]] std::vector<request_evidence> takeNews();
@@ -164,6 +177,7 @@
     std::map<request_fingerprint, request_evidence> m_known;
     std::map<route_digest, millis> m_guardedUntil;
     std::set<request_fingerprint> m_news;
+    millis m_nextExpiry;
 };
 
 } // namespace chivelock
--- a/libs/quarantine/src/request_ledger.cpp
+++ b/libs/quarantine/src/request_ledger.cpp
@@ -16,17 +16,7 @@
 /** What is told takes this long at most: an end that is heard after the answer that followed it must not count. */
 constexpr millis answerCovers(500);
 
-/** Attempts that no leaf survived. */
-std::size_t triesOf(const request_evidence &about)
-{
-    std::set<attempt_tag> attempts;
-    for (const leaf_end &one : about.ends) {
-        attempts.insert(one.attempt);
-    }
-    return attempts.size();
-}
-
-/** Those of them in which leafs ended. */
+/** Attempts in which leafs ended. */
 std::size_t attemptsOf(const request_evidence &about)
 {
     std::set<attempt_tag> attempts;
@@ -38,17 +28,6 @@
     return attempts.size();
 }
 
-std::size_t leafsOf(const request_evidence &about)
-{
-    std::set<leaf_digest> leafs;
-    for (const leaf_end &one : about.ends) {
-        if (one.leaf != noLeaf) {
-            leafs.insert(one.leaf);
-        }
-    }
-    return leafs.size();
-}
-
 millis lastEndOf(const request_evidence &about)
 {
     millis last = millis() - millis::never();
@@ -71,6 +50,26 @@
 
 } // namespace
 
+std::size_t endedLeafs(const request_evidence &about)
+{
+    std::set<leaf_digest> leafs;
+    for (const leaf_end &one : about.ends) {
+        if (one.leaf != noLeaf) {
+            leafs.insert(one.leaf);
+        }
+    }
+    return leafs.size();
+}
+
+std::size_t triesInVain(const request_evidence &about)
+{
+    std::set<attempt_tag> attempts;
+    for (const leaf_end &one : about.ends) {
+        attempts.insert(one.attempt);
+    }
+    return attempts.size();
+}
+
 route_digest digestOfRoute(std::string_view name)
 {
     return static_cast<route_digest>(XXH3_64bits(name.data(), name.size()));
@@ -104,15 +103,15 @@
 bool request_ledger::isGuilty(const request_evidence &about) const
 {
     const bool isPattern =
-        attemptsOf(about) >= m_settings.attemptsForVerdict || triesOf(about) >= m_settings.triesForVerdict;
-    return leafsOf(about) >= m_settings.leafsForVerdict && isPattern;
+        attemptsOf(about) >= m_settings.attemptsForVerdict || triesInVain(about) >= m_settings.triesForVerdict;
+    return endedLeafs(about) >= m_settings.leafsForVerdict && isPattern;
 }
 
 /** Each further attempt that ended a leaf was a try after a hold, or one on the way while the verdict was: it doubles.
  */
 millis request_ledger::releaseAt(const request_evidence &about) const
 {
-    const std::size_t further = triesOf(about) - std::min(triesOf(about), m_settings.attemptsForVerdict);
+    const std::size_t further = triesInVain(about) - std::min(triesInVain(about), m_settings.attemptsForVerdict);
     const auto doublings = static_cast<int>(std::min<std::size_t>(further, m_settings.mostDoublings));
     constexpr std::uint64_t steps = 1024;
     const std::uint64_t draw = XXH3_64bits_withSeed(&about.key, sizeof about.key, m_seed) % steps;
@@ -152,7 +151,7 @@
         return false;
     }
     to.ends.push_back(end);
-    if (triesOf(to) > mostAttempts) {
+    if (triesInVain(to) > mostAttempts) {
         dropOldestAttempt(to);
     }
     return true;
@@ -222,7 +221,7 @@
     m_news.insert(key);
 }
 
-std::vector<request_evidence> request_ledger::join(std::span<const request_evidence> told, millis now)
+std::vector<request_evidence> request_ledger::join(std::span<const request_evidence> told)
 {
     std::vector<request_evidence> news;
     for (const request_evidence &one : told) {
@@ -230,7 +229,6 @@
             news.push_back(*find(one.key));
         }
     }
-    expire(now);
     return news;
 }
 
@@ -263,6 +261,11 @@
 
 void request_ledger::expire(millis now)
 {
+    constexpr millis betweenLooks(1000); // nothing here is told to the second
+    if (now < m_nextExpiry) {
+        return;
+    }
+    m_nextExpiry = now + betweenLooks;
     std::erase_if(m_known, [&](const auto &one) { return forgetAt(one.second) <= now; });
     std::erase_if(m_guardedUntil, [&](const auto &one) { return one.second <= now; });
 }
--- a/libs/quarantine/tests/test_request_ledger.cpp
+++ b/libs/quarantine/tests/test_request_ledger.cpp
@@ -95,7 +95,7 @@
     const std::vector<request_evidence> late = ledger.all();
     ledger.addAnswer(guilty, start + millis(5));
     BOOST_CHECK(standing(ledger, millis(6)) == request_standing::Clear);
-    ledger.join(late, start + millis(50));
+    ledger.join(late);
     BOOST_CHECK(standing(ledger, millis(50)) == request_standing::Clear);
 }
 
@@ -104,7 +104,7 @@
     request_ledger here = convicted();
     request_ledger there = convicted();
     here.addAnswer(guilty, start + millis(700));
-    BOOST_CHECK_EQUAL(there.join(here.takeNews(), start + millis(701)).size(), 1U);
+    BOOST_CHECK_EQUAL(there.join(here.takeNews()).size(), 1U);
     BOOST_CHECK(standing(there, millis(701)) == request_standing::Clear);
 }
 
@@ -118,7 +118,7 @@
     std::array<std::size_t, 5> order {0, 1, 2, 0, 1};
     do {
         request_ledger joined({});
-        std::ranges::for_each(order, [&](std::size_t at) { joined.join(seen[at].all(), start); });
+        std::ranges::for_each(order, [&](std::size_t at) { joined.join(seen[at].all()); });
         BOOST_REQUIRE(standing(joined) == request_standing::Quarantined);
         BOOST_REQUIRE_EQUAL(joined.find(guilty)->ends.size(), 3U);
     } while (std::ranges::next_permutation(order).found);
@@ -129,13 +129,13 @@
 {
     request_ledger here = convicted();
     request_ledger there({});
-    BOOST_CHECK_EQUAL(there.join(here.all(), start).size(), 1U);
+    BOOST_CHECK_EQUAL(there.join(here.all()).size(), 1U);
     here.addAnswer(guilty, start + millis(700));
     std::vector<request_evidence> echo = here.takeNews();
-    BOOST_CHECK_EQUAL(there.join(echo, start).size(), 1U);
+    BOOST_CHECK_EQUAL(there.join(echo).size(), 1U);
     std::ranges::for_each(echo, [](request_evidence &one) { one.answeredAt = one.answeredAt + millis(40); });
-    BOOST_CHECK(here.join(echo, start).empty());
-    BOOST_CHECK(there.join(echo, start).empty());
+    BOOST_CHECK(here.join(echo).empty());
+    BOOST_CHECK(there.join(echo).empty());
 }
 
 BOOST_AUTO_TEST_CASE(after_the_hold_it_is_tried_with_care_and_the_next_hold_is_longer)
@@ -155,7 +155,7 @@
     constexpr std::uint64_t vms = 8;
     for (std::uint64_t seed = 0; seed < vms; ++seed) {
         request_ledger ledger({}, seed);
-        ledger.join(convicted().all(), start);
+        ledger.join(convicted().all());
         moments.insert(ledger.heldFor(guilty, start).ceiled() / 1000);
     }
     BOOST_CHECK_EQUAL(moments.size(), vms);
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -80,6 +80,9 @@
     millis leafHeartbeat {1200}; ///< between two words of a leaf to the store
     millis drainLimit {3000}; ///< from the store's word that a leaf leaves to the last request it gets
     millis callerRoundTrip {6}; ///< between callers and this VM, there and back
+    millis quarantineHold {
+        600000}; ///< a request under which leafs ended is refused for so long before it is tried again
+    std::size_t quarantineEntries = 512; ///< requests of which it is kept that leafs ended under them
 };
 
 /** Reads and checks the text; gives each problem with path, value and what is allowed. */
--- a/libs/settings/src/gateway_settings.cpp
+++ b/libs/settings/src/gateway_settings.cpp
@@ -43,7 +43,9 @@
         "apply_ms": {"type": "number", "minimum": 500},
         "leaf_heartbeat_ms": {"type": "number", "exclusiveMinimum": 0},
         "connections": {"type": "integer", "minimum": 16},
-        "caller_round_trip_ms": {"type": "number", "minimum": 0, "maximum": 1000}
+        "caller_round_trip_ms": {"type": "number", "minimum": 0, "maximum": 1000},
+        "quarantine_s": {"type": "number", "minimum": 10, "maximum": 86400},
+        "quarantine_entries": {"type": "integer", "minimum": 16, "maximum": 65536}
       }}
   }
 })";
@@ -106,6 +108,10 @@
         take(limits, "leaf_heartbeat_ms", settings.leafHeartbeat);
         take(limits, "connections", settings.maxConnections);
         take(limits, "caller_round_trip_ms", settings.callerRoundTrip);
+        if (limits.contains("quarantine_s")) {
+            settings.quarantineHold = seconds(limits.at("quarantine_s"));
+        }
+        take(limits, "quarantine_entries", settings.quarantineEntries);
         return settings;
     });
 }
--- a/programs/chivelockd/gateway/engine_settings.cpp
+++ b/programs/chivelockd/gateway/engine_settings.cpp
@@ -29,6 +29,8 @@
     settings.callerRoundTrip = from.callerRoundTrip;
     settings.answerMargin = leastAnswerMargin + answerWork * (1 / from.cpuShare);
     settings.shardsAtOnce = std::max(leastShardsAtOnce, static_cast<std::size_t>(from.cpuShare * shardsPerCore));
+    settings.quarantine.hold = from.quarantineHold;
+    settings.quarantine.capacity = from.quarantineEntries;
     constexpr double holdShare = 0.73; // of the drain limit; the rest is for the store's word to arrive
     settings.removalHold = from.drainLimit * holdShare;
     return settings;
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -66,13 +66,14 @@
 std::vector<request_evidence> gateway_service::onRequestNews(const std::vector<request_evidence> &news)
 {
     const millis now = m_clock.now();
-    std::vector<request_evidence> added = m_engine.onRequestNews(news, now);
+    std::vector<request_evidence> added = m_engine.onRequestNews(news);
     for (const request_evidence &one : added) {
         logEvent(log_level::Warning,
                  "request_verdict",
                  {{"key", toString(one.key)},
                   {"outcome", std::string(toString(m_engine.requests().standingOf(one.key, now)))},
-                  {"leafs", std::uint64_t {one.ends.size()}},
+                  {"leafs", std::uint64_t {endedLeafs(one)}},
+                  {"attempts", std::uint64_t {triesInVain(one)}},
                   {"held_ms", m_engine.requests().heldFor(one.key, now).ceiled()},
                   {"told_by", std::string("fleet")}});
     }
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -26,6 +26,9 @@
 SHARDS, VMS, TOP, LEAST = 6, 4, 10, 0.6
 DRAIN_S, GRACE_S, MAX_ATTEMPTS = 3.0, 6.0, 2
 APPLY_S = 3.0
+BACK_AFTER_S = 2.5  # a leaf that ended under a request
+IN_TOUCH_S = 4.0  # a VM that nothing troubled for so long is held to the bound on such requests
+MOST_LATER_SENDS = 3  # of a request under which three leafs ended, all VMs together
 
 
 class Proxy:
@@ -77,17 +80,35 @@
         self.calm_outcomes = []  # (asked at, served)
         self.version, self.sets = 0, []
         self.running, self.played, self.cut_by_stop = True, [], set()
+        self.ended = []  # (at, path, leaf): leafs that ended under a request
+        self.ending = {}  # path -> [(at, request id, whether its VM had been calm for as long as counts)]
 
     def broken(self, promise, text):
         self.problems.append(f"seed {self.seed}: {promise}: {text}")
 
     async def add_leaf(self, service, zone):
-        leaf = platform.Leaf(service, zone, "127.0.2.9", 0)
+        return await self.begin_leaf(platform.Leaf(service, zone, "127.0.2.9", 0))
+
+    async def begin_leaf(self, leaf):
+        leaf.ends_under, leaf.ended = lambda path: "ending" in path, self.on_ended
+        leaf.ends_after = self.random.choice([0.03, 0.05, 0.08, 0.16])  # the last one is more than a part is given
         await leaf.start()
         self.leafs.append(leaf)
         self.store.write(f"servers/{leaf.id}", leaf.entry())
         return leaf
 
+    def on_ended(self, leaf, path):
+        if leaf in self.leafs:
+            self.ended.append((time.monotonic(), path, leaf))
+            self.leafs.remove(leaf)
+            self.gone.append(leaf)
+            asyncio.create_task(self.bring_back(leaf))
+
+    async def bring_back(self, leaf):
+        await asyncio.sleep(BACK_AFTER_S)
+        self.store.write(f"servers/{leaf.id}", None)
+        await self.begin_leaf(platform.Leaf(leaf.service, leaf.zone, leaf.address, leaf.port))
+
     def publish(self, shards):
         self.version += self.random.randint(1, 3)
         self.sets.append(set(shards))
@@ -118,7 +139,7 @@
     async def faults(self):
         end = time.monotonic() + self.seconds
         kinds = [self.kill, self.freeze, self.stop, self.hang_up, self.store_fault, self.leaf_fault, self.drain,
-                 self.crash_leaf, self.reconfigure, self.reshard, self.proxy_fault, self.forget]
+                 self.crash_leaf, self.end_leafs, self.reconfigure, self.reshard, self.proxy_fault, self.forget]
         tasks = []
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.2, 1.0))
@@ -215,12 +236,33 @@
         self.retire(leaf)
         await asyncio.sleep(0.5)
         replacement = platform.Leaf(self.random.choice(["single", leaf.service]), leaf.zone, leaf.address, leaf.port)
-        await replacement.start()  # at the same address, perhaps of another service
-        self.leafs.append(replacement)
-        self.store.write(f"servers/{replacement.id}", replacement.entry())
+        await self.begin_leaf(replacement)  # at the same address, perhaps of another service
         if replacement.service != leaf.service:
             await self.add_leaf(leaf.service, leaf.zone)
 
+    async def end_leafs(self):
+        """A request that ends each leaf that runs it comes again and again, at any VM."""
+        path = f"{self.random.choice(['/all/', '/one/'])}ending{len(self.ending)}"
+        self.ending[path] = []
+        ways = [platform.Caller(f"127.0.3.{zone + 1}") for zone in range(2)]
+        for number in range(12):
+            vm, began = self.vms[self.random.randrange(VMS)], time.monotonic()
+            in_touch = not vm.stopping and not vm.frozen and vm.troubled_until + IN_TOUCH_S < began
+            request_id = f"e{self.seed}-{path}-{number}"
+            self.ending[path].append((began, request_id, in_touch))
+            answer = await ways[vm.at % 2].ask(vm.ip, vm.port, "GET", path, request_id, 800, b"", HOST)
+            self.attempts[request_id] = (path, answer)
+            await asyncio.sleep(self.random.uniform(0.1, 0.8))
+
+    def check_ending(self):
+        for path, asked in self.ending.items():
+            times = sorted(at for at, ended_under, _ in self.ended if ended_under == path)
+            third = times[2] if len(times) > 2 else float("inf")
+            reached = {run[0] for leaf in self.leafs + self.gone for run in leaf.runs if run[2] == path}
+            later = [name for at, name, in_touch in asked if in_touch and at > third + IN_TOUCH_S and name in reached]
+            if len(later) > MOST_LATER_SENDS:
+                self.broken("quarantine", f"{path} reached leafs in {later}, {len(times)} ended")
+
     def retire(self, leaf):
         leaf.kill()
         if leaf in self.leafs:
@@ -281,6 +323,7 @@
                     self.broken("unchanged", f"{request_id} reached a leaf as {path}")
                 if leaf.stopped_at and at > leaf.stopped_at + DRAIN_S:
                     self.broken("draining", f"{request_id} ran on {leaf.id} {at - leaf.stopped_at:.2f} s after its word")
+        self.check_ending()
         for request_id, (path, answer) in self.attempts.items():
             self.check_one(request_id, path, answer, runs.get(request_id, []))
 
