One branch for what waits before it is sent

Change: those that may not be sent yet and those without a connection wait in one branch; no decision changes.

--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -158,12 +158,10 @@
     call.service = pickShare(*work.route);
     budgetOf(call.service).countRequest(now);
     const choice chosen = chooseLeaf(work, call, false, now);
-    if (chosen.to && !maySendMore(work, now)) {
-        call.waiting = true; // another attempt of the same request finds out whether a leaf survives it
-    } else if (chosen.to) {
+    if (chosen.to && maySendMore(work, now)) {
         sendCall(work, 0, chosen.to, now);
-    } else if (chosen.full) {
-        call.waiting = true;
+    } else if (chosen.to || chosen.full) {
+        call.waiting = true; // for a connection, or for what comes of another attempt of the same request
     } else {
         answerUnserved(work, chosen.reason(), false, now);
     }
