--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -109,7 +109,7 @@
         0.5; ///< of the hold, by chance for each VM: the first to try again tells the others what came of it
     std::size_t leafsForGuard = 2; ///< that end under one attempt before others of the route are sent with care
     millis guardFor {10000}; ///< leafs are back after some seconds, and the next such request meets them
-    std::size_t capacity = 512; ///< requests; some 200 kB, and as much once for each VM that joins
+    std::size_t capacity = 512; ///< requests; 230 kB at most, and as much once for each VM that joins
 };
 
 /** What one VM believes of requests, from what it saw and what others told it. */
