--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -391,7 +391,7 @@
     void endTrial(const exchange &work);
     void releaseHeld(exchange &work, millis now);
     void noteSurvived(exchange &work, millis now);
-    static void noteEnded(exchange &work, const leaf &ended);
+    static void noteEnded(exchange &work, std::string_view leafId);
     void noteOutcome(const send &ended, bool survived, bool leafEnded, millis now);
     void settleEvidence(exchange &work, millis now);
     void tellVerdict(exchange_id attempt, const request_fingerprint &key, millis now);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -366,7 +366,7 @@
     call.reachedLeaf = call.reachedLeaf || failure != send_failure::NotSent;
     call.leafEnded = call.leafEnded || leafEnded;
     if (leafEnded) {
-        noteEnded(work, *ended->to);
+        noteEnded(work, ended->to->entry.id);
     }
     note(work, "send_in_vain", toString(failure), ended->to.get(), call.service, now - ended->sentAt, now);
     if (!call.done && !call.missing) {
--- a/libs/gateway/src/handed_work.cpp
+++ b/libs/gateway/src/handed_work.cpp
@@ -198,10 +198,10 @@
     shard_call &call = work.calls[at];
     call.handed -= 1;
     call.mayHaveRun -= lost.mayHaveRun ? 0 : 1;
+    if (lost.leafEnded) {
+        noteEnded(work, lost.leafId);
+    }
     if (std::shared_ptr<leaf> asked = m_leafs.find(lost.leafId)) {
-        if (lost.leafEnded) {
-            noteEnded(work, *asked);
-        }
         call.tried.push_back(std::move(asked));
     }
     if (call.done || call.missing || call.open > 0 || call.handed > 0) {
--- a/libs/gateway/src/request_trials.cpp
+++ b/libs/gateway/src/request_trials.cpp
@@ -233,9 +233,9 @@
     }
 }
 
-void gateway_engine::noteEnded(exchange &work, const leaf &ended)
+void gateway_engine::noteEnded(exchange &work, std::string_view leafId)
 {
-    work.evidence->ended.insert(digestOf(ended.entry.id));
+    work.evidence->ended.insert(digestOf(leafId));
 }
 
 /** Of a send whose attempt has had its answer. */
