The soak counts the runs of a leaf once

Traced: the leaf was draining when it ended under a request, so it was put among those that are gone twice, and each of its runs was read twice. Change: a leaf that is gone is not put there again. A request that a leaf runs twice still stands twice in its own record.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -268,7 +268,8 @@
         leaf.kill()
         if leaf in self.leafs:
             self.leafs.remove(leaf)
-        self.gone.append(leaf)
+        if leaf not in self.gone:  # it may have ended under a request meanwhile; its runs count once
+            self.gone.append(leaf)
         self.store.write(f"servers/{leaf.id}", None)
 
     async def reconfigure(self):
