--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -140,13 +140,13 @@
         for (const request_evidence &one : message.requests) {
             std::vector<fleet_wire::LeafEnd> ends;
             for (const leaf_end &end : one.ends) {
-                ends.emplace_back(end.attempt, end.leaf, ageOf(end.at));
+                ends.emplace_back(end.attempt, end.leaf, ageOf(end.at), end.alone);
             }
             const auto all = builder.CreateVectorOfStructs(ends);
             const bool answered = one.answeredAt > millis() - longestAge;
             const std::uint32_t age = answered ? ageOf(one.answeredAt) : 0;
-            requests.push_back(
-                fleet_wire::CreateRequest(builder, one.key.caller, one.key.content, one.route, all, answered, age));
+            requests.push_back(fleet_wire::CreateRequest(
+                builder, one.key.caller, one.key.content, one.route, all, answered, age, one.vouched));
         }
         const auto all = builder.CreateVector(requests);
         return wrap(fleet_wire::Message::Requests, fleet_wire::CreateRequests(builder, all).Union());
@@ -269,12 +269,13 @@
         request_evidence &read = message.requests.emplace_back();
         read.key = {one->caller(), one->content()};
         read.route = one->route();
+        read.vouched = one->vouched();
         if (one->answered()) {
             read.answeredAt = millis() - millis(one->answered_age());
         }
         if (one->ends() != nullptr) {
             for (const auto *end : *one->ends()) {
-                read.ends.push_back({end->attempt(), end->leaf(), millis() - millis(end->age())});
+                read.ends.push_back({end->attempt(), end->leaf(), millis() - millis(end->age()), end->alone()});
             }
         }
     }
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -260,7 +260,7 @@
     [[nodiscard]] std::vector<request_evidence> takeRequestNews();
 
     /** What other VMs saw. @return what was not known here, to be passed on. */
-    [[nodiscard]] std::vector<request_evidence> onRequestNews(std::span<const request_evidence> news);
+    [[nodiscard]] std::vector<request_evidence> onRequestNews(std::span<const request_evidence> news, millis now);
 
     [[nodiscard]] const request_ledger &requests() const
     {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -91,6 +91,7 @@
     attempt_tag attempt = 0;
     std::set<leaf_digest> ended; ///< leafs that ended while they ran it
     bool survived = false; ///< a leaf ran it to its end
+    bool alone = false; ///< of a suspect, at one leaf
 };
 
 /** One request. */
--- a/libs/gateway/tests/test_request_trials.cpp
+++ b/libs/gateway/tests/test_request_trials.cpp
@@ -213,6 +213,39 @@
     BOOST_CHECK(world.engine.requests().standingOf(world.keyOf("/all/ordinary"), world.now) == request_standing::Clear);
 }
 
+/**
+ * Symptom: a lookup that hundreds ask for is refused for ten minutes, and then for twenty.
+ * Sequence: it is under way in several attempts as the leafs that all of them asked end, again and again, before it has
+ * ever been answered or after.
+ * Cause: each attempt counted as a try of its own, and its answers of a moment ago were not remembered.
+ */
+BOOST_AUTO_TEST_CASE(a_popular_lookup_is_never_refused_for_a_verdict)
+{
+    constexpr std::size_t rounds = 30;
+    constexpr std::size_t together = 12;
+    ending_world world;
+    const auto askTogether = [&] {
+        std::vector<exchange_id> asked(together);
+        std::ranges::generate(asked, [&] { return world.ask("/all/popular"); });
+        return asked;
+    };
+    for (std::size_t round = 0; round < rounds; ++round) {
+        world.runs.clear();
+        askTogether();
+        world.run(millis(5));
+        std::set<std::string> busy;
+        std::ranges::for_each(world.runs, [&](const auto &one) { busy.insert(one.leafId); });
+        std::ranges::for_each(busy, [&](const std::string &id) { world.endLeaf(id); });
+        world.run(millis(800));
+        world.replaceEnded();
+        const std::vector<exchange_id> after = askTogether();
+        world.run(untilAllEnded);
+        BOOST_REQUIRE(std::ranges::all_of(
+            after, [&](exchange_id id) { return world.answered(id).outcome == exchange_outcome::Merged; }));
+        world.run(millis(800));
+    }
+}
+
 /** Several attempts of one suspect request at a time: one leaf is risked, the others wait for what comes of it. */
 BOOST_AUTO_TEST_CASE(attempts_of_a_suspect_at_one_time_risk_one_leaf)
 {
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -68,6 +68,7 @@
     attempt_tag attempt = 0;
     leaf_digest leaf = noLeaf;
     millis at; ///< on the clock of whoever holds it
+    bool alone = false; ///< the only leaf that had the attempt, of a request that was suspect before
 };
 
 /**
@@ -79,6 +80,7 @@
     route_digest route = 0;
     std::vector<leaf_end> ends; ///< since the last answer, by attempt and leaf
     millis answeredAt = millis() - millis::never(); ///< when a leaf last ran the request to its end
+    bool vouched = false; ///< leafs ran it to its end before any of these ended
 };
 
 /** @return how many leafs ended under it since the last answer, as far as they are kept. */
@@ -87,6 +89,16 @@
 /** @return attempts since the last answer that no leaf survived, as far as they are kept. */
 [[nodiscard]] std::size_t triesInVain(const request_evidence &about);
 
+/** What became of trials of a suspect request at one leaf each. */
+struct trial_events {
+    std::size_t inVain = 0; ///< no leaf survived, ended or not
+    std::size_t ended = 0; ///< of them, those in which a leaf ended
+};
+
+/** @return trials since the last answer. Those of several VMs at one time are one event: whatever ended the leaf of one
+ *  may have ended that of the next. */
+[[nodiscard]] trial_events trialsOf(const request_evidence &about);
+
 /** How a request is treated. */
 enum class request_standing : std::uint8_t {
     Clear,
@@ -99,10 +111,13 @@
 /** Figures of the verdict; each with its reason. */
 struct quarantine_settings {
     std::size_t leafsForVerdict = 3; ///< that end under a request before it is refused
-    /** Leafs end for other reasons, and then every request under way seems guilty. That one is there a second time, and
-     *  no leaf has answered it in between, is chance squared. */
-    std::size_t attemptsForVerdict = 2;
-    std::size_t triesForVerdict = 3; ///< attempts that no leaf survived, ended or not: leafs may be at work for long
+    /** Leafs end for other reasons, and then every request under way seems guilty, in as many attempts as are under
+     * way. That the one leaf that is asked next ends as well, before it has answered, is another event. */
+    std::size_t trialsForVerdict = 1;
+    std::size_t trialsForVouched = 3; ///< of a request that leafs answered before: others end leafs more likely
+    std::size_t silentTrialsForVerdict = 2; ///< that no leaf survived, ended or not: leafs may be at work for long
+    /** After a trial that ended a leaf under two suspects at once, either of which may have ended it. */
+    millis doubtfulHold {1500};
     millis hold {600000}; ///< a leaf's software or data are mended in minutes at the soonest
     unsigned mostDoublings = 2; ///< of the hold, by one for each further attempt under which a leaf ended
     double spread =
@@ -110,6 +125,30 @@
     std::size_t leafsForGuard = 2; ///< that end under one attempt before others of the route are sent with care
     millis guardFor {10000}; ///< leafs are back after some seconds, and the next such request meets them
     std::size_t capacity = 512; ///< requests; 230 kB at most, and as much once for each VM that joins
+    millis vouchFor {600000}; ///< an answer is remembered: leafs' software and data change in minutes at the soonest
+};
+
+/**
+ * Requests that leafs have answered. Fixed in size, whatever callers ask: each request has one place, which another one
+ * takes over, but that a request that came again is kept for as many others as it came again.
+ */
+class answer_memory
+{
+public:
+    void note(const request_fingerprint &key, millis now);
+
+    /** @return whether it was answered not longer ago than @p within, as far as that is still known. */
+    [[nodiscard]] bool knows(const request_fingerprint &key, millis within, millis now) const;
+
+private:
+    struct place {
+        request_fingerprint key;
+        millis at;
+        std::uint32_t repeats = 0;
+    };
+    [[nodiscard]] static std::size_t placeOf(const request_fingerprint &key);
+
+    std::vector<place> m_places; ///< none before the first answer
 };
 
 /** What one VM believes of requests, from what it saw and what others told it. */
@@ -138,13 +177,21 @@
                  route_digest route,
                  attempt_tag attempt,
                  std::span<const leaf_digest> leafs,
+                 bool alone,
                  millis now);
 
-    /** A leaf ran the request to its end. Costs nothing for one that nothing is held against. */
-    void addAnswer(const request_fingerprint &key, millis now);
+    /** A leaf ran the request to its end. @return whether something was held against it until now. */
+    bool addAnswer(const request_fingerprint &key, millis now);
+
+    /** Whether a leaf ran the request to its end of late, as far as this VM remembers. */
+    [[nodiscard]] bool wasAnswered(const request_fingerprint &key, millis now) const
+    {
+        return m_answered.knows(key, m_settings.vouchFor, now);
+    }
 
-    /** Joins what another VM knows. @return what was new here, to be passed on. */
-    std::vector<request_evidence> join(std::span<const request_evidence> told);
+    /** Joins what another VM knows. @return what was new here, to be passed on; what this VM adds to it comes with
+     *  @ref takeNews. */
+    std::vector<request_evidence> join(std::span<const request_evidence> told, millis now);
 
     /** @return what this VM saw itself since the last call. */
     [[nodiscard]] std::vector<request_evidence> takeNews();
@@ -164,17 +211,19 @@
     }
 
 private:
-    bool joinOne(const request_evidence &told);
+    bool joinOne(const request_evidence &told, millis now);
     bool addEnd(request_evidence &to, const leaf_end &end) const;
     void updateGuard(const request_evidence &about);
     void makeRoom();
     [[nodiscard]] bool isGuilty(const request_evidence &about) const;
+    [[nodiscard]] bool isDoubtful(const request_evidence &about) const;
     [[nodiscard]] millis releaseAt(const request_evidence &about) const;
     [[nodiscard]] millis forgetAt(const request_evidence &about) const;
 
     quarantine_settings m_settings;
     std::uint64_t m_seed;
     std::map<request_fingerprint, request_evidence> m_known;
+    answer_memory m_answered;
     std::map<route_digest, millis> m_guardedUntil;
     std::set<request_fingerprint> m_news;
     millis m_nextExpiry;
--- a/libs/quarantine/src/request_ledger.cpp
+++ b/libs/quarantine/src/request_ledger.cpp
@@ -16,17 +16,10 @@
 /** What is told takes this long at most: an end that is heard after the answer that followed it must not count. */
 constexpr millis answerCovers(500);
 
-/** Attempts in which leafs ended. */
-std::size_t attemptsOf(const request_evidence &about)
-{
-    std::set<attempt_tag> attempts;
-    for (const leaf_end &one : about.ends) {
-        if (one.leaf != noLeaf) {
-            attempts.insert(one.attempt);
-        }
-    }
-    return attempts.size();
-}
+/** Leafs that end within this time are one event: a host goes, or one request ends all that have it. */
+constexpr millis eventLasts(250);
+
+constexpr std::size_t answersRemembered = 4096; // a power of two; 128 kB
 
 millis lastEndOf(const request_evidence &about)
 {
@@ -70,6 +63,60 @@
     return attempts.size();
 }
 
+trial_events trialsOf(const request_evidence &about)
+{
+    std::vector<leaf_end> trials;
+    std::ranges::copy_if(about.ends, std::back_inserter(trials), &leaf_end::alone);
+    std::ranges::sort(trials, {}, &leaf_end::at);
+    trial_events events;
+    millis eventUntil = millis() - millis::never();
+    bool leafEnded = false;
+    for (const leaf_end &one : trials) {
+        if (one.at > eventUntil) {
+            events.inVain += 1;
+            eventUntil = one.at + eventLasts;
+            leafEnded = false;
+        }
+        events.ended += one.leaf != noLeaf && !leafEnded ? 1 : 0;
+        leafEnded = leafEnded || one.leaf != noLeaf;
+    }
+    return events;
+}
+
+std::size_t answer_memory::placeOf(const request_fingerprint &key)
+{
+    return static_cast<std::size_t>(key.content ^ key.caller) & (answersRemembered - 1);
+}
+
+void answer_memory::note(const request_fingerprint &key, millis now)
+{
+    if (!key.isKnown()) {
+        return;
+    }
+    if (m_places.empty()) {
+        m_places.resize(answersRemembered);
+    }
+    constexpr std::uint32_t mostRepeats = 64; // a popular one that is asked no more goes after as many others
+    place &here = m_places[placeOf(key)];
+    if (here.key == key) {
+        here.at = now;
+        here.repeats = std::min(here.repeats + 1, mostRepeats);
+    } else if (here.repeats > 0) {
+        here.repeats -= 1;
+    } else {
+        here = {key, now, 0};
+    }
+}
+
+bool answer_memory::knows(const request_fingerprint &key, millis within, millis now) const
+{
+    if (m_places.empty()) {
+        return false;
+    }
+    const place &here = m_places[placeOf(key)];
+    return here.key == key && now < here.at + within;
+}
+
 route_digest digestOfRoute(std::string_view name)
 {
     return static_cast<route_digest>(XXH3_64bits(name.data(), name.size()));
@@ -100,18 +147,54 @@
     return found == m_known.end() ? nullptr : &found->second;
 }
 
+/**
+ * Without trials a lookup that hundreds ask for was refused by all VMs for ten minutes: it is always under way
+ * somewhere, so that two of its attempts had lost three leafs whenever another request ended some.
+ */
 bool request_ledger::isGuilty(const request_evidence &about) const
 {
-    const bool isPattern =
-        attemptsOf(about) >= m_settings.attemptsForVerdict || triesInVain(about) >= m_settings.triesForVerdict;
-    return endedLeafs(about) >= m_settings.leafsForVerdict && isPattern;
+    if (endedLeafs(about) < m_settings.leafsForVerdict) {
+        return false;
+    }
+    const trial_events trials = trialsOf(about);
+    if (about.vouched) {
+        return trials.ended >= m_settings.trialsForVouched;
+    }
+    return trials.ended >= m_settings.trialsForVerdict || trials.inVain >= m_settings.silentTrialsForVerdict;
+}
+
+/**
+ * Of two suspects that a leaf had when it ended, one may be innocent. It is tried again soon; with the evidence of one
+ * more trial, at another moment, there is no doubt. One that leafs answered before makes nobody else doubtful.
+ */
+bool request_ledger::isDoubtful(const request_evidence &about) const
+{
+    const trial_events trials = trialsOf(about);
+    if (trials.ended != m_settings.trialsForVerdict || trials.inVain >= m_settings.silentTrialsForVerdict) {
+        return false;
+    }
+    const auto isShared = [&](const leaf_end &own) {
+        return own.alone && std::ranges::any_of(m_known, [&](const auto &one) {
+                   const request_evidence &other = one.second;
+                   return other.key != about.key && !other.vouched
+                       && std::ranges::any_of(other.ends, [&](const leaf_end &end) {
+                              return end.leaf == own.leaf && end.at <= own.at + eventLasts
+                                  && own.at <= end.at + eventLasts;
+                          });
+               });
+    };
+    return std::ranges::any_of(about.ends, isShared);
 }
 
 /** Each further attempt that ended a leaf was a try after a hold, or one on the way while the verdict was: it doubles.
  */
 millis request_ledger::releaseAt(const request_evidence &about) const
 {
-    const std::size_t further = triesInVain(about) - std::min(triesInVain(about), m_settings.attemptsForVerdict);
+    if (isDoubtful(about)) {
+        return lastEndOf(about) + m_settings.doubtfulHold;
+    }
+    constexpr std::size_t triesOfFirstVerdict = 2;
+    const std::size_t further = triesInVain(about) - std::min(triesInVain(about), triesOfFirstVerdict);
     const auto doublings = static_cast<int>(std::min<std::size_t>(further, m_settings.mostDoublings));
     constexpr std::uint64_t steps = 1024;
     const std::uint64_t draw = XXH3_64bits_withSeed(&about.key, sizeof about.key, m_seed) % steps;
@@ -157,7 +240,7 @@
     return true;
 }
 
-bool request_ledger::joinOne(const request_evidence &told)
+bool request_ledger::joinOne(const request_evidence &told, millis now)
 {
     const bool known = m_known.contains(told.key);
     if (!told.key.isKnown() || (!known && told.ends.empty())) {
@@ -176,9 +259,19 @@
         here.answeredAt = told.answeredAt;
         std::erase_if(here.ends, [&](const leaf_end &one) { return one.at <= told.answeredAt + answerCovers; });
     }
+    const bool isFirst = here.ends.empty();
     const auto added = std::ranges::count_if(told.ends, [&](const leaf_end &one) { return addEnd(here, one); });
+    if (isFirst && added > 0) {
+        here.vouched = false;
+    }
+    const bool toldVouched = told.vouched && !here.vouched && !here.ends.empty();
+    here.vouched = here.vouched || toldVouched;
+    if (!here.vouched && added > 0 && wasAnswered(here.key, now)) {
+        here.vouched = true;
+        m_news.insert(here.key);
+    }
     updateGuard(here);
-    return answered || added > 0;
+    return answered || added > 0 || toldVouched;
 }
 
 void request_ledger::updateGuard(const request_evidence &about)
@@ -197,35 +290,38 @@
                              route_digest route,
                              attempt_tag attempt,
                              std::span<const leaf_digest> leafs,
+                             bool alone,
                              millis now)
 {
     request_evidence seen;
     seen.key = key;
     seen.route = route;
     std::ranges::transform(leafs, std::back_inserter(seen.ends), [&](leaf_digest one) {
-        return leaf_end {attempt, one, now};
+        return leaf_end {attempt, one, now, alone};
     });
-    if (joinOne(seen)) {
+    if (joinOne(seen, now)) {
         m_news.insert(key);
     }
 }
 
-void request_ledger::addAnswer(const request_fingerprint &key, millis now)
+bool request_ledger::addAnswer(const request_fingerprint &key, millis now)
 {
-    const auto known = m_known.find(key);
+    m_answered.note(key, now);
+    const auto known = m_known.empty() ? m_known.end() : m_known.find(key);
     if (known == m_known.end() || known->second.ends.empty()) {
-        return;
+        return false;
     }
     known->second.answeredAt = now;
     known->second.ends.clear();
     m_news.insert(key);
+    return true;
 }
 
-std::vector<request_evidence> request_ledger::join(std::span<const request_evidence> told)
+std::vector<request_evidence> request_ledger::join(std::span<const request_evidence> told, millis now)
 {
     std::vector<request_evidence> news;
     for (const request_evidence &one : told) {
-        if (joinOne(one)) {
+        if (joinOne(one, now)) {
             news.push_back(*find(one.key));
         }
     }
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -66,7 +66,7 @@
 std::vector<request_evidence> gateway_service::onRequestNews(const std::vector<request_evidence> &news)
 {
     const millis now = m_clock.now();
-    std::vector<request_evidence> added = m_engine.onRequestNews(news);
+    std::vector<request_evidence> added = m_engine.onRequestNews(news, now);
     for (const request_evidence &one : added) {
         logEvent(log_level::Warning,
                  "request_verdict",
@@ -77,6 +77,7 @@
                   {"held_ms", m_engine.requests().heldFor(one.key, now).ceiled()},
                   {"told_by", std::string("fleet")}});
     }
+    flush(); // what this VM knows for one of them
     return added;
 }
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -72,6 +72,8 @@
 
 
 class Soak:
+    ends_after_s = (0.03, 0.05, 0.08, 0.16)  # of leafs under a request; the last one is more than a part is given
+
     def __init__(self, program, seed, seconds, folder):
         self.random = random.Random(seed)
         self.seed, self.seconds, self.folder, self.program = seed, seconds, folder, program
@@ -92,7 +94,7 @@
 
     async def begin_leaf(self, leaf):
         leaf.ends_under, leaf.ended = lambda path: "ending" in path, self.on_ended
-        leaf.ends_after = self.random.choice([0.03, 0.05, 0.08, 0.16])  # the last one is more than a part is given
+        leaf.ends_after = self.random.choice(self.ends_after_s)
         await leaf.start()
         self.leafs.append(leaf)
         self.store.write(f"servers/{leaf.id}", leaf.entry())
@@ -286,6 +288,10 @@
 
     # ---- callers
 
+    def ordinary_name(self, source):
+        """What an ordinary request asks for: the same each time."""
+        return "x"
+
     async def caller(self, number):
         source, connections = random.Random(f"{self.seed}/{number}"), platform.Caller()
         while self.running:
@@ -296,8 +302,8 @@
             began = time.monotonic()
             calm = not vm.stopping and not vm.frozen and vm.troubled_until < began
             once = path == "/once/"
-            answer = await connections.ask(vm.ip, vm.port, "POST" if once else "GET", path + "x", request_id, 800,
-                                           b"entry" if once else b"", HOST)
+            answer = await connections.ask(vm.ip, vm.port, "POST" if once else "GET", path + self.ordinary_name(source),
+                                           request_id, 800, b"entry" if once else b"", HOST)
             planned = vm.planned_since is not None and vm.planned_since <= time.monotonic()
             calm = calm and not vm.stopping and not vm.frozen
             self.attempts[request_id] = (path, answer)
