Zones that operators empty get no leaf requests, and are eased in when given back

Cause: the operator's word op/evacuate/ZONE came with the configuration's prefix to every VM and was dropped without a line.

Change: libs/zones holds the set of emptied zones, apart and without a network. The engine asks no leaf there: not first, second or repeated, not what waits, not as a trial, not for other VMs. What has leafs nowhere else is refused in the same step with the zone in the request's line, or answered without these parts where coverage allows. The set travels as the configuration does and is applied before it, so that a VM without it sends nothing.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include <leafs/leafs.h>
 #include <quarantine/quarantine.h>
 #include <routing/routing.h>
+#include <zones/zones.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -112,6 +113,7 @@
     std::uint64_t version = 0; ///< of the configuration that decided
     std::size_t shards = 0;
     std::size_t missing = 0;
+    zone_name emptiedZone; ///< that has leafs which were not asked for that reason alone; empty if none
     unsigned sends = 0;
     unsigned hedges = 0;
     unsigned retries = 0;
@@ -209,6 +211,10 @@
         return m_leafs;
     }
 
+    /** The operator's word on a zone. @param emptied nothing is sent to its leafs any more; else it is given back.
+     *  @return false if that was known. */
+    bool setZoneEmptied(const zone_name &zone, bool emptied, millis now);
+
     /** New figures for what comes; windows that have begun keep theirs. */
     void changeSettings(gateway_settings settings)
     {
@@ -347,11 +353,15 @@
         double cost = 0;
         bool full = false; ///< none because all that could be asked have no connection left
         bool overloaded = false; ///< none because their queues are longer than the time that is left
+        const zone_name *emptied = nullptr; ///< a zone that operators emptied and that has some of the leafs
 
         /** Why there is none, in a constant word for logs and callers. */
         [[nodiscard]] std::string_view reason() const
         {
-            return overloaded ? "overloaded" : "no_leaf";
+            if (overloaded) {
+                return "overloaded";
+            }
+            return emptied != nullptr ? "zone_emptied" : "no_leaf";
         }
     };
 
@@ -363,6 +373,8 @@
     [[nodiscard]] double expectedCost(const leaf &candidate, const route_pace &pace, millis now);
     [[nodiscard]] static bool isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now);
     [[nodiscard]] bool mayAsk(const leaf &candidate, millis now) const;
+    [[nodiscard]] bool admits(const zone_name &zone, millis now);
+    [[nodiscard]] shard_zones zonesOf(const shard_call &call, millis now);
     [[nodiscard]] unsigned connectionShare(const service_name &service) const;
     [[nodiscard]] static millis usefulUntil(const exchange &work, millis now);
     void sendCall(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
@@ -378,6 +390,7 @@
     void advanceExchange(exchange &work, millis now);
     void finishGatherIfDone(exchange &work, millis now);
     void advanceDue(const due &next, millis now);
+    static void noteEmptied(exchange &work, const choice &none);
     void addCalls(exchange &work, std::span<const service_name> shards);
     void fanOut(exchange &work, millis now);
     void beginTrial(exchange &work, millis now);
@@ -397,7 +410,6 @@
     void tellVerdict(exchange_id attempt, const request_fingerprint &key, millis now);
     void refuseQuarantined(const caller_request &request, const gateway_route &route, exchange_id id, millis now);
     [[nodiscard]] bool isTrusted(const std::string &helper, millis now) const;
-    [[nodiscard]] shard_zones zonesOf(const shard_call &call, millis now) const;
     [[nodiscard]] std::size_t partsOf(const zone_name &zone, std::size_t shards) const;
     [[nodiscard]] std::string helperFor(const zone_name &zone, std::size_t part, std::size_t parts, millis now);
     void planZone(
@@ -449,6 +461,7 @@
     seeded_random m_random;
     std::shared_ptr<const route_table> m_table;
     leaf_directory m_leafs;
+    emptied_zones m_zones;
     std::size_t m_fleetSize;
     std::unordered_map<service_name, retry_budget> m_budgets;
     std::unordered_map<std::string, route_pace> m_paces;
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -163,10 +163,19 @@
     } else if (chosen.to || chosen.full) {
         call.waiting = true; // for a connection, or for what comes of another attempt of the same request
     } else {
+        noteEmptied(work, chosen);
         answerUnserved(work, chosen.reason(), false, now);
     }
 }
 
+/** For the log line of the request. */
+void gateway_engine::noteEmptied(exchange &work, const choice &none)
+{
+    if (!none.to && none.emptied != nullptr) {
+        work.emptiedZone = *none.emptied;
+    }
+}
+
 void gateway_engine::beginGather(exchange &work, millis now)
 {
     const millis inTime = std::max(work.route->objective - work.ways, work.route->objective * leastUseOfObjective);
@@ -177,12 +186,14 @@
         const choice one = chooseLeaf(work, call, false, now);
         call.waiting = !one.to && one.full;
         call.missing = !one.to && !one.full;
+        noteEmptied(work, one);
         work.missing += call.missing ? 1 : 0;
         overloaded = overloaded || (call.missing && one.overloaded);
     }
     // Known before anything ran: nobody's time is spent on an answer that can't be given.
     if (work.calls.size() - work.missing < work.neededParts()) {
-        answerUnserved(work, overloaded ? "shards_overloaded" : "too_few_shards", false, now);
+        const std::string_view otherwise = work.emptiedZone.value.empty() ? "too_few_shards" : "zone_emptied";
+        answerUnserved(work, overloaded ? "shards_overloaded" : otherwise, false, now);
         return;
     }
     if (work.trialWidth > 0) {
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -57,6 +57,9 @@
             continue;
         }
         for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
+            if (m_zones.isEmptied(one->entry.zone)) {
+                continue; // operators give zones back after minutes, not with the next leaf that recovers
+            }
             soonest = std::min(soonest, std::max(one->downUntil - now, millis()));
         }
     }
@@ -79,6 +82,7 @@
     result.version = work.table->config().version;
     result.shards = work.route->isGather() ? work.calls.size() : 0;
     result.missing = work.route->isGather() ? work.calls.size() - work.done : 0;
+    result.emptiedZone = work.emptiedZone;
     result.sends = work.sends;
     result.hedges = work.hedges;
     result.retries = work.retries;
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -105,6 +105,7 @@
             sendCall(work, at, chosen.to, now);
         } else if (!chosen.full) {
             call.waiting = false;
+            noteEmptied(work, chosen);
             failCall(work, at, chosen.reason(), now);
         }
     }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -112,6 +112,7 @@
     std::vector<shard_call> calls;
     std::size_t done = 0;
     std::size_t missing = 0;
+    zone_name emptiedZone; ///< see @ref answer_action::emptiedZone
     millis speakBy = millis::never(); ///< the VM for which it is must have heard of it by then
     bool spoke = false; ///< the VM for which it is has heard of it
     bool pendingTold = false; ///< and knows which shards are still out
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -87,8 +87,23 @@
     return leafQueue(candidate, pace, now) > 0 && expectedTime(candidate, pace, now) * spread > timeLeft;
 }
 
+bool gateway_engine::setZoneEmptied(const zone_name &zone, bool emptied, millis now)
+{
+    return emptied ? m_zones.empty(zone) : m_zones.giveBack(zone, now);
+}
+
+/** Whether one request that could go to the zone may, while requests come back to it. */
+bool gateway_engine::admits(const zone_name &zone, millis now)
+{
+    const double share = m_zones.shareOf(zone, now);
+    return share >= 1 || m_random.uniform() < share;
+}
+
 bool gateway_engine::mayAsk(const leaf &candidate, millis now) const
 {
+    if (m_zones.isEmptied(candidate.entry.zone)) {
+        return false;
+    }
     if (candidate.misdirected || candidate.entryUnreadable || now < candidate.downUntil) {
         return false;
     }
@@ -113,12 +128,14 @@
 gateway_engine::chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now)
 {
     choice best;
+    choice easedIn; // of a zone to which requests come back: for those that have no other leaf
     const millis timeLeft = (now < work.cutoff ? std::min(work.cutoff, work.limit) : work.limit) - now;
     const unsigned share = connectionShare(call.service);
     const bool late = work.route->isGather() && now >= work.cutoff;
     for (const std::shared_ptr<leaf> &candidate : m_leafs.of(call.service)) {
         const bool tried = std::ranges::find(call.tried, candidate) != call.tried.end();
         if (tried || !mayAsk(*candidate, now)) {
+            best.emptied = m_zones.isEmptied(candidate->entry.zone) ? &candidate->entry.zone : best.emptied;
             continue;
         }
         if (candidate->open.size() >= share) {
@@ -137,11 +154,16 @@
             continue;
         }
         const double cost = expectedCost(*candidate, *work.pace, now);
-        if (!best.to || cost < best.cost) {
-            best.to = candidate;
-            best.cost = cost;
+        choice &among = admits(candidate->entry.zone, now) ? best : easedIn;
+        if (!among.to || cost < among.cost) {
+            among.to = candidate;
+            among.cost = cost;
         }
     }
+    if (!best.to && easedIn.to) {
+        best.to = easedIn.to;
+        best.cost = easedIn.cost;
+    }
     return best;
 }
 
--- a/libs/gateway/src/work_sharing.cpp
+++ b/libs/gateway/src/work_sharing.cpp
@@ -25,7 +25,7 @@
     return distrusted == m_distrustedUntil.end() || distrusted->second <= now;
 }
 
-gateway_engine::shard_zones gateway_engine::zonesOf(const shard_call &call, millis now) const
+gateway_engine::shard_zones gateway_engine::zonesOf(const shard_call &call, millis now)
 {
     shard_zones zones;
     for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
@@ -33,7 +33,7 @@
             continue;
         }
         zones.all.insert(one->entry.zone);
-        if (mayAsk(*one, now) && one->stalledSince() > now) {
+        if (mayAsk(*one, now) && one->stalledSince() > now && admits(one->entry.zone, now)) {
             zones.usable.insert(one->entry.zone);
         }
     }
--- a/libs/gateway/tests/two_vms.h
+++ b/libs/gateway/tests/two_vms.h
@@ -54,6 +54,11 @@
         return entry.id;
     }
 
+    gateway_engine &engineOf(std::size_t vm)
+    {
+        return *m_vms[vm];
+    }
+
     void replaceHelper()
     {
         m_vms[1] = std::make_unique<gateway_engine>(settingsOf("there"), 3);
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -238,6 +238,8 @@
         return m_byId.size();
     }
 
+    [[nodiscard]] std::size_t countIn(const zone_name &zone) const;
+
 private:
     void add(const leaf_entry &entry, millis now);
     bool update(leaf &known, const leaf_entry &entry, millis now);
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -51,6 +51,12 @@
     return since;
 }
 
+std::size_t leaf_directory::countIn(const zone_name &zone) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_byId, [&](const auto &one) { return one.second->entry.zone == zone; }));
+}
+
 bool leaf_directory::put(const leaf_entry &entry, millis now)
 {
     const auto found = m_byId.find(entry.id);
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -237,6 +237,7 @@
               {"status", std::uint64_t {action.reply.status}},
               {"shards", std::uint64_t {action.shards}},
               {"missing", std::uint64_t {action.missing}},
+              {"emptied_zone", action.emptiedZone.value},
               {"sends", std::uint64_t {action.sends}},
               {"hedges", std::uint64_t {action.hedges}},
               {"retries", std::uint64_t {action.retries}},
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -89,6 +89,8 @@
     void noticeStandstill(millis now);
     void applyLeafEvents(const std::vector<store_item> &items);
     bool applyLeafEvent(const store_item &item, bool logged);
+    void applyOperatorKeys(const std::vector<store_item> &items);
+    void applyEmptiedZone(const zone_name &zone, const store_item &item);
     void applyConfig(const store_item &item);
     void continueStop();
     void logTraffic();
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -10,7 +10,7 @@
 void gateway_service::onStoreNews(std::string_view prefix, const std::vector<store_item> &items)
 {
     if (prefix == platform::configPrefix) {
-        std::ranges::for_each(items, [this](const store_item &item) { applyConfig(item); });
+        applyOperatorKeys(items);
     } else {
         applyLeafEvents(items);
         m_leafsKnown = true;
@@ -18,6 +18,50 @@
     flush();
 }
 
+/** Zones first: with a configuration requests are taken, and none of them may be sent to a zone that is emptied. */
+void gateway_service::applyOperatorKeys(const std::vector<store_item> &items)
+{
+    using enum platform::operator_key::subject;
+    std::size_t unknown = 0;
+    for (const store_item &item : items) {
+        const platform::operator_key key = platform::readOperatorKey(item.key);
+        if (key.about == EmptiedZone) {
+            applyEmptiedZone(key.zone, item);
+        }
+        unknown += key.about == Unknown ? 1 : 0;
+    }
+    if (unknown > 0) {
+        const auto first = std::ranges::find(
+            items, Unknown, [](const store_item &item) { return platform::readOperatorKey(item.key).about; });
+        logEvent(log_level::Warning,
+                 "operator_keys_unknown",
+                 {{"keys", std::uint64_t {unknown}},
+                  {"first", first->key},
+                  {"revision", first->revision},
+                  {"outcome", std::string("ignored")}});
+    }
+    for (const store_item &item : items) {
+        if (platform::readOperatorKey(item.key).about == Configuration) {
+            applyConfig(item);
+        }
+    }
+}
+
+/** What the key holds says nothing: that it is there counts. */
+void gateway_service::applyEmptiedZone(const zone_name &zone, const store_item &item)
+{
+    const bool changed = m_engine.setZoneEmptied(zone, !item.deleted, m_clock.now());
+    if (!changed) {
+        return;
+    }
+    logEvent(log_level::Warning,
+             item.deleted ? "zone_given_back" : "zone_emptied",
+             {{"zone", zone.value},
+              {"revision", item.revision},
+              {"leafs", std::uint64_t {m_engine.leafs().countIn(zone)}},
+              {"outcome", std::string("in_force")}});
+}
+
 /** The first contents, and a new set of shards, bring hundreds of leafs at once: a line for each would use up the
  *  second's lines, and those of requests, which an engineer needs more, would be the ones dropped. */
 void gateway_service::applyLeafEvents(const std::vector<store_item> &items)
@@ -150,7 +194,7 @@
 
 void gateway_service::applyConfig(const store_item &item)
 {
-    if (item.key != platform::configKey || item.deleted) {
+    if (item.deleted) {
         return;
     }
     auto config = platform::decodeConfig(item.value);
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -17,6 +17,20 @@
 constexpr double patienceShare = 0.15;
 constexpr double drawShare = 0.02;
 
+/** Of what operators write only the configuration's value says anything; anyone may write megabytes beside it, which
+ * all VMs would hold and pass on. */
+void dropUnread(std::string_view prefix, std::vector<store_item> &items)
+{
+    if (prefix != platform::configPrefix) {
+        return;
+    }
+    for (store_item &item : items) {
+        if (item.key != platform::configKey) {
+            item.value.clear();
+        }
+    }
+}
+
 std::string textOf(const listen_address &address)
 {
     return address.address + ":" + std::to_string(address.port);
@@ -120,12 +134,14 @@
 
 void store_feed::onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision)
 {
+    dropUnread(prefix, items);
     m_node.onStoreContents(prefix, std::move(items), revision);
     flush();
 }
 
 void store_feed::onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision)
 {
+    dropUnread(prefix, changes);
     m_node.onStoreChanges(prefix, std::move(changes), revision);
     flush();
 }
