A VM that stops goes on hearing and telling the fleet; no request is passed on after its connection was closed

A request that ends leafs, met there first, was known to nobody else. Ruled out: the verdict itself, which came with the second attempt at each VM. Members below do not send others to one that leaves.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -13,6 +13,7 @@
 
 #include <tl/expected.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -308,6 +309,13 @@
     /** Tells one process all that is known of requests. */
     void greet(link_id link, std::span<const request_evidence> requests, millis now);
 
+    /**
+     * This process stops, and serves its callers until it ends. Nobody follows it any more, and nobody is told of it as
+     * one that takes work; it goes on hearing the fleet and telling it what it finds out. Without that a request that
+     * ends leafs, met here first, was known to nobody else: the next VM sent it to all shards once more.
+     */
+    void leave(millis now);
+
     /** Does what is due; call it some times a second. */
     void tick(millis now);
 
@@ -358,6 +366,12 @@
         millis heardAt;
         std::vector<fleet_member> members; ///< of its subtree, sorted
         member_list told; ///< the fleet as it knows it
+
+        /** It stops and takes no followers: whoever is below it names itself but for that. */
+        [[nodiscard]] bool isLeaving() const
+        {
+            return std::ranges::find(members, address, &fleet_member::address) == members.end();
+        }
     };
 
     /** One that asked while this process had nothing to say yet. */
@@ -433,6 +447,7 @@
     std::map<std::string, store_view, std::less<>> m_views;
     std::map<std::string, bool, std::less<>> m_readOk; ///< by prefix, while reading
     phase m_phase = phase::Seeking;
+    bool m_leaving = false;
     bool m_starting = false; ///< reads, and the store has not answered or failed yet
     millis m_nextDraw;
     unsigned m_draws = 0; ///< since the search began
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -38,7 +38,7 @@
     if (m_phase == phase::Following && std::ranges::count(m_upstreamState.path, request.address) > 0) {
         return false;
     }
-    const auto ofItsZone = [&](const auto &one) { return one.second.zone == request.zone; };
+    const auto ofItsZone = [&](const auto &one) { return one.second.zone == request.zone && !one.second.isLeaving(); };
     if (request.zone == m_settings.zone) {
         return static_cast<std::size_t>(std::ranges::count_if(m_followers, ofItsZone)) < m_settings.fanOut;
     }
@@ -54,7 +54,7 @@
     std::vector<std::string> withRoom;
     std::vector<std::string> others;
     for (const auto &[link, one] : m_followers) {
-        if (one.zone == request.zone) {
+        if (one.zone == request.zone && !one.isLeaving()) {
             (one.subtree <= m_settings.fanOut ? withRoom : others).push_back(one.address);
         }
     }
@@ -74,6 +74,10 @@
 void fleet_node::onFollow(link_id link, follow_request request, millis now)
 {
     std::erase_if(m_followers, [&](const auto &one) { return one.second.address == request.address; });
+    if (m_leaving) {
+        refuse(link, request);
+        return;
+    }
     noticeReader(request);
     if (m_phase == phase::Seeking) {
         upstream_state wait = ownState(false);
--- a/libs/fleet/src/fleet_members.cpp
+++ b/libs/fleet/src/fleet_members.cpp
@@ -29,7 +29,10 @@
 
 std::vector<fleet_member> fleet_node::subtreeMembers() const
 {
-    std::vector<fleet_member> members = {{m_settings.address, m_settings.zone}};
+    std::vector<fleet_member> members;
+    if (!m_leaving) {
+        members.push_back({m_settings.address, m_settings.zone});
+    }
     for (const auto &[link, one] : m_followers) {
         std::ranges::copy(one.members, std::back_inserter(members));
     }
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -33,6 +33,18 @@
     seek(now);
 }
 
+void fleet_node::leave(millis now)
+{
+    m_leaving = true;
+    const auto hangUp = [this](link_id link) { m_actions.emplace_back(hang_up_action {link}); };
+    std::ranges::for_each(m_followers, hangUp, [](const auto &one) { return one.first; });
+    std::ranges::for_each(m_waiting, hangUp, &waiting_follower::link);
+    m_followers.clear();
+    m_waiting.clear();
+    beat(now); // those below must not be sent back here
+    m_nextMerge = now + m_settings.drawInterval; // those below read by themselves now: one of them can be followed
+}
+
 void fleet_node::onMessage(link_id link, fleet_message message, millis now)
 {
     if (auto *request = std::get_if<follow_request>(&message)) {
--- a/libs/fleet/src/fleet_search.cpp
+++ b/libs/fleet/src/fleet_search.cpp
@@ -40,7 +40,8 @@
 {
     const auto self = std::ranges::find(m_settings.seeds, m_settings.address);
     const bool readsInVain = m_phase == phase::Reading && !storeOk();
-    std::vector<std::string> result(m_settings.seeds.begin(), readsInVain ? m_settings.seeds.end() : self);
+    const bool anySeed = readsInVain || m_leaving; // nobody waits for one that is not followed
+    std::vector<std::string> result(m_settings.seeds.begin(), anySeed ? m_settings.seeds.end() : self);
     std::erase(result, m_settings.address);
     return result;
 }
@@ -88,7 +89,7 @@
 /** Another process may read, too; one of them is enough. */
 void fleet_node::lookForReader(millis now)
 {
-    m_nextMerge = now + m_settings.mergeInterval * (1 + m_random.uniform());
+    m_nextMerge = now + (m_leaving ? m_settings.drawInterval : m_settings.mergeInterval * (1 + m_random.uniform()));
     m_referrals = 0;
     dropCandidates(0);
     std::ranges::for_each(candidates(), [this](const std::string &address) { dial(address); });
--- a/libs/fleet/tests/fleet_world.h
+++ b/libs/fleet/tests/fleet_world.h
@@ -105,6 +105,13 @@
         m_nodes[at] = {};
     }
 
+    /** The process has been told to stop; it ends with @ref kill. */
+    void leave(std::size_t at)
+    {
+        m_nodes[at].node->leave(m_now);
+        collect(at);
+    }
+
     /** All processes end and start again, each within @p spread after @p pause. */
     void restartAll(millis pause, millis spread)
     {
--- a/libs/fleet/tests/test_fleet_requests.cpp
+++ b/libs/fleet/tests/test_fleet_requests.cpp
@@ -150,6 +150,60 @@
     BOOST_CHECK_EQUAL(world.standing(guilty, request_standing::Suspect), 8U);
 }
 
+/**
+ * Symptom: a request that ends leafs is sent to all shards twice, and four attempts of it reach leafs when it should be
+ * known.
+ * Sequence: it comes first to a VM that has been told to stop, then to the next one.
+ * Cause: whoever stops closed its links to the fleet at once, and serves callers for seconds after that.
+ */
+BOOST_AUTO_TEST_CASE(a_vm_that_stops_tells_and_hears_until_it_ends)
+{
+    constexpr std::size_t nodes = 8;
+    constexpr millis untilFound(600); // the one at the top looks for whoever reads after it
+    for (std::size_t stopping = 0; stopping < nodes; ++stopping) {
+        fleet_world world(fleetOf(nodes, 4));
+        world.write("config", "c");
+        world.run(millis(6000));
+        const bool wasTop = world.node(stopping).isReading();
+        world.leave(stopping);
+        convict(world, stopping);
+        world.run(wasTop ? untilFound : millis(20));
+        BOOST_TEST_MESSAGE("node " << stopping << (wasTop ? ", at the top" : ""));
+        BOOST_CHECK_EQUAL(refusing(world), nodes);
+        world.clear((stopping + 1) % nodes, guilty);
+        world.run(untilFound);
+        BOOST_CHECK_EQUAL(world.standing(guilty, request_standing::Clear), nodes);
+        world.run(millis(2000));
+        BOOST_CHECK_EQUAL(world.followersOf(stopping), 0U);
+        BOOST_CHECK_EQUAL(world.membersAt((stopping + 1) % nodes), nodes - 1);
+        BOOST_CHECK_EQUAL(world.readers(), 1U);
+        world.write("config", "d");
+        world.run(millis(1000));
+        BOOST_CHECK_EQUAL(world.holders("config"), nodes);
+    }
+}
+
+/** All of them one after the other, as when a new version is rolled out. */
+BOOST_AUTO_TEST_CASE(what_is_found_out_outlives_all_vms_stopping_in_turn)
+{
+    constexpr std::size_t nodes = 8;
+    fleet_world world(fleetOf(nodes, 4));
+    world.write("config", "c");
+    world.run(millis(6000));
+    for (std::size_t stopping = 0; stopping < nodes; ++stopping) {
+        world.leave(stopping);
+        world.run(millis(300));
+        if (stopping == 0) {
+            convict(world, stopping);
+        }
+        world.run(millis(1500));
+        world.kill(stopping);
+        world.start(stopping, world.now() + millis(200));
+        world.run(millis(1500));
+    }
+    BOOST_CHECK_EQUAL(refusing(world), nodes);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_sent_while_nothing_is_found_out)
 {
     fleet_world world(fleetOf(8, 4));
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -98,6 +98,7 @@
 
     void abandon()
     {
+        m_phase = phase::Closed;
         error_code ignored; // it is closed in any case
         m_socket.close(ignored);
     }
@@ -107,7 +108,8 @@
         Waiting, ///< for a request or the rest of one
         Busy, ///< the request is being served
         Writing,
-        Lingering ///< everything was said; waits for the caller to close
+        Lingering, ///< everything was said; waits for the caller to close
+        Closed
     };
 
     void read()
@@ -125,6 +127,11 @@
 
     void onRead(const error_code &error, std::size_t count)
     {
+        // Bytes may have come in before the close and be handed over after it. A request among them would be passed on
+        // to leafs and never answered, its caller being told by the close that nobody has read it.
+        if (m_phase == phase::Closed) {
+            return;
+        }
         if (error) {
             onPeerClosed();
             return;
@@ -182,6 +189,8 @@
     {
         if (error) {
             end();
+        }
+        if (m_phase == phase::Closed) {
             return;
         }
         m_since = boot_clock().now();
--- a/programs/chivelockd/gateway/peer_mesh.cpp
+++ b/programs/chivelockd/gateway/peer_mesh.cpp
@@ -245,10 +245,15 @@
     return found == m_links.end() ? std::string() : found->second->peer();
 }
 
-void peer_mesh::close()
+void peer_mesh::stopListening()
 {
     error_code ignored; // nothing depends on it
     m_acceptor.close(ignored);
+}
+
+void peer_mesh::close()
+{
+    stopListening();
     for (const auto &[id, one] : m_links) {
         one->close();
     }
--- a/programs/chivelockd/gateway/peer_mesh.h
+++ b/programs/chivelockd/gateway/peer_mesh.h
@@ -52,6 +52,9 @@
     /** @return the IP number at the other end; empty for a link that is gone. */
     [[nodiscard]] std::string peerOf(link_id link) const;
 
+    /** Takes no new links; those that are there stay. */
+    void stopListening();
+
     /** Ends all links and takes no new ones. */
     void close();
 
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -90,7 +90,9 @@
 
 void store_feed::leave()
 {
-    m_mesh.close();
+    m_mesh.stopListening();
+    m_node.leave(m_clock.now());
+    flush();
 }
 
 void store_feed::refresh()
