The soak empties zones, turns leafs cold and takes the power of a zone

Cause: none of these was played with real processes. Change: `--zones` adds them, drawn apart, so that seeds without it play as before; an emptied zone must get nothing from 5 s after the store's word (only words given while the store and the ways to it are sound count). Beside the zone's key stand keys of unknown zones, without a name and too long.

--- a/build.sh
+++ b/build.sh
@@ -22,7 +22,7 @@
   capacity  measure the slopes and derive the table of docs/CAPACITY.md from them
   faults    real processes under load: kills, freezes, platform down (depends on the machine's speed; not in CI)
   sanitize  the tests under address, undefined and thread sanitizers
-  soak      real gateway processes among stand-ins with faults: ./build.sh soak [FIRST-LAST] [SECONDS], 50 seeds by default
+  soak      real gateway processes among stand-ins with faults: ./build.sh soak [FIRST-LAST] [SECONDS] [--zones], 50 seeds by default
   deploy    the deploy file's own build line in a clean copy without any test; limit five minutes; then whether its
             packages bring all that the build used
   fuzz      libFuzzer on the frame decoder and the catalogue reader, 60 s each
@@ -124,7 +124,7 @@
     ;;
 soak)
     configure_and_build build
-    exec python3 soak/soak.py build/programs/chivelockd/chivelockd --seeds "${2:-1-50}" --seconds "${3:-10}"
+    exec python3 soak/soak.py build/programs/chivelockd/chivelockd --seeds "${2:-1-50}" --seconds "${3:-10}" "${@:4}"
     ;;
 deploy) deploy_build ;;
 sanitize) sanitize ;;
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -29,6 +29,7 @@
 BACK_AFTER_S = 2.5  # a leaf that ended under a request
 KNOWN_AFTER_S = 0.5  # from the third leaf that ended under a request: some messages between VMs
 IN_TOUCH_S = 4.0  # a VM that nothing troubled for so long is held to the bound on such requests
+EMPTY_S = 5.0  # from the store's word until nothing is sent to leafs of an emptied zone
 MOST_LATER_SENDS = 3  # of a request under which three leafs ended, all VMs together
 
 
@@ -74,8 +75,10 @@
 class Soak:
     ends_after_s = (0.03, 0.05, 0.08, 0.16)  # of leafs under a request; the last one is more than a part is given
 
-    def __init__(self, program, seed, seconds, folder):
+    def __init__(self, program, seed, seconds, folder, zones=False):
         self.random = random.Random(seed)
+        self.with_zones, self.zone_random = zones, random.Random(f"{seed}/zones")  # apart: seeds play as without them
+        self.emptied = []  # (zone, from when on nothing may arrive, until when)
         self.seed, self.seconds, self.folder, self.program = seed, seconds, folder, program
         self.port = 10000 + (os.getpid() * 37 + seed * 101) % 20000  # below the system's own choice of ports
         self.store, self.leafs, self.gone = platform.Store(), [], []
@@ -153,6 +156,60 @@
         for vm in self.vms:
             vm.send(signal.SIGCONT)
 
+    # ---- faults of whole zones: emptied and given back, leafs cold again, lost power
+
+    async def zone_faults(self):
+        end, tasks = time.monotonic() + self.seconds, []
+        while time.monotonic() < end:
+            await asyncio.sleep(self.zone_random.uniform(0.5, 2.5))
+            kind = self.zone_random.choice([self.empty_zone, self.empty_zone, self.turn_cold, self.lose_zone])
+            self.played.append(kind.__name__)
+            tasks.append(asyncio.create_task(kind()))
+        await asyncio.gather(*tasks)
+
+    async def empty_zone(self):
+        """One at a time: with both emptied there is nothing that could be answered."""
+        if any(key.startswith("op/evacuate/z") for key in self.store.items):
+            return
+        zone = self.zone_random.choice(["z0", "z1"])
+        stable = self.store.mode == "ok" and all(p.mode == "ok" for p in self.proxies)
+        self.store.write(f"op/evacuate/{zone}", self.zone_random.choice([True, None, "", [1], 7]) or "")
+        self.store.write(f"op/evacuate/{self.zone_random.choice(['nowhere', '', 'z' * 180, 'z0/z1'])}", 1)
+        began = time.monotonic()
+        await asyncio.sleep(self.zone_random.uniform(4.0, 9.0))
+        if stable:
+            self.emptied.append((zone, began + EMPTY_S, time.monotonic()))
+        for key in [one for one in self.store.items if one.startswith("op/evacuate/")]:
+            self.store.write(key, None)
+
+    async def turn_cold(self):
+        """Leafs that run all the while say that they are slow for some time."""
+        zone = self.zone_random.choice(["z0", "z1"])
+        for leaf in [one for one in self.leafs if one.zone == zone]:
+            self.store.write(f"servers/{leaf.id}", {**leaf.entry(), "coldRemainingMs": 1500, "sequence": 2})
+
+    async def lose_zone(self):
+        """Leafs and VMs of a zone are gone at one moment and come back."""
+        zone = self.zone_random.randrange(2)
+        for leaf in [one for one in self.leafs if one.zone == f"z{zone}" and not one.draining]:
+            leaf.kill()
+            self.on_ended(leaf, "none")
+        lost = [vm for vm in self.vms if vm.at % 2 == zone and not vm.stopping and not vm.frozen]
+        for vm in lost:
+            vm.troubled_until, vm.stopping = time.monotonic() + 3, True
+            vm.send(signal.SIGKILL)
+            await vm.process.wait()
+        await asyncio.sleep(self.zone_random.uniform(0.3, 1.5))
+        for vm in lost:
+            await vm.start()
+
+    def check_emptied(self):
+        for zone, since, until in self.emptied:
+            late = [(run[0], leaf.id) for leaf in self.leafs + self.gone if leaf.zone == zone
+                    for run in leaf.runs if since < run[4] < until]
+            if late:
+                self.broken("emptied zone", f"{zone}: {len(late)} requests reached leafs, first {late[:3]}")
+
     def pick_vm(self):
         idle = [vm for vm in self.vms if not vm.stopping and not vm.frozen]
         return self.random.choice(idle) if len(idle) > 1 else None
@@ -332,6 +389,7 @@
                 if leaf.stopped_at and at > leaf.stopped_at + DRAIN_S:
                     self.broken("draining", f"{request_id} ran on {leaf.id} {at - leaf.stopped_at:.2f} s after its word")
         self.check_ending()
+        self.check_emptied()
         for request_id, (path, answer) in self.attempts.items():
             self.check_one(request_id, path, answer, runs.get(request_id, []))
 
@@ -379,7 +437,7 @@
     async def run(self):
         await self.prepare()
         callers = [asyncio.create_task(self.caller(n)) for n in range(8)]
-        await self.faults()
+        await asyncio.gather(self.faults(), *([self.zone_faults()] if self.with_zones else []))
         await asyncio.sleep(1.0)
         self.running = False
         await asyncio.gather(*callers)
@@ -410,11 +468,12 @@
     parser.add_argument("program")
     parser.add_argument("--seeds", default="1-3")
     parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--zones", action="store_true", help="also faults of whole zones")
     options = parser.parse_args()
     failed = 0
     for seed in seeds_from(options.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder)))
+        soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder, options.zones)))
         for problem in soak.problems[:10]:
             print(problem)
         failed += bool(soak.problems)
