Cold leafs that bear few requests are asked in turns of a second, drawn for each VM and leaf

Cold times are held to a minute, an absent one is none. Ways: each VM its part of the rate (this one); one asker for each leaf drawn by a hash, others handing over. The second was not built: a VM that sees itself alone would take itself for the asker, with all others cut off as it is. Measured without a network, as often as VMs may ask, 60 s: 1 to 300 VMs, 0.5 to 400 a second: never over rate x 1.5 + 5 in any second.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -373,6 +373,8 @@
     [[nodiscard]] double expectedCost(const leaf &candidate, const route_pace &pace, millis now);
     [[nodiscard]] static bool isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now);
     [[nodiscard]] bool mayAsk(const leaf &candidate, millis now) const;
+    [[nodiscard]] bool mayAskCold(const leaf &candidate, millis now) const;
+    void useColdTurn(leaf &asked, millis now) const;
     [[nodiscard]] bool admits(const zone_name &zone, millis now);
     [[nodiscard]] shard_zones zonesOf(const shard_call &call, millis now);
     [[nodiscard]] unsigned connectionShare(const service_name &service) const;
@@ -463,6 +465,7 @@
     leaf_directory m_leafs;
     emptied_zones m_zones;
     std::size_t m_fleetSize;
+    std::uint64_t m_seed; ///< another one for each VM
     std::unordered_map<service_name, retry_budget> m_budgets;
     std::unordered_map<std::string, route_pace> m_paces;
     std::unordered_map<std::string, std::vector<double>> m_shareCredits; ///< by route, for a smooth split
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -89,6 +89,7 @@
     , m_random(seed)
     , m_leafs(m_settings.removalHold)
     , m_fleetSize(fleetSizeGuess)
+    , m_seed(seed)
     , m_requests(m_settings.quarantine, seed)
     , m_tags(seed)
 {
@@ -269,6 +270,7 @@
     one.deadline = usefulUntil(work, now);
     one.closeAt = work.limit + afterDeadline;
     one.queue = leafQueue(*to, *work.pace, now);
+    useColdTurn(*to, now);
     mixIn(*to, work.pace->typical.estimate());
     to->open.push_back({one.id, now, now + hedgeAfter});
     call.tried.push_back(to);
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -99,6 +99,25 @@
     return share >= 1 || m_random.uniform() < share;
 }
 
+/** See @ref coldTurnOf. Of the leafs that are cold and bear few requests, those whose turn it is not are not asked. */
+bool gateway_engine::mayAskCold(const leaf &candidate, millis now) const
+{
+    const double bears = now < candidate.coldUntil && m_table ? m_table->coldPerSecond(candidate.entry.service) : 0;
+    if (bears <= 0) {
+        return true;
+    }
+    const auto turn = coldTurnOf(digestOf(candidate.entry.id), {m_fleetSize, m_seed}, bears, now);
+    return turn.has_value() && turn != candidate.coldTurnUsed;
+}
+
+void gateway_engine::useColdTurn(leaf &asked, millis now) const
+{
+    const double bears = now < asked.coldUntil ? m_table->coldPerSecond(asked.entry.service) : 0;
+    if (bears > 0) {
+        asked.coldTurnUsed = coldTurnOf(digestOf(asked.entry.id), {m_fleetSize, m_seed}, bears, now);
+    }
+}
+
 bool gateway_engine::mayAsk(const leaf &candidate, millis now) const
 {
     if (m_zones.isEmptied(candidate.entry.zone)) {
@@ -110,6 +129,9 @@
     if (candidate.failuresInRow > 0 && !candidate.open.empty()) {
         return false; // one request at a time finds out whether it is back
     }
+    if (!mayAskCold(candidate, now)) {
+        return false;
+    }
     const millis drainEnd = m_settings.drainLimit - std::min(drainMargin, m_settings.drainLimit * 0.5);
     if (candidate.drainSeenAt < millis::never() && now >= candidate.drainSeenAt + drainEnd) {
         return false;
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -98,7 +98,7 @@
             std::ranges::for_each(route.split, [&](const auto &one) { named.insert(one.service.value); });
         }
         for (const std::string &name : named) {
-            config.services.push_back({{name}, 100});
+            config.services.push_back({{name}, 100, coldPerSecond});
         }
         engine.applyConfig(std::move(config));
     }
@@ -228,6 +228,7 @@
     };
 
     gateway_engine engine;
+    double coldPerSecond = 0; ///< of all services
     millis now {10000};
     std::map<std::string, fake_behaviour> behaviours;
     std::map<exchange_id, answered> answers;
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -479,3 +479,28 @@
     // A measurement that tells of a lost packet leaves half of the objective for the work.
     BOOST_TEST(answeredAfter(millis(3000)) >= 50.0);
 }
+
+/** A leaf that has turned cold bears few requests a second of the whole fleet; what is too much is left out. */
+BOOST_AUTO_TEST_CASE(a_cold_leaf_is_asked_in_this_vms_turns_only)
+{
+    constexpr std::size_t vms = 8;
+    constexpr double bears = 4;
+    gateway_world world;
+    world.coldPerSecond = bears;
+    world.publish({gateway_world::gatherRoute(2, 0.5)});
+    world.addShards(2, 1);
+    world.engine.setFleetSize(vms);
+    leaf_entry entry = world.engine.leafs().of({"shard0"}).front()->entry;
+    entry.coldFor = millis(50000);
+    world.engine.leafs().put(entry, world.now);
+    std::vector<exchange_id> lookups;
+    for (std::size_t at = 0; at < 1600; ++at) {
+        lookups.push_back(world.ask("/all/x"));
+        world.run(millis(25));
+    }
+    BOOST_CHECK(std::ranges::all_of(
+        lookups, [&](exchange_id id) { return world.answerOf(id).answer.outcome == exchange_outcome::Merged; }));
+    const auto asked = std::ranges::count(world.arrivals, entry.id, &gateway_world::leaf_run::leafId);
+    BOOST_CHECK_GE(asked, 1);
+    BOOST_CHECK_LE(asked, 40 * bears / vms + 1); // this VM's part of forty seconds
+}
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -105,6 +105,27 @@
     std::deque<slice> m_slices;
 };
 
+/** Stands for a leaf's id in reports, which are many: two ids with the same one are a leaf wrongly thought slow. */
+using leaf_digest = std::uint32_t;
+
+/** Numbers the turns of one VM at one cold leaf. */
+using cold_turn = std::int64_t;
+
+/** What a VM knows of the fleet for its turns at cold leafs. */
+struct cold_fleet {
+    std::size_t size = 1; ///< VMs, rather too many than too few
+    std::uint64_t ownSeed = 0; ///< another one for each VM
+};
+
+/**
+ * Whether this VM may ask a cold leaf now, once in a turn. A cold leaf bears few requests a second from the whole fleet
+ * and ends under many more; VMs can't count together, and what each of many saves up would be spent by all at the next
+ * burst. So each has a turn of a second at times of its own, drawn for each leaf, and what it does not use lapses.
+ * @param perSecond what the leaf bears, above 0. @return the turn that it is in; nothing between turns.
+ */
+[[nodiscard]] std::optional<cold_turn>
+coldTurnOf(leaf_digest leaf, const cold_fleet &fleet, double perSecond, millis now);
+
 /** What a leaf tells of its load in an answer. */
 struct leaf_load {
     unsigned running = 0;
@@ -113,9 +134,6 @@
     std::optional<double> hostSlowdown; ///< how long work takes on its host at this moment, over the usual
 };
 
-/** Stands for a leaf's id in reports, which are many: two ids with the same one are a leaf wrongly thought slow. */
-using leaf_digest = std::uint32_t;
-
 [[nodiscard]] leaf_digest digestOf(std::string_view leafId);
 
 /** Stands for a zone in reports. */
@@ -150,6 +168,7 @@
 
     leaf_entry entry;
     millis coldUntil;
+    std::optional<cold_turn> coldTurnUsed; ///< the last one in which this VM asked it
     millis drainSeenAt = millis::never(); ///< when this process learned that it leaves
     millis removeAt = millis::never(); ///< entry is missing from the store; it is forgotten then
     millis doubtfulUntil = millis() - millis::never(); ///< its entry came back after it was removed
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -13,6 +13,8 @@
 constexpr double lapseHeartbeats = 3.5; // the store removes an entry after three intervals without a word
 constexpr millis troubleEcho(6000); // after the store's trouble, within which lapsed entries and their leafs come back
 
+constexpr millis longestCold(60000); // leafs warm up in seconds; anyone may write anything into an entry
+
 bool bornLater(const leaf_entry &entry, const leaf_entry &known)
 {
     return entry.bornAt && known.bornAt && *entry.bornAt > *known.bornAt;
@@ -79,7 +81,7 @@
 void leaf_directory::add(const leaf_entry &entry, millis now)
 {
     auto added = std::make_shared<leaf>(entry);
-    added->coldUntil = now + entry.coldFor;
+    added->coldUntil = now + std::min(entry.coldFor, longestCold);
     // Since when it drains is not known here, perhaps for as long as it may be asked.
     added->drainSeenAt = entry.draining ? millis() : millis::never();
     if (const auto removed = m_removedUnseen.find(entry.id); removed != m_removedUnseen.end()) {
@@ -107,7 +109,7 @@
     known.entry.draining = entry.draining;
     known.entry.slots = entry.slots;
     known.entry.sequence = entry.sequence;
-    known.coldUntil = now + entry.coldFor;
+    known.coldUntil = now + std::min(entry.coldFor, longestCold);
     return returned || readableAgain || drainsNow;
 }
 
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -3,6 +3,10 @@
 
 #include <leafs/leafs.h>
 
+#include <numeric>
+
+#include <algorithm>
+
 using namespace chivelock;
 
 // Symptom: nothing can be served for seconds after the store was away.
@@ -235,3 +239,60 @@
     one.lastReplyAt = millis(40);
     BOOST_TEST((one.stalledSince() == millis::never()));
 }
+
+/**
+ * Symptom: a leaf that has just started, and bears few requests a second until it is warm, ends again and again.
+ * Sequence: all VMs turn to it at once. Cause: none of them knows how much the others ask of it.
+ */
+BOOST_AUTO_TEST_CASE(all_vms_together_ask_a_cold_leaf_within_what_it_bears)
+{
+    constexpr double overage = 1.5;
+    constexpr double slack = 5;
+    constexpr millis step(10);
+    constexpr std::size_t stepsOfSecond = 100;
+    for (const double bears : {0.5, 2.0, 10.0, 50.0, 400.0}) {
+        for (const std::size_t vms : {1U, 8U, 78U, 300U}) {
+            std::vector<double> sent; // in each step, by VMs that ask as often as they may
+            std::vector<std::optional<cold_turn>> used(vms);
+            for (millis now(1000000); sent.size() < 60 * stepsOfSecond; now = now + step) {
+                double count = 0;
+                for (std::size_t vm = 0; vm < vms; ++vm) {
+                    const auto turn = coldTurnOf(7, {vms, vm + 1}, bears, now);
+                    count += turn && turn != used[vm] ? 1 : 0;
+                    used[vm] = turn ? turn : used[vm];
+                }
+                sent.push_back(count);
+            }
+            double most = 0;
+            double all = 0;
+            for (std::size_t at = 0; at + stepsOfSecond <= sent.size(); ++at) {
+                const auto first = sent.begin() + static_cast<std::ptrdiff_t>(at);
+                most = std::max(most, std::accumulate(first, first + stepsOfSecond, 0.0));
+            }
+            all = std::accumulate(sent.begin(), sent.end(), 0.0);
+            BOOST_TEST_CONTEXT(vms << " VMs, " << bears << " a second")
+            {
+                BOOST_CHECK_LE(most, bears * overage + slack);
+                BOOST_CHECK_GT(all, 0.0);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_leaf_that_runs_may_turn_cold_again)
+{
+    leaf_directory leafs(millis(1000));
+    leaf_entry entry;
+    entry.id = "l";
+    entry.service = {"s"};
+    leafs.put(entry, millis(1000));
+    BOOST_CHECK(leafs.find("l")->coldUntil <= millis(1000));
+    entry.coldFor = millis(3000);
+    entry.sequence = 2;
+    leafs.put(entry, millis(5000));
+    BOOST_CHECK(leafs.find("l")->coldUntil == millis(8000));
+    entry.coldFor = millis(1e300); // of no leaf: it would be spared for ever
+    entry.sequence = 3;
+    leafs.put(entry, millis(6000));
+    BOOST_CHECK(leafs.find("l")->coldUntil <= millis(6000 + 60000));
+}
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -46,6 +46,7 @@
 struct service_description {
     service_name name;
     unsigned maxConnections = 1; ///< that one of its leafs accepts from the whole fleet
+    double coldPerSecond = 0; ///< requests that one of its cold leafs bears from the whole fleet; 0 for any number
 };
 
 /** Bounds on what a caller may send and how long it may take. */
@@ -81,10 +82,14 @@
     /** @return 1 for a service that the configuration does not name. */
     [[nodiscard]] unsigned maxConnections(const service_name &service) const;
 
+    /** @return as @ref service_description::coldPerSecond; 0 for a service that the configuration does not name. */
+    [[nodiscard]] double coldPerSecond(const service_name &service) const;
+
 private:
     gateway_config m_config;
     std::unordered_map<std::string, std::unordered_map<std::string_view, const gateway_route *>> m_byHost;
     std::unordered_map<service_name, unsigned> m_maxConnections;
+    std::unordered_map<service_name, double> m_coldPerSecond; ///< of services that bound it
 };
 
 } // namespace chivelock
--- a/libs/routing/src/route_table.cpp
+++ b/libs/routing/src/route_table.cpp
@@ -24,6 +24,9 @@
     }
     for (const service_description &service : m_config.services) {
         m_maxConnections.emplace(service.name, service.maxConnections);
+        if (service.coldPerSecond > 0) {
+            m_coldPerSecond.emplace(service.name, service.coldPerSecond);
+        }
     }
 }
 
@@ -49,6 +52,12 @@
     return nullptr;
 }
 
+double route_table::coldPerSecond(const service_name &service) const
+{
+    const auto found = m_coldPerSecond.find(service);
+    return found == m_coldPerSecond.end() ? 0 : found->second;
+}
+
 unsigned route_table::maxConnections(const service_name &service) const
 {
     const auto found = m_maxConnections.find(service);
