--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -15,9 +15,8 @@
 inline constexpr millis hopelessAfter(350);
 
 /**
- * A leaf that was slow is tried again after a second or two. Hosts are busy for half a second at a time, leafs slow for
- * many: with 500 instead of 3000 ms, and hosts' own word believed at once, 98 instead of 96 in 100 urgent lookups of 67
- * VMs over 270 leafs came in time, and a third fewer bytes went to other zones.
+ * A leaf that was slow is tried again after a second or two. Hosts are busy for half a second at a time, and a leaf
+ * that is spared for longer than that sends its share of the requests to other zones.
  */
 inline constexpr millis slownessHalfLife(500);
 
--- a/libs/gateway/src/handed_work.cpp
+++ b/libs/gateway/src/handed_work.cpp
@@ -29,9 +29,8 @@
 }
 
 /**
- * Asks a second leaf, by the VM that has the leaf in its part unless this one has a connection itself. A VM that took a
- * lookup of 180 shards asked 96 in 100 second leafs itself before, on new connections through zones: a round trip and
- * some milliseconds of a slot of the leaf, each.
+ * Asks a second leaf, by the VM that has the leaf in its part unless this one has a connection itself: a new one
+ * through zones costs a round trip and some milliseconds of a slot of the leaf.
  */
 void gateway_engine::askSecond(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
@@ -226,8 +225,7 @@
 /**
  * A first word that is overdue makes second leafs be asked, as if the first ones were silent; what the helper brings
  * all the same is taken. Only one that says nothing for as long again has lost the work. Taken over at once, the work
- * of helpers that were some milliseconds late was lost: on a calm day of 295 VMs with 0.12 of a core one lookup in six
- * missed nine parts or more of 180 for that.
+ * of helpers that are some milliseconds late would be lost.
  */
 void gateway_engine::onWordDue(delegation_id id, millis now)
 {
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -43,9 +43,7 @@
 /**
  * All in milliseconds of the objective, of which the whole answer is worth. A part from another zone costs a fixed
  * share of it, whatever the work: as long as an answer comes in time it is worth no more for coming sooner, so a wait
- * in the own zone's queue is cheaper than the bytes until it takes a good part of the time. At 0.6 of the typical time
- * instead, 0.08 of what callers got went into bytes between zones, with 0.055 now, and they got as much (five days with
- * trouble, 20 shards of two leafs, 9 VMs); from 0.3 to 0.5 of the objective makes no difference.
+ * in the own zone's queue is cheaper than the bytes until it takes a good part of the time.
  */
 double gateway_engine::expectedCost(const leaf &candidate, const route_pace &pace, millis now)
 {
@@ -78,8 +76,8 @@
 /**
  * A leaf that gets more than it can do answers nobody in time: each request waits for those before it, and all are late
  * alike. What would not be answered in time because of its queue is not sent, so that what is sent is. A leaf without a
- * queue is asked however slow it seems: a VM on an eighth of a core that is late itself finds all leafs slow, and gave
- * up their shards (served 0.83 of what callers are owed instead of 0.78, 90 shards, 67 VMs, its worst day).
+ * queue is asked however slow it seems: a VM on an eighth of a core that is late itself finds all leafs slow, and would
+ * give up their shards.
  */
 bool gateway_engine::isOverloaded(const leaf &candidate, const route_pace &pace, millis timeLeft, millis now)
 {
--- a/libs/gateway/src/leaf_reports.cpp
+++ b/libs/gateway/src/leaf_reports.cpp
@@ -51,10 +51,10 @@
 }
 
 /**
- * On a fleet of many VMs each one meets a leaf about once a second. Each had to find out alone who is slow: with 42 of
- * 270 leafs four times as slow for eight seconds, 18 in 100 lookups were late all that time. So the newest word counts,
- * whoever said it. A leaf may fail the callers of one zone only: other zones' word counts only where the own zone has
- * none of late. That a leaf is out of reach makes it the last choice and no more: the VM that says so may be cut off.
+ * On a fleet of many VMs each one meets a leaf about once a second. If each had to find out alone who is slow, lookups
+ * would be late for as long as a slow leaf stays slow. So the newest word counts, whoever said it. A leaf may fail the
+ * callers of one zone only: other zones' word counts only where the own zone has none of late. That a leaf is out of
+ * reach makes it the last choice and no more: the VM that says so may be cut off.
  */
 bool gateway_engine::takeReport(const leaf_report &report)
 {
--- a/libs/gateway/src/request_trials.cpp
+++ b/libs/gateway/src/request_trials.cpp
@@ -15,9 +15,8 @@
 
 /**
  * Leafs that end under one attempt, none having survived it, before it goes on no further by itself. A lookup has other
- * shards that are about to tell, so that one that is harmless waits some milliseconds for the second leaf; at three, a
- * lookup that ends leafs took both leafs of three shards of six, and 0.907 instead of 0.98 of what others asked was
- * answered.
+ * shards that are about to tell, so that one that is harmless waits some milliseconds for the second leaf, while one
+ * that ends leafs does not take both leafs of a shard.
  */
 constexpr std::size_t mostEndedOfLookup = 1;
 constexpr std::size_t mostEndedOfOne = 3; // and of a lookup that leafs answered before
@@ -28,9 +27,8 @@
 
 /**
  * Leafs asked first for a lookup of a route under whose lookups leafs ended of late. The second one only when the first
- * has been silent for a third of the objective: a leaf in 25 is in a short pause, and the lookup is still in time then.
- * Asked at once, each new request ended three leafs in two attempts, and 0.932 of what others asked was answered (a new
- * one each second, twelve leafs that are back after 2.5 s).
+ * has been silent for a third of the objective: a few leafs are always in a short pause, and the lookup is still in
+ * time then. Asked at once, each new request that ends leafs would end two with its first attempt.
  */
 constexpr std::size_t guardedWidth = 2;
 constexpr double secondTrialShare = 0.35;
@@ -38,9 +36,8 @@
 } // namespace
 
 /**
- * Without this a request under which leafs end went to one leaf of each shard, at every attempt and at every VM: two
- * attempts a second ended 58 leafs of 14 in 12 s, and 0.55 of what others asked was answered (four VMs, six shards of
- * two leafs that are back after 2.5 s).
+ * Without this a request under which leafs end would go to one leaf of each shard, at every attempt and at every VM,
+ * and all leafs would end as soon as they are back.
  */
 void gateway_engine::beginTrial(exchange &work, millis now)
 {
--- a/libs/leafs/src/measures.cpp
+++ b/libs/leafs/src/measures.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr double trackerStep = 0.1; // share by which one value moves an estimate: follows a change in some 20 answers
-// Of the answers come sooner than a hedge. A second send takes a slot of a leaf that is half full and mostly bytes from
-// another zone: with 94, one send in nine was a second one, and 0.02 of what callers got was lost to their price.
+// Of the answers come sooner than a hedge. A second send takes a slot of a leaf that is half full, and mostly bytes
+// from another zone.
 constexpr double hedgeShare = 0.98;
 constexpr double firstTypicalShare = 0.15; // of the objective, until answers tell better
 constexpr double firstSlowShare = 0.3;
