What a cold leaf bears is worked out in one place

Cause: the choice of a leaf and the use of its turn each worked it out, one with and one without a look whether there is a configuration. Tests of the gateway library, the leafs and platform/: green; formatter and linter clean on the file.

--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -27,6 +27,12 @@
     return timeBehind(leafQueue(candidate, pace, now), candidate, pace) * currentSlowness(candidate, now);
 }
 
+/** @return requests a second that the leaf bears from the whole fleet as it is now; 0 for any number. */
+double bearsNow(const leaf &candidate, const route_table *table, millis now)
+{
+    return now < candidate.coldUntil && table != nullptr ? table->coldPerSecond(candidate.entry.service) : 0;
+}
+
 } // namespace
 
 double leafQueue(const leaf &candidate, const route_pace &pace, millis now)
@@ -100,7 +106,7 @@
 /** See @ref coldTurnOf. Of the leafs that are cold and bear few requests, those whose turn it is not are not asked. */
 bool gateway_engine::mayAskCold(const leaf &candidate, millis now) const
 {
-    const double bears = now < candidate.coldUntil && m_table ? m_table->coldPerSecond(candidate.entry.service) : 0;
+    const double bears = bearsNow(candidate, m_table.get(), now);
     if (bears <= 0) {
         return true;
     }
@@ -110,7 +116,7 @@
 
 void gateway_engine::useColdTurn(leaf &asked, millis now) const
 {
-    const double bears = now < asked.coldUntil ? m_table->coldPerSecond(asked.entry.service) : 0;
+    const double bears = bearsNow(asked, m_table.get(), now);
     if (bears > 0) {
         asked.coldTurnUsed = coldTurnOf(digestOf(asked.entry.id), {m_fleetSize, m_seed}, bears, now);
     }
