From a request's id to the leafs that were asked, and what was believed of their leaving

What was missing: the log named no leaf in its request lines, and no line told when a VM learned that a leaf leaves, through whom, how old that word may be, or that a leaf was asked although it leaves.

No decision is changed.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -340,6 +340,12 @@
      */
     [[nodiscard]] bool hearsPeers(millis now) const;
 
+    /** @return whom this process hears the store through; empty if through nobody. */
+    [[nodiscard]] const std::string &upstreamAddress() const
+    {
+        return m_upstreamAddress;
+    }
+
     [[nodiscard]] bool isReading() const
     {
         return m_phase == phase::Reading;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -135,6 +135,23 @@
     millis input; ///< the time that decided: silence, or what the leaf took
 };
 
+/** A leaf that was asked for a request. */
+struct asked_leaf {
+    std::string id;
+    millis after; ///< the request's arrival at this VM
+    std::optional<millis> leavingFor; ///< if it was believed to leave: since when it may have said so
+};
+
+/** Whom this VM asked for one request, once that is over; for the log. */
+struct asked_action {
+    std::string requestId;
+    request_fingerprint key;
+    std::vector<asked_leaf> leafs; ///< in order, at most @ref mostAskedTold
+    std::size_t more = 0; ///< beyond those
+
+    static constexpr std::size_t mostAskedTold = 64;
+};
+
 /** What is held against a request has changed, by what this VM saw; for the log. */
 struct verdict_action {
     exchange_id exchange = 0; ///< of the attempt that changed it; perhaps answered already
@@ -171,6 +188,7 @@
                                     cancel_action,
                                     answer_action,
                                     note_action,
+                                    asked_action,
                                     verdict_action,
                                     delegate_action,
                                     delegate_cancel_action,
@@ -440,6 +458,8 @@
     void answerUnserved(exchange &work, std::string_view cause, bool timedOut, millis now);
     void answerWithout(const caller_request &request, exchange_outcome outcome, std::string_view cause, exchange_id id);
     void erase(exchange_id id);
+    void noteAsked(exchange &work, const leaf &asked, millis now);
+    void tellAsked(exchange &work);
     void schedule(exchange &work, millis now);
     [[nodiscard]] std::optional<send> endSend(send_id id);
     [[nodiscard]] exchange *ownerOf(const send &ended);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -278,6 +278,7 @@
     to->open.push_back({one.id, now, now + hedgeAfter});
     call.tried.push_back(to);
     call.lastAsked = to->entry.id;
+    noteAsked(work, *to, now);
     call.open += 1;
     call.mayHaveRun += 1;
     call.sends += 1;
@@ -535,6 +536,7 @@
     exchange &ended = *m_exchanges.at(id);
     dropDelegations(ended, false);
     endTrial(ended);
+    tellAsked(ended);
     m_exchanges.erase(id);
 }
 
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -126,6 +126,30 @@
                                         input});
 }
 
+void gateway_engine::noteAsked(exchange &work, const leaf &asked, millis now)
+{
+    const std::optional<millis> since = asked.leavingSince();
+    const std::optional<millis> leavingFor = since ? std::optional(now - *since) : std::nullopt;
+    if (work.asked.leafs.size() < asked_action::mostAskedTold) {
+        work.asked.leafs.push_back({asked.entry.id, now - work.arrivedAt, leavingFor});
+    } else {
+        work.asked.more += 1;
+    }
+    if (leavingFor) {
+        note(work, "leaving_leaf_asked", asked.standing(), &asked, asked.entry.service, *leavingFor, now);
+    }
+}
+
+void gateway_engine::tellAsked(exchange &work)
+{
+    if (work.asked.leafs.empty()) {
+        return;
+    }
+    work.asked.requestId = work.requestId;
+    work.asked.key = work.key;
+    m_actions.emplace_back(std::move(work.asked));
+}
+
 void gateway_engine::onCallerLeft(exchange_id id, millis now)
 {
     const auto found = m_exchanges.find(id);
@@ -149,6 +173,7 @@
     endTrial(*found->second);
     dropDelegations(*found->second, true);
     note(*found->second, "caller_left", "closed", nullptr, {}, now - found->second->arrivedAt, now);
+    tellAsked(*found->second);
     m_exchanges.erase(found);
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -122,6 +122,7 @@
     std::vector<std::string> mergedRecords; ///< of parts that other VMs brought
     std::shared_ptr<attempt_evidence> evidence;
     std::size_t trialWidth = 0; ///< leafs that may be asked before one has survived it; 0 for any number
+    asked_action asked; ///< for the log
     std::optional<gateway_reply> failure; ///< of a request to one leaf: the last failing answer
     unsigned sends = 0;
     unsigned hedges = 0;
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -170,7 +170,8 @@
     millis coldUntil;
     std::optional<cold_turn> coldTurnUsed; ///< the last one in which this VM asked it
     millis drainSeenAt = millis::never(); ///< when this process learned that it leaves
-    millis removeAt = millis::never(); ///< entry is missing from the store; it is forgotten then
+    millis missingSince = millis::never(); ///< when this process learned that its entry is missing from the store
+    millis removeAt = millis::never(); ///< it is forgotten then
     millis doubtfulUntil = millis() - millis::never(); ///< its entry came back after it was removed
     bool misdirected = false; ///< another instance answered at its address
     bool entryUnreadable = false; ///< spoilt by another writer; it is not asked until its entry is written again
@@ -203,6 +204,12 @@
     {
         return entry.draining || removeAt < millis::never() || doubtfulUntil > millis();
     }
+
+    /** @return since when it may have been leaving; nothing if it is not. */
+    [[nodiscard]] std::optional<millis> leavingSince() const;
+
+    /** @return a word for logs. */
+    [[nodiscard]] std::string_view standing() const;
 };
 
 /** Leafs by id and by service, as the platform's store tells of them. */
@@ -233,6 +240,12 @@
         m_currentAsOf = asOf;
     }
 
+    /** @return how long ago what is learnt now may have happened at most. */
+    [[nodiscard]] millis ageOfNews(millis now) const
+    {
+        return now - std::min(now, m_currentAsOf);
+    }
+
     /** @return true if something changed that matters. */
     bool put(const leaf_entry &entry, millis now);
 
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -53,6 +53,26 @@
     return since;
 }
 
+std::optional<millis> leaf::leavingSince() const
+{
+    const millis since = std::min(drainSeenAt, missingSince);
+    return since < millis::never() ? std::optional(since) : std::nullopt;
+}
+
+std::string_view leaf::standing() const
+{
+    if (entryUnreadable) {
+        return "unreadable";
+    }
+    if (entry.draining) {
+        return "draining";
+    }
+    if (removeAt < millis::never()) {
+        return "missing";
+    }
+    return isLeaving() ? "doubtful" : "ready";
+}
+
 std::size_t leaf_directory::countIn(const zone_name &zone) const
 {
     return static_cast<std::size_t>(
@@ -105,6 +125,7 @@
     if (returned) {
         takeReturn(known, known.removeAt - m_hold, now);
     }
+    known.missingSince = millis::never();
     known.removeAt = millis::never();
     known.entry.draining = entry.draining;
     known.entry.slots = entry.slots;
@@ -157,6 +178,7 @@
     }
     leaf &gone = *found->second;
     if (gone.removeAt == millis::never()) {
+        gone.missingSince = now;
         gone.removeAt = now + m_hold;
         m_nextExpiry = std::min(m_nextExpiry, gone.removeAt);
     }
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -261,6 +261,21 @@
               {"input_ms", action.input.ceiled()}});
 }
 
+void gateway_service::perform(const asked_action &action)
+{
+    std::string leafs;
+    for (const asked_leaf &one : action.leafs) {
+        leafs += (leafs.empty() ? "" : ",") + one.id + "+" + std::to_string(one.after.ceiled());
+        leafs += one.leavingFor ? "!" + std::to_string(one.leavingFor->ceiled()) : "";
+    }
+    logEvent(log_level::Info,
+             "leafs_asked",
+             {{"id", action.requestId},
+              {"key", toString(action.key)},
+              {"leafs", leafs},
+              {"more", std::uint64_t {action.more}}});
+}
+
 /** The request itself is named once: the lines of its attempts bear the key alone. */
 void gateway_service::perform(const verdict_action &action)
 {
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -80,6 +80,7 @@
     void perform(const cancel_action &action);
     void perform(const answer_action &action);
     void perform(const note_action &action);
+    void perform(const asked_action &action);
     void perform(const verdict_action &action);
     void perform(delegate_action action);
     void perform(const delegate_cancel_action &action);
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -162,7 +162,12 @@
     if (item.deleted) {
         const bool known = m_engine.leafs().remove(id, now);
         if (known && logged) {
-            logEvent(log_level::Info, "leaf_missing", {{"leaf", id}, {"revision", item.revision}});
+            logEvent(log_level::Info,
+                     "leaf_missing",
+                     {{"leaf", id},
+                      {"revision", item.revision},
+                      {"told_by", m_feed->source()},
+                      {"as_of_ms", m_engine.leafs().ageOfNews(now).ceiled()}});
         }
         return known;
     }
@@ -187,7 +192,10 @@
                  {{"leaf", id},
                   {"service", entry->service.value},
                   {"address", entry->address},
-                  {"revision", item.revision}});
+                  {"revision", item.revision},
+                  {"outcome", std::string(m_engine.leafs().find(id)->standing())},
+                  {"told_by", m_feed->source()},
+                  {"as_of_ms", m_engine.leafs().ageOfNews(now).ceiled()}});
     }
     return changed;
 }
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -111,6 +111,11 @@
     return calls;
 }
 
+std::string store_feed::source() const
+{
+    return m_node.isReading() ? "store" : m_node.upstreamAddress();
+}
+
 void store_feed::onLinkOpen(link_id link)
 {
     m_node.onLinkOpen(link, m_clock.now());
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -73,6 +73,9 @@
 
     [[nodiscard]] std::uint64_t storeCalls() const;
 
+    /** @return through whom the store's word comes: a VM's address, or `store`. */
+    [[nodiscard]] std::string source() const;
+
 private:
     void onLinkOpen(link_id link) override;
     void onLinkClosed(link_id link) override;
