--- a/soak/soak.py
+++ b/soak/soak.py
@@ -73,6 +73,7 @@
 
 
 class Soak:
+    least_answered = 0.3  # of all that is asked
     ends_after_s = (0.03, 0.05, 0.08, 0.16)  # of leafs under a request; the last one is more than a part is given
 
     def __init__(self, program, seed, seconds, folder, zones=False):
@@ -447,7 +448,7 @@
                 self.broken("ends", f"vm-{vm.at} ended by itself with {vm.process.returncode}")
             vm.send(signal.SIGKILL)
             await vm.process.wait()
-        if self.counts["ok"] < self.counts["asked"] * 0.3:
+        if self.counts["ok"] < self.counts["asked"] * self.least_answered:
             self.broken("service", f"only {self.counts['ok']} of {self.counts['asked']} answered")
         return self
 
