A leaf's own word that it leaves is never taken back

Cause: an entry that lapsed and returned within six seconds of the store's trouble cleared the moment at which the leaf began to drain, also where that entry says draining; the leaf then drained since never. Besides, an entry that said ready and was written late made the next draining a new beginning. Change: draining holds until the leaf ends or starts again with a later birth; the first word dates it.

--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -120,14 +120,14 @@
     const bool readableAgain = std::exchange(known.entryUnreadable, false);
     const bool drainsNow = entry.draining && !known.entry.draining;
     if (drainsNow) {
-        known.drainSeenAt = std::min(now, m_currentAsOf);
+        known.entry.draining = true; // until it ends: what says otherwise was written before
+        known.drainSeenAt = std::min({known.drainSeenAt, now, m_currentAsOf});
     }
     if (returned) {
         takeReturn(known, known.removeAt - m_hold, now);
     }
     known.missingSince = millis::never();
     known.removeAt = millis::never();
-    known.entry.draining = entry.draining;
     known.entry.slots = entry.slots;
     known.entry.sequence = entry.sequence;
     known.coldUntil = now + std::min(entry.coldFor, longestCold);
@@ -147,12 +147,12 @@
 /**
  * A leaf that leaves may have its entry removed and then written once more by a heartbeat that was still on its way.
  * Taken for a return, it would get requests for as long as the entry takes to lapse, past the limit. So it counts as
- * leaving since the removal until it has outlived that time. After trouble of the store entries return for good.
+ * leaving since the removal until it has outlived that time. After trouble of the store entries return for good; what a
+ * leaf itself said of its leaving holds in any case.
  */
 void leaf_directory::takeReturn(leaf &known, millis removedAt, millis now)
 {
     if (removedAt - m_storeTroubleAt < troubleEcho) {
-        known.drainSeenAt = millis::never();
         return;
     }
     known.drainSeenAt = std::min(known.drainSeenAt, removedAt);
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -120,6 +120,45 @@
     BOOST_TEST(!directory.find("a")->isLeaving());
 }
 
+// Guards against a leaf that is asked for as long as it lives, after its own word that it leaves.
+BOOST_AUTO_TEST_CASE(a_return_after_the_stores_trouble_does_not_take_back_a_leafs_word)
+{
+    for (const bool knownBefore : {true, false}) {
+        leaf_directory directory(millis(2200));
+        leaf_entry entry;
+        entry.id = "a";
+        entry.service = {"s"};
+        if (knownBefore) {
+            directory.put(entry, millis(10000));
+        }
+        directory.noteCurrent(millis(18900));
+        directory.noteStoreTrouble(millis(19000));
+        directory.remove("a", millis(20000));
+        entry.draining = true;
+        directory.put(entry, millis(21500));
+        BOOST_TEST(directory.find("a")->isLeaving());
+        BOOST_TEST((directory.find("a")->drainSeenAt <= millis(18900)));
+    }
+}
+
+// Guards against a leaf whose time to be asked begins anew with each word of it.
+BOOST_AUTO_TEST_CASE(a_leaf_drains_from_its_first_word_on)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(1000));
+    entry.draining = true;
+    directory.put(entry, millis(2000));
+    entry.draining = false;
+    directory.put(entry, millis(2100));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    entry.draining = true;
+    directory.put(entry, millis(3000));
+    BOOST_TEST((directory.find("a")->drainSeenAt == millis(2000)));
+}
+
 // Symptom: a leaf that has started again gets nothing for seconds, or is asked as a last resort only.
 // Sequence: it drains, ends, and starts again under its id; its entry says ready, with a later start and a lower count.
 // Cause: what was believed of its earlier life, above all that it leaves, was held against the new one.
