Trouble of the store excuses only the entries that can have lapsed for it

Cause: for six seconds after the store's trouble any return of an entry counted as good, though the store counts as stable four seconds after it; and the subtraction took a removal from long before the trouble as well. Change: an entry may have lapsed for the trouble from its beginning until 2.5 s after its last sign; that is judged when it is removed, so that a second trouble before its return changes nothing.

--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -171,6 +171,7 @@
     std::optional<cold_turn> coldTurnUsed; ///< the last one in which this VM asked it
     millis drainSeenAt = millis::never(); ///< when this process learned that it leaves
     millis missingSince = millis::never(); ///< when this process learned that its entry is missing from the store
+    bool mayHaveLapsed = false; ///< it is missing for the store's trouble, perhaps
     millis removeAt = millis::never(); ///< it is forgotten then
     millis doubtfulUntil = millis() - millis::never(); ///< its entry came back after it was removed
     bool misdirected = false; ///< another instance answered at its address
@@ -229,10 +230,7 @@
     }
 
     /** The store does not answer: entries lapse that their leafs write again when it is back. */
-    void noteStoreTrouble(millis now)
-    {
-        m_storeTroubleAt = now;
-    }
+    void noteStoreTrouble(millis now);
 
     /** Everything that the store said up to then is known here. What is learnt after a gap may be as old as that. */
     void noteCurrent(millis asOf)
@@ -273,6 +271,7 @@
     [[nodiscard]] std::size_t countIn(const zone_name &zone) const;
 
 private:
+    [[nodiscard]] bool mayLapseAt(millis at) const;
     void add(const leaf_entry &entry, millis now);
     bool update(leaf &known, const leaf_entry &entry, millis now);
     void unlink(const leaf &gone);
@@ -282,7 +281,8 @@
     millis m_hold;
     millis m_heartbeat {1200};
     millis m_currentAsOf = millis::never();
-    millis m_storeTroubleAt = millis() - millis::never();
+    millis m_troubleSince = millis() - millis::never(); ///< of the store, the latest one
+    millis m_troubleAt = millis() - millis::never(); ///< its last sign
     std::map<std::string, std::shared_ptr<leaf>, std::less<>> m_byId;
     std::map<std::string, millis, std::less<>> m_removedUnseen; ///< leafs that were never known here, and when
     std::unordered_map<service_name, std::vector<std::shared_ptr<leaf>>> m_byService;
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -11,7 +11,10 @@
 namespace {
 
 constexpr double lapseHeartbeats = 3.5; // the store removes an entry after three intervals without a word
-constexpr millis troubleEcho(6000); // after the store's trouble, within which lapsed entries and their leafs come back
+// After the store's trouble, within which entries that lapsed for it come back. They need two seconds; four after its
+// trouble the store's word counts again, and whoever reads it notices the end up to a second late.
+constexpr millis troubleEcho(2500);
+constexpr millis troubleGap(1000); // between two signs of trouble that are not the same one
 
 constexpr millis longestCold(60000); // leafs warm up in seconds; anyone may write anything into an entry
 
@@ -79,6 +82,20 @@
         std::ranges::count_if(m_byId, [&](const auto &one) { return one.second->entry.zone == zone; }));
 }
 
+void leaf_directory::noteStoreTrouble(millis now)
+{
+    if (now - m_troubleAt > troubleGap) {
+        m_troubleSince = now;
+    }
+    m_troubleAt = now;
+}
+
+/** Whether an entry that is missing from then on may have lapsed for the store's trouble alone. */
+bool leaf_directory::mayLapseAt(millis at) const
+{
+    return at >= m_troubleSince && at - m_troubleAt < troubleEcho;
+}
+
 bool leaf_directory::put(const leaf_entry &entry, millis now)
 {
     const auto found = m_byId.find(entry.id);
@@ -105,7 +122,9 @@
     // Since when it drains is not known here, perhaps for as long as it may be asked.
     added->drainSeenAt = entry.draining ? millis() : millis::never();
     if (const auto removed = m_removedUnseen.find(entry.id); removed != m_removedUnseen.end()) {
-        takeReturn(*added, removed->second, now);
+        if (!mayLapseAt(removed->second)) {
+            takeReturn(*added, removed->second, now);
+        }
         m_removedUnseen.erase(removed);
     }
     m_byId.emplace(entry.id, added);
@@ -123,8 +142,8 @@
         known.entry.draining = true; // until it ends: what says otherwise was written before
         known.drainSeenAt = std::min({known.drainSeenAt, now, m_currentAsOf});
     }
-    if (returned) {
-        takeReturn(known, known.removeAt - m_hold, now);
+    if (returned && !known.mayHaveLapsed) {
+        takeReturn(known, known.missingSince, now);
     }
     known.missingSince = millis::never();
     known.removeAt = millis::never();
@@ -152,9 +171,6 @@
  */
 void leaf_directory::takeReturn(leaf &known, millis removedAt, millis now)
 {
-    if (removedAt - m_storeTroubleAt < troubleEcho) {
-        return;
-    }
     known.drainSeenAt = std::min(known.drainSeenAt, removedAt);
     known.doubtfulUntil = now + m_heartbeat * lapseHeartbeats;
     m_nextExpiry = std::min(m_nextExpiry, known.doubtfulUntil);
@@ -179,6 +195,7 @@
     leaf &gone = *found->second;
     if (gone.removeAt == millis::never()) {
         gone.missingSince = now;
+        gone.mayHaveLapsed = mayLapseAt(now);
         gone.removeAt = now + m_hold;
         m_nextExpiry = std::min(m_nextExpiry, gone.removeAt);
     }
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -120,6 +120,49 @@
     BOOST_TEST(!directory.find("a")->isLeaving());
 }
 
+// Guards against trouble of the store that excuses a leaf which left before it, or after it was over.
+BOOST_AUTO_TEST_CASE(the_stores_trouble_excuses_only_what_lapses_for_it)
+{
+    const auto isDoubted = [](millis removedAt) {
+        leaf_directory directory(millis(2200));
+        leaf_entry entry;
+        entry.id = "a";
+        entry.service = {"s"};
+        directory.put(entry, millis(1000));
+        const bool before = removedAt < millis(20000);
+        if (before) {
+            directory.remove("a", removedAt);
+        }
+        for (int at = 20000; at <= 22000; at += 100) {
+            directory.noteStoreTrouble(millis(at));
+        }
+        if (!before) {
+            directory.remove("a", removedAt);
+        }
+        directory.put(entry, std::max(removedAt, millis(22000)) + millis(300));
+        return directory.find("a")->isLeaving();
+    };
+    BOOST_TEST(isDoubted(millis(19900)));
+    BOOST_TEST(!isDoubted(millis(20100)));
+    BOOST_TEST(!isDoubted(millis(24400)));
+    BOOST_TEST(isDoubted(millis(25600)));
+}
+
+// Guards against all leafs doubted at once where the store is away a second time before they are back.
+BOOST_AUTO_TEST_CASE(a_second_trouble_of_the_store_does_not_take_back_what_the_first_excuses)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(1000));
+    directory.noteStoreTrouble(millis(20000));
+    directory.remove("a", millis(20500));
+    directory.noteStoreTrouble(millis(21900));
+    directory.put(entry, millis(22300));
+    BOOST_TEST(!directory.find("a")->isLeaving());
+}
+
 // Guards against a leaf that is asked for as long as it lives, after its own word that it leaves.
 BOOST_AUTO_TEST_CASE(a_return_after_the_stores_trouble_does_not_take_back_a_leafs_word)
 {
