A leaf that has gone is remembered for longer than its last write may take

Cause: a leaf was forgotten 2.2 s after its entry was removed (4.2 s where it was never known); a write of it that the store did later made it a new leaf, with a whole life until the entry lapsed again. The platform tells of writes done up to six seconds late. Change: what has gone is kept for a minute (4,096 leafs at most), with its own word that it leaves and its birth; what returns is doubtful until it has outlived four intervals, counted from two seconds after the removal at the earliest, since a second write may come that late where the store's word counts. Test changed: the two on late heartbeats looked for the end of the doubt 4.3 s after the return; they look at 6.7 s (still doubted) and 6.9 s (back). Costs: a leaf that was silent for three intervals outside the store's trouble and lives is asked again 6.8 s after its removal at the earliest, before 4.2 s after its return.

--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -213,6 +213,14 @@
     [[nodiscard]] std::string_view standing() const;
 };
 
+/** What is kept of a leaf whose entry is gone: it may be written once more by a write that comes late. */
+struct departed_leaf {
+    millis missingSince;
+    bool mayHaveLapsed = false; ///< for the store's trouble
+    bool draining = false; ///< by its own word
+    std::optional<millis> bornAt;
+};
+
 /** Leafs by id and by service, as the platform's store tells of them. */
 class leaf_directory
 {
@@ -275,7 +283,9 @@
     void add(const leaf_entry &entry, millis now);
     bool update(leaf &known, const leaf_entry &entry, millis now);
     void unlink(const leaf &gone);
-    void takeReturn(leaf &known, millis removedAt, millis now);
+    void keepDeparted(std::string_view id, const departed_leaf &gone);
+    void forgetDeparted(millis now);
+    void takeReturn(leaf &known, const departed_leaf &before, millis now);
     void endDoubt(leaf &known, millis now);
 
     millis m_hold;
@@ -284,7 +294,7 @@
     millis m_troubleSince = millis() - millis::never(); ///< of the store, the latest one
     millis m_troubleAt = millis() - millis::never(); ///< its last sign
     std::map<std::string, std::shared_ptr<leaf>, std::less<>> m_byId;
-    std::map<std::string, millis, std::less<>> m_removedUnseen; ///< leafs that were never known here, and when
+    std::map<std::string, departed_leaf, std::less<>> m_departed;
     std::unordered_map<service_name, std::vector<std::shared_ptr<leaf>>> m_byService;
     std::unordered_map<leaf_digest, std::shared_ptr<leaf>> m_byDigest;
     millis m_nextExpiry = millis::never();
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -10,7 +10,12 @@
 
 namespace {
 
-constexpr double lapseHeartbeats = 3.5; // the store removes an entry after three intervals without a word
+constexpr double outlivedHeartbeats =
+    4; // the store removes an entry after three intervals without a word, and tells it
+// Between a leaf's last write and the moment at which the store does it, where the store counts as stable by then.
+constexpr millis latestWrite(2000);
+constexpr millis rememberDeparted(60000); // ten times what the latest write of all takes
+constexpr std::size_t mostDeparted = 4096; // some hundred kilobytes; a new set of shards ends some hundred leafs
 // After the store's trouble, within which entries that lapsed for it come back. They need two seconds; four after its
 // trouble the store's word counts again, and whoever reads it notices the end up to a second late.
 constexpr millis troubleEcho(2500);
@@ -18,9 +23,9 @@
 
 constexpr millis longestCold(60000); // leafs warm up in seconds; anyone may write anything into an entry
 
-bool bornLater(const leaf_entry &entry, const leaf_entry &known)
+bool isBornAfter(std::optional<millis> birth, std::optional<millis> before)
 {
-    return entry.bornAt && known.bornAt && *entry.bornAt > *known.bornAt;
+    return birth && before && *birth > *before;
 }
 
 /** A heartbeat that was long on its way: of an earlier life of the leaf, or overtaken by a later one of the same. */
@@ -104,7 +109,7 @@
         return true;
     }
     leaf &known = *found->second;
-    if (bornLater(entry, known.entry)) {
+    if (isBornAfter(entry.bornAt, known.entry.bornAt)) {
         // It holds and knows nothing of before: neither its drain nor what was slow or silent says anything of it.
         unlink(known);
         m_byId.erase(found);
@@ -121,11 +126,11 @@
     added->coldUntil = now + std::min(entry.coldFor, longestCold);
     // Since when it drains is not known here, perhaps for as long as it may be asked.
     added->drainSeenAt = entry.draining ? millis() : millis::never();
-    if (const auto removed = m_removedUnseen.find(entry.id); removed != m_removedUnseen.end()) {
-        if (!mayLapseAt(removed->second)) {
-            takeReturn(*added, removed->second, now);
+    if (const auto before = m_departed.find(entry.id); before != m_departed.end()) {
+        if (!isBornAfter(entry.bornAt, before->second.bornAt)) {
+            takeReturn(*added, before->second, now);
         }
-        m_removedUnseen.erase(removed);
+        m_departed.erase(before);
     }
     m_byId.emplace(entry.id, added);
     m_byDigest[digestOf(entry.id)] = added;
@@ -142,8 +147,8 @@
         known.entry.draining = true; // until it ends: what says otherwise was written before
         known.drainSeenAt = std::min({known.drainSeenAt, now, m_currentAsOf});
     }
-    if (returned && !known.mayHaveLapsed) {
-        takeReturn(known, known.missingSince, now);
+    if (returned) {
+        takeReturn(known, {known.missingSince, known.mayHaveLapsed, known.entry.draining, known.entry.bornAt}, now);
     }
     known.missingSince = millis::never();
     known.removeAt = millis::never();
@@ -164,15 +169,19 @@
 }
 
 /**
- * A leaf that leaves may have its entry removed and then written once more by a heartbeat that was still on its way.
- * Taken for a return, it would get requests for as long as the entry takes to lapse, past the limit. So it counts as
- * leaving since the removal until it has outlived that time. After trouble of the store entries return for good; what a
- * leaf itself said of its leaving holds in any case.
+ * A leaf that leaves may have its entry removed and then written once more by a write that was still on its way. Taken
+ * for a return, it would get requests for as long as the entry takes to lapse, past the limit. So it counts as leaving
+ * since the removal until it has outlived that time. After trouble of the store entries return for good; what a leaf
+ * itself said of its leaving holds in any case.
  */
-void leaf_directory::takeReturn(leaf &known, millis removedAt, millis now)
+void leaf_directory::takeReturn(leaf &known, const departed_leaf &before, millis now)
 {
-    known.drainSeenAt = std::min(known.drainSeenAt, removedAt);
-    known.doubtfulUntil = now + m_heartbeat * lapseHeartbeats;
+    known.entry.draining = known.entry.draining || before.draining;
+    if (before.mayHaveLapsed && !known.entry.draining) {
+        return;
+    }
+    known.drainSeenAt = std::min(known.drainSeenAt, before.missingSince);
+    known.doubtfulUntil = std::max(now, before.missingSince + latestWrite) + m_heartbeat * outlivedHeartbeats;
     m_nextExpiry = std::min(m_nextExpiry, known.doubtfulUntil);
 }
 
@@ -189,7 +198,7 @@
 {
     const auto found = m_byId.find(id);
     if (found == m_byId.end()) {
-        m_removedUnseen[std::string(id)] = now;
+        keepDeparted(id, {now, mayLapseAt(now), false, std::nullopt});
         return false;
     }
     leaf &gone = *found->second;
@@ -216,17 +225,35 @@
     }
 }
 
+/** The first word of its end counts. */
+void leaf_directory::keepDeparted(std::string_view id, const departed_leaf &gone)
+{
+    m_departed.try_emplace(std::string(id), gone);
+    if (m_departed.size() > mostDeparted) {
+        const auto since = [](const auto &one) { return one.second.missingSince; };
+        m_departed.erase(std::ranges::min_element(m_departed, {}, since));
+    }
+}
+
+void leaf_directory::forgetDeparted(millis now)
+{
+    std::erase_if(m_departed, [&](const auto &one) { return one.second.missingSince + rememberDeparted <= now; });
+}
+
 std::size_t leaf_directory::expire(millis now)
 {
     if (now < m_nextExpiry) {
         return 0;
     }
     m_nextExpiry = millis::never();
-    std::erase_if(m_removedUnseen, [&](const auto &one) { return one.second + m_heartbeat * lapseHeartbeats <= now; });
+    forgetDeparted(now);
     std::size_t removed = 0;
     for (auto at = m_byId.begin(); at != m_byId.end();) {
         if (at->second->removeAt <= now) {
-            unlink(*at->second);
+            const leaf &gone = *at->second;
+            const millis since = std::min(gone.drainSeenAt, gone.missingSince);
+            keepDeparted(at->first, {since, gone.mayHaveLapsed, gone.entry.draining, gone.entry.bornAt});
+            unlink(gone);
             at = m_byId.erase(at);
             ++removed;
             continue;
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -84,8 +84,11 @@
     BOOST_TEST((known->drainSeenAt == millis(20000)));
     directory.expire(millis(23000));
     BOOST_TEST(known->isLeaving());
+    // A second write may come two seconds after the removal, and lapses three intervals after that.
+    directory.expire(millis(26700));
+    BOOST_TEST(known->isLeaving());
     // Nothing removed it again: it is back.
-    directory.expire(millis(24900));
+    directory.expire(millis(26900));
     BOOST_TEST(!known->isLeaving());
     BOOST_TEST((known->drainSeenAt == millis::never()));
 }
@@ -102,10 +105,75 @@
     directory.put(entry, millis(20100));
     BOOST_TEST(directory.find("a")->isLeaving());
     BOOST_TEST((directory.find("a")->drainSeenAt == millis(20000)));
-    directory.expire(millis(24900));
+    directory.expire(millis(26700));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    directory.expire(millis(26900));
     BOOST_TEST(!directory.find("a")->isLeaving());
 }
 
+// Guards against a leaf that was forgotten by the time a late write of it comes, and is asked as a new one.
+BOOST_AUTO_TEST_CASE(a_leaf_that_is_written_long_after_its_end_is_doubtful)
+{
+    leaf_directory directory(millis(2200));
+    directory.setHeartbeat(millis(1200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(10000));
+    directory.remove("a", millis(20000));
+    BOOST_TEST(directory.expire(millis(22300)) == 1U);
+    directory.put(entry, millis(25500));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    BOOST_TEST((directory.find("a")->drainSeenAt == millis(20000)));
+    directory.expire(millis(30200));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    directory.expire(millis(30400));
+    BOOST_TEST(!directory.find("a")->isLeaving());
+}
+
+// Guards against a leaf that drained, ended, and is asked again for a late write that says ready.
+BOOST_AUTO_TEST_CASE(a_leaf_that_drained_and_ended_does_not_come_back_under_its_birth)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    entry.bornAt = millis(1e12);
+    directory.put(entry, millis(10000));
+    entry.draining = true;
+    directory.put(entry, millis(20000));
+    directory.remove("a", millis(23500));
+    BOOST_TEST(directory.expire(millis(26000)) == 1U);
+    entry.draining = false;
+    directory.put(entry, millis(28000));
+    directory.expire(millis(50000));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    BOOST_TEST((directory.find("a")->drainSeenAt == millis(20000)));
+    directory.remove("a", millis(50000));
+    directory.expire(millis(53000));
+    entry.bornAt = millis(1e12 + 1);
+    directory.put(entry, millis(54000));
+    BOOST_TEST(!directory.find("a")->isLeaving());
+}
+
+// Guards against memory that grows with each leaf that ever ended.
+BOOST_AUTO_TEST_CASE(of_many_departed_leafs_the_latest_are_kept)
+{
+    constexpr int leafs = 5000;
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.service = {"s"};
+    for (int at = 0; at < leafs; ++at) {
+        directory.remove("a" + std::to_string(at), millis(20000 + at));
+    }
+    entry.id = "a0";
+    directory.put(entry, millis(26000));
+    BOOST_TEST(!directory.find("a0")->isLeaving());
+    entry.id = "a" + std::to_string(leafs - 1);
+    directory.put(entry, millis(26000));
+    BOOST_TEST(directory.find(entry.id)->isLeaving());
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_while_the_store_was_away_is_back_at_once)
 {
     leaf_directory directory(millis(2200));
