Who hears of a late write hears of the removal before it

A VM that changes the one it follows, or reads the store anew after its history was dropped, can miss the removal in the same way (by reading; the tests of the store's view show it). Cause: the view of the store forgot a deletion when the key was written again, so whoever came or caught up after that heard only the write, and a reader did not look at when a key came to be. Change: deletions are kept beside what was written after them; whoever catches up gets both in order, whoever begins gets the latest 256 with the whole; a key whose item came to be after what is held of it was deleted in between. Costs: up to 256 keys more in a whole document.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -33,6 +33,7 @@
     std::uint64_t revision = 0; ///< of the store; rises with every change of any key
     bool deleted = false;
     std::string value; ///< empty if deleted
+    std::uint64_t created = 0; ///< revision at which the key came to be; 0 where that is not told, as between processes
 };
 
 /** What is known of one prefix of the store. Takes news in any order and from several sources; never goes back. */
@@ -71,7 +72,12 @@
 
     [[nodiscard]] std::vector<store_item> contents() const;
 
+    /** @return the contents and the latest deletions: what is written after one may be a late write of what is gone,
+     * and whoever begins to listen then must know. */
+    [[nodiscard]] std::vector<store_item> contentsWithDeletions() const;
+
 private:
+    void addMissedDeletions(std::vector<store_item> &items) const;
     [[nodiscard]] bool isNews(const store_item &item) const;
     void keep(const store_item &item);
     void forgetOldDeletions();
@@ -79,7 +85,7 @@
     bool m_known = false;
     std::uint64_t m_revision = 0;
     std::map<std::string, held, std::less<>> m_items;
-    std::map<std::string, std::uint64_t, std::less<>> m_deleted; ///< and at which revision
+    std::map<std::string, std::uint64_t, std::less<>> m_deleted; ///< last, at that revision; some are written anew
     std::uint64_t m_deletionsSince = 0; ///< deletions after this revision are all in @ref m_deleted
 };
 
--- a/libs/fleet/src/fleet_items.cpp
+++ b/libs/fleet/src/fleet_items.cpp
@@ -27,7 +27,8 @@
         const std::uint64_t revision = has == request.known.end() ? 0 : has->revision;
         auto changes = revision == 0 ? std::nullopt : view.changesSince(revision);
         const bool whole = !changes.has_value();
-        store_items items {prefix, whole, view.revision(), whole ? view.contents() : *std::move(changes), {}};
+        store_items items {
+            prefix, whole, view.revision(), whole ? view.contentsWithDeletions() : *std::move(changes), {}};
         tell(link, std::move(items));
     }
 }
--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -8,11 +8,13 @@
 namespace {
 
 constexpr std::size_t mostDeletions = 4096; // remembered for followers that lag; beyond that they get everything anew
+constexpr std::size_t mostToldDeletions = 256; // to whoever begins to listen; some kilobytes once
 
 } // namespace
 
 std::vector<store_item> store_view::applyChanges(std::vector<store_item> items, std::uint64_t revision)
 {
+    addMissedDeletions(items);
     std::erase_if(items, [this](const store_item &item) { return !isNews(item); });
     std::ranges::stable_sort(items, {}, &store_item::revision);
     std::ranges::for_each(items, [this](const store_item &item) { keep(item); });
@@ -25,7 +27,9 @@
 {
     std::set<std::string_view> present;
     for (const store_item &item : items) {
-        present.insert(item.key);
+        if (!item.deleted) {
+            present.insert(item.key);
+        }
     }
     std::vector<store_item> gone;
     for (const auto &[key, known] : m_items) {
@@ -76,6 +80,33 @@
     return all;
 }
 
+std::vector<store_item> store_view::contentsWithDeletions() const
+{
+    std::vector<store_item> all;
+    for (const auto &[key, deletedAt] : m_deleted) {
+        all.push_back({key, deletedAt, true, {}});
+    }
+    const std::size_t told = std::min(all.size(), mostToldDeletions);
+    const auto end = all.begin() + static_cast<std::ptrdiff_t>(told);
+    std::ranges::partial_sort(all, end, std::greater(), &store_item::revision);
+    all.erase(end, all.end());
+    std::ranges::move(contents(), std::back_inserter(all));
+    return all;
+}
+
+/** A key that came to be after what is held of it was deleted in between, though nobody told. */
+void store_view::addMissedDeletions(std::vector<store_item> &items) const
+{
+    std::vector<store_item> missed;
+    for (const store_item &item : items) {
+        const auto known = m_items.find(item.key);
+        if (known != m_items.end() && !item.deleted && item.created > known->second.revision) {
+            missed.push_back({item.key, item.created - 1, true, {}});
+        }
+    }
+    items.insert(items.begin(), missed.begin(), missed.end());
+}
+
 bool store_view::isNews(const store_item &item) const
 {
     if (const auto found = m_items.find(item.key); found != m_items.end()) {
@@ -94,7 +125,6 @@
         m_deleted[item.key] = item.revision;
         return;
     }
-    m_deleted.erase(item.key);
     m_items[item.key] = {item.revision, item.value};
 }
 
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -188,6 +188,56 @@
     BOOST_TEST(!view.changesSince(2).has_value());
 }
 
+// Guards against a reader that missed a deletion and takes what was written after it for the same thing.
+BOOST_AUTO_TEST_CASE(a_key_that_came_to_be_anew_was_deleted_in_between)
+{
+    store_view view;
+    view.applyContents({{"a", 5, false, "1", 2}}, 6);
+    const std::vector<store_item> news = view.applyContents({{"a", 9, false, "2", 8}}, 9);
+    BOOST_REQUIRE(news.size() == 2U);
+    BOOST_TEST(news.front().deleted);
+    BOOST_TEST(news.front().revision == 7U);
+    BOOST_TEST(news.back().value == "2");
+    BOOST_TEST(view.applyChanges({{"a", 10, false, "3", 8}}, 10).size() == 1U);
+}
+
+// Guards against a VM that begins to listen, or falls behind, between a removal and a late write, and hears the write
+// alone.
+BOOST_AUTO_TEST_CASE(who_comes_after_a_late_write_hears_of_the_removal_before_it)
+{
+    store_view view;
+    view.applyContents({{"a", 5, false, "1"}, {"b", 3, false, "1"}}, 6);
+    view.applyChanges({{"a", 7, true, {}}}, 7);
+    view.applyChanges({{"a", 8, false, "1"}}, 8);
+    store_view behind;
+    behind.applyContents({{"a", 5, false, "1"}, {"b", 3, false, "1"}}, 6);
+    store_view empty;
+    const std::vector<store_item> missed = behind.applyChanges(*view.changesSince(6), view.revision());
+    const std::vector<store_item> all = empty.applyContents(view.contentsWithDeletions(), view.revision());
+    for (const std::vector<store_item> &news : {missed, all}) {
+        const auto removal = std::ranges::find_if(news, [](const store_item &one) { return one.deleted; });
+        const auto write = std::ranges::find(news, 8U, &store_item::revision);
+        BOOST_REQUIRE(removal != news.end());
+        BOOST_REQUIRE(write != news.end());
+        BOOST_TEST((removal < write));
+        BOOST_TEST(removal->key == "a");
+    }
+    BOOST_TEST(empty.contents().size() == 2U);
+}
+
+// Guards against a whole document that grows with all that was ever deleted.
+BOOST_AUTO_TEST_CASE(only_the_latest_deletions_are_told)
+{
+    store_view view;
+    view.applyContents({}, 1);
+    for (std::uint64_t at = 2; at < 1002; ++at) {
+        view.applyChanges({{"k" + std::to_string(at), at, true, {}}}, at);
+    }
+    const std::vector<store_item> told = view.contentsWithDeletions();
+    BOOST_TEST(told.size() == 256U);
+    BOOST_TEST(std::ranges::min(told, {}, &store_item::revision).revision == 746U);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_are_refused)
 {
     const std::vector<std::uint8_t> nonsense(32, 0xAB);
