A VM is current as of the moment for which the store's reader vouches

Cause: a VM dated a leaf's word by the last moment at which it took itself for current, and took itself for that while the VM above it had merely not been called lost yet; a removal was dated by its arrival in any case. The margin of a second covered a word's way, not a silence. Change: the reader vouches for the moment at which it asked the last call that the store answered; that is handed down the tree as an age, at once, never renewed on the way, and counted by each receiver from the tick before the last, since a message may have waited while it stood still. A VM that stood still for longer than a silence looks for whom to follow anew. Words and removals are dated by that moment, but for entries that may have lapsed for the store's trouble. So that the moment is not much older than today's margin, the store holds a watch on leafs for 0.13 of the drain limit (0.4 s at 3 s, before 0.9 s). The margin between the last choice and the limit covers the request's way alone now: 0.8 s for 1.0 s, as much as a request had before.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -147,6 +147,8 @@
     std::vector<std::string> elsewhere; ///< whom to ask instead, if not accepted
     std::vector<fleet_member> members; ///< of the fleet, all of them; empty if not all are told
     member_changes changes; ///< of the fleet
+    std::optional<millis> currentAsOf; ///< see @ref fleet_node::currentAsOf; on the wire an age, decoded as that long
+                                       ///< before zero
 };
 
 /** One item as the difference to what the receiver holds. */
@@ -306,6 +308,9 @@
     /** Whether this process's own reading of the prefix goes on without trouble. */
     void onStoreState(std::string_view prefix, bool ok, millis now);
 
+    /** All that the store accepted up to then, of what is vouched for, was told by this process's own reading. */
+    void onStoreCurrent(millis asOf, millis now);
+
     /** Tells the fleet what this process found out about leafs, with the next tick. */
     void report(std::span<const leaf_report> reports);
 
@@ -332,6 +337,15 @@
 
     [[nodiscard]] const store_view &view(std::string_view prefix) const;
 
+    /**
+     * All that the store accepted up to this moment is known here, whatever stands still or is silent on the way: it is
+     * the moment for which the reader vouches, handed down, never that of its arrival.
+     */
+    [[nodiscard]] millis currentAsOf() const
+    {
+        return m_asOf;
+    }
+
     /** Whether the process at the top of the tree reads the store without trouble, as far as is known here. */
     [[nodiscard]] bool storeOk() const
     {
@@ -422,7 +436,10 @@
     [[nodiscard]] bool mayFollow(const follow_request &request, millis now) const;
     [[nodiscard]] std::vector<std::string> referralsFor(const follow_request &request) const;
     void onBeat(link_id link, const follow_beat &sign, millis now);
-    void tellFollowers();
+    void tellFollowers(millis now);
+    void noteTick(millis now);
+    void hearCurrent(const upstream_state &state, millis now);
+    void noteCurrent(millis asOf, millis now);
     void dropSilentFollowers(millis now);
     void beat(millis now);
 
@@ -447,6 +464,7 @@
 
     [[nodiscard]] follow_request ownRequest() const;
     [[nodiscard]] upstream_state ownState(bool accepted) const;
+    [[nodiscard]] bool mayVouch() const;
     [[nodiscard]] bool ownStoreOk() const;
     [[nodiscard]] std::uint32_t subtree() const;
     [[nodiscard]] bool hasData() const;
@@ -469,6 +487,11 @@
     std::size_t m_seedsDialled = 0; ///< since the last look
     std::string m_lastTop; ///< process at the top when its store was lost
     millis m_nextBeat;
+    millis m_tickAt;
+    millis m_quietAt; ///< the tick before the last: what is handled now arrived later than that
+    millis m_asOf = millis() - millis::never();
+    millis m_toldAsOf; ///< as the followers know it
+    millis m_toldAt; ///< when they last heard
     millis m_nextMerge;
     std::map<link_id, candidate> m_candidates;
     std::size_t m_referrals = 0; ///< followed in this search
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -40,6 +40,8 @@
 
 constexpr millis longestAge(4.0e9); // some weeks: as many milliseconds as the wire takes
 
+constexpr std::uint32_t noAge = std::numeric_limits<std::uint32_t>::max(); // as in fleet.fbs
+
 /** @param at relative to now. */
 std::uint32_t ageOf(millis at)
 {
@@ -101,7 +103,8 @@
                                             members,
                                             joined,
                                             left,
-                                            message.starting)
+                                            message.starting,
+                                            message.currentAsOf ? ageOf(*message.currentAsOf) : noAge)
                         .Union());
     }
 
@@ -291,7 +294,8 @@
             textsOf(from.path()),
             textsOf(from.elsewhere()),
             readMembers(from.members()),
-            {readMembers(from.joined()), readMembers(from.left())}};
+            {readMembers(from.joined()), readMembers(from.left())},
+            from.current_age() == noAge ? std::nullopt : std::optional(millis() - millis(from.current_age()))};
 }
 
 /** @return the envelope compressed, or nothing if that is no shorter. */
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -146,18 +146,25 @@
             refreshMembers();
         }
     }
-    tellFollowers();
+    // Followers are told with what is heard, see noteCurrent; this is for when nothing is.
+    const double quietBeats = m_phase == phase::Following ? 1.5 : 0.75;
+    if (now - m_toldAt >= m_settings.beat * quietBeats) {
+        tellFollowers(now);
+    }
 }
 
 /** One message for all who know the same of the fleet: encoding it anew for each costs a small VM more than the way. */
-void fleet_node::tellFollowers()
+void fleet_node::tellFollowers(millis now)
 {
+    m_toldAt = now;
+    m_toldAsOf = m_asOf;
     std::map<member_list, std::vector<link_id>> byKnowledge;
     for (auto &[link, one] : m_followers) {
         byKnowledge[std::exchange(one.told, m_members)].push_back(link);
     }
     for (auto &[told, links] : byKnowledge) {
         upstream_state state = ownState(true);
+        state.currentAsOf = mayVouch() ? std::optional(m_asOf - now) : std::nullopt;
         state.changes = told == m_members ? member_changes() : differenceOf(*told, *m_members);
         m_actions.emplace_back(tell_action {std::move(links), std::move(state)});
     }
@@ -191,6 +198,13 @@
     return state;
 }
 
+/** Whoever waits for the whole of a prefix has passed over what changed in it. */
+bool fleet_node::mayVouch() const
+{
+    const bool knowsAll = std::ranges::all_of(m_views, [](const auto &one) { return one.second.known(); });
+    return knowsAll && m_wholeAsked.empty();
+}
+
 std::uint32_t fleet_node::subtree() const
 {
     std::uint32_t size = 1;
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -29,6 +29,8 @@
 void fleet_node::start(millis now)
 {
     m_guessUntil = now + guessFor;
+    m_tickAt = now;
+    m_quietAt = now;
     m_nextBeat = now + m_settings.beat;
     seek(now);
 }
@@ -73,11 +75,40 @@
     const millis spread = m_settings.beat * (1 + 2 * m_random.uniform());
     const bool firstWord = std::exchange(m_starting, m_starting && ok && !ownStoreOk());
     m_nextMerge = std::min(m_nextMerge, firstWord && ok ? now + m_settings.drawInterval : now + spread);
-    tellFollowers();
+    tellFollowers(now);
+}
+
+void fleet_node::onStoreCurrent(millis asOf, millis now)
+{
+    if (m_phase == phase::Reading) {
+        noteCurrent(asOf, now);
+    }
+}
+
+/** Passed on at once, or each level of the tree would add a beat. */
+void fleet_node::noteCurrent(millis asOf, millis now)
+{
+    constexpr double leastProgress = 0.75; // of a beat
+    m_asOf = std::max(m_asOf, asOf);
+    if (m_asOf - m_toldAsOf >= m_settings.beat * leastProgress) {
+        tellFollowers(now);
+    }
+}
+
+void fleet_node::noteTick(millis now)
+{
+    const millis gap = now - m_tickAt;
+    m_quietAt = m_tickAt;
+    m_tickAt = now;
+    // While a VM is suspended what is sent to it is lost, and sent again it may come long after.
+    if (m_phase == phase::Following && gap > m_settings.silence) {
+        loseUpstream("stood_still", now);
+    }
 }
 
 void fleet_node::tick(millis now)
 {
+    noteTick(now);
     if (m_phase == phase::Following) {
         judgeUpstream(now);
     }
--- a/libs/fleet/src/fleet_search.cpp
+++ b/libs/fleet/src/fleet_search.cpp
@@ -133,7 +133,7 @@
     note("reads_store", std::string(why), millis());
     m_actions.emplace_back(read_action {true});
     refreshMembers();
-    tellFollowers();
+    tellFollowers(now);
     answerWaiting(now);
 }
 
@@ -180,8 +180,20 @@
         loseUpstream("refused", now);
     } else if (contains(state.path, m_settings.address)) {
         loseUpstream("circle", now);
-    } else if (changed) {
-        tellFollowers();
+    } else {
+        hearCurrent(state, now);
+        if (changed) {
+            tellFollowers(now);
+        }
+    }
+}
+
+/** The message may have waited here while this process was not at work, and its age says nothing of that: it counts
+ * from the tick before the last. */
+void fleet_node::hearCurrent(const upstream_state &state, millis now)
+{
+    if (state.currentAsOf && m_wholeAsked.empty()) {
+        noteCurrent(m_quietAt + *state.currentAsOf, now);
     }
 }
 
@@ -232,7 +244,7 @@
     hearMembers(state);
     note("follows", m_upstreamAddress, millis());
     m_actions.emplace_back(greet_action {link});
-    tellFollowers();
+    tellFollowers(now);
     answerWaiting(now);
 }
 
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -19,7 +19,7 @@
 constexpr double tieShare = 0.1; // random share, so that VMs with equal views do not all choose the same leaf
 constexpr double stallShare = 0.5; // of the objective: what a stalled leaf is expected to cost more
 constexpr double leavingShare = 4; // of the objective: asked only if no other leaf of the service may be
-constexpr millis drainMargin(1000); // for the store's word to arrive and a request to reach the leaf
+constexpr millis drainMargin(800); // for a request to reach the leaf: a new connection, and a leaf that reads late
 
 /** From sending to the answer, queue and all. */
 millis expectedTime(const leaf &candidate, const route_pace &pace, millis now)
@@ -137,7 +137,7 @@
         return false;
     }
     const millis drainEnd = m_settings.drainLimit - std::min(drainMargin, m_settings.drainLimit * 0.5);
-    if (candidate.drainSeenAt < millis::never() && now >= candidate.drainSeenAt + drainEnd) {
+    if (now >= candidate.drainSeenAt + drainEnd || now >= candidate.removeAt) {
         return false;
     }
     const millis stalled = candidate.stalledSince();
--- a/libs/gateway/tests/two_vms.h
+++ b/libs/gateway/tests/two_vms.h
@@ -291,6 +291,10 @@
     {
     }
 
+    void perform(std::size_t, const asked_action &)
+    {
+    }
+
     void perform(std::size_t, const verdict_action &)
     {
     }
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -169,8 +169,8 @@
     leaf_entry entry;
     millis coldUntil;
     std::optional<cold_turn> coldTurnUsed; ///< the last one in which this VM asked it
-    millis drainSeenAt = millis::never(); ///< when this process learned that it leaves
-    millis missingSince = millis::never(); ///< when this process learned that its entry is missing from the store
+    millis drainSeenAt = millis::never(); ///< since when it may be leaving
+    millis missingSince = millis::never(); ///< since when its entry may be missing from the store
     bool mayHaveLapsed = false; ///< it is missing for the store's trouble, perhaps
     millis removeAt = millis::never(); ///< it is forgotten then
     millis doubtfulUntil = millis() - millis::never(); ///< its entry came back after it was removed
@@ -219,6 +219,7 @@
     bool mayHaveLapsed = false; ///< for the store's trouble
     bool draining = false; ///< by its own word
     std::optional<millis> bornAt;
+    millis keptUntil;
 };
 
 /** Leafs by id and by service, as the platform's store tells of them. */
@@ -280,6 +281,7 @@
 
 private:
     [[nodiscard]] bool mayLapseAt(millis at) const;
+    [[nodiscard]] millis sinceWhen(bool mayHaveLapsed, millis now) const;
     void add(const leaf_entry &entry, millis now);
     bool update(leaf &known, const leaf_entry &entry, millis now);
     void unlink(const leaf &gone);
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -37,6 +37,12 @@
     return *entry.bornAt < *known.bornAt || entry.sequence < known.sequence;
 }
 
+departed_leaf departureOf(const leaf &gone, millis now)
+{
+    const millis since = std::min(gone.drainSeenAt, gone.missingSince);
+    return {since, gone.mayHaveLapsed, gone.entry.draining, gone.entry.bornAt, now + rememberDeparted};
+}
+
 } // namespace
 
 leaf_digest digestOf(std::string_view leafId)
@@ -101,6 +107,13 @@
     return at >= m_troubleSince && at - m_troubleAt < troubleEcho;
 }
 
+/** @return since when an entry that is missing now may have been so. One that lapsed for trouble has its time to return
+ *  from the moment at which the store can be read again. */
+millis leaf_directory::sinceWhen(bool mayHaveLapsed, millis now) const
+{
+    return mayHaveLapsed ? now : std::min(now, m_currentAsOf);
+}
+
 bool leaf_directory::put(const leaf_entry &entry, millis now)
 {
     const auto found = m_byId.find(entry.id);
@@ -148,7 +161,7 @@
         known.drainSeenAt = std::min({known.drainSeenAt, now, m_currentAsOf});
     }
     if (returned) {
-        takeReturn(known, {known.missingSince, known.mayHaveLapsed, known.entry.draining, known.entry.bornAt}, now);
+        takeReturn(known, departureOf(known, now), now);
     }
     known.missingSince = millis::never();
     known.removeAt = millis::never();
@@ -198,14 +211,15 @@
 {
     const auto found = m_byId.find(id);
     if (found == m_byId.end()) {
-        keepDeparted(id, {now, mayLapseAt(now), false, std::nullopt});
+        const bool mayHaveLapsed = mayLapseAt(now);
+        keepDeparted(id, {sinceWhen(mayHaveLapsed, now), mayHaveLapsed, false, std::nullopt, now + rememberDeparted});
         return false;
     }
     leaf &gone = *found->second;
     if (gone.removeAt == millis::never()) {
-        gone.missingSince = now;
         gone.mayHaveLapsed = mayLapseAt(now);
-        gone.removeAt = now + m_hold;
+        gone.missingSince = sinceWhen(gone.mayHaveLapsed, now);
+        gone.removeAt = gone.missingSince + m_hold;
         m_nextExpiry = std::min(m_nextExpiry, gone.removeAt);
     }
     return true;
@@ -230,14 +244,14 @@
 {
     m_departed.try_emplace(std::string(id), gone);
     if (m_departed.size() > mostDeparted) {
-        const auto since = [](const auto &one) { return one.second.missingSince; };
-        m_departed.erase(std::ranges::min_element(m_departed, {}, since));
+        const auto keptUntil = [](const auto &one) { return one.second.keptUntil; };
+        m_departed.erase(std::ranges::min_element(m_departed, {}, keptUntil));
     }
 }
 
 void leaf_directory::forgetDeparted(millis now)
 {
-    std::erase_if(m_departed, [&](const auto &one) { return one.second.missingSince + rememberDeparted <= now; });
+    std::erase_if(m_departed, [&](const auto &one) { return one.second.keptUntil <= now; });
 }
 
 std::size_t leaf_directory::expire(millis now)
@@ -250,10 +264,8 @@
     std::size_t removed = 0;
     for (auto at = m_byId.begin(); at != m_byId.end();) {
         if (at->second->removeAt <= now) {
-            const leaf &gone = *at->second;
-            const millis since = std::min(gone.drainSeenAt, gone.missingSince);
-            keepDeparted(at->first, {since, gone.mayHaveLapsed, gone.entry.draining, gone.entry.bornAt});
-            unlink(gone);
+            keepDeparted(at->first, departureOf(*at->second, now));
+            unlink(*at->second);
             at = m_byId.erase(at);
             ++removed;
             continue;
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -156,6 +156,28 @@
     BOOST_TEST(!directory.find("a")->isLeaving());
 }
 
+// Guards against a leaf that left while this VM heard nothing, and is taken for one that leaves just now.
+BOOST_AUTO_TEST_CASE(a_removal_learnt_after_a_silence_is_as_old_as_the_silence)
+{
+    leaf_directory directory(millis(2200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(10000));
+    directory.noteCurrent(millis(20000));
+    directory.remove("a", millis(21500));
+    BOOST_TEST((directory.find("a")->missingSince == millis(20000)));
+    BOOST_TEST(directory.expire(millis(22300)) == 1U);
+    directory.put(entry, millis(24000));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    // A silence of more than its time to be remembered.
+    directory.noteCurrent(millis(30000));
+    directory.remove("a", millis(130000));
+    BOOST_TEST(directory.expire(millis(130000)) == 1U);
+    directory.put(entry, millis(131000));
+    BOOST_TEST(directory.find("a")->isLeaving());
+}
+
 // Guards against memory that grows with each leaf that ever ended.
 BOOST_AUTO_TEST_CASE(of_many_departed_leafs_the_latest_are_kept)
 {
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -61,7 +61,7 @@
     void onLeafReply(send_id id, gateway_reply reply) override;
     void onLeafFailure(send_id id, send_failure failure) override;
     void onStoreNews(std::string_view prefix, const std::vector<store_item> &items) override;
-    void onFleetState(std::size_t size, bool storeOk, bool hearsPeers) override;
+    void onFleetState(const fleet_state &state) override;
     void onFleetMembers(const std::vector<fleet_member> &members) override;
     void onLeafReports(const std::vector<leaf_report> &reports) override;
     [[nodiscard]] std::vector<leaf_report> takeLeafReports() override;
@@ -119,7 +119,6 @@
     std::map<asked_work, exchange_id> m_askedWork; ///< of other VMs, in hand here
     bool m_leafsKnown = false;
     millis m_storeBadSince = millis::never();
-    millis m_storeOkSince = millis::never();
     bool m_storeInTrouble = false; ///< not only out of reach of this VM
     bool m_stopping = false;
     bool m_closing = false;
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -135,21 +135,16 @@
  * no entry lapses for it: taken for trouble of the store, its return would make leafs that leave look as if they came
  * back. So it counts only if another process is heard at the same time.
  */
-void gateway_service::onFleetState(std::size_t size, bool storeOk, bool hearsPeers)
+void gateway_service::onFleetState(const fleet_state &state)
 {
-    m_engine.setFleetSize(size);
+    m_engine.setFleetSize(state.size);
+    m_engine.leafs().noteCurrent(state.currentAsOf);
     const millis now = m_clock.now();
-    m_storeBadSince = storeOk ? millis::never() : std::min(m_storeBadSince, now);
-    // What the gap brought arrives a moment after its end; the time before the gap must still stand then.
-    constexpr millis currentAfter(500);
-    m_storeOkSince = storeOk ? std::min(m_storeOkSince, now) : millis::never();
-    if (m_storeOkSince + currentAfter <= now) {
-        m_engine.leafs().noteCurrent(now);
-    }
+    m_storeBadSince = state.storeOk ? millis::never() : std::min(m_storeBadSince, now);
     // A process that has just begun to read has had no answer yet: that is no trouble of the store.
     constexpr millis troubleAfter(100);
     const bool lasts = m_storeBadSince + troubleAfter <= now;
-    m_storeInTrouble = !storeOk && (m_storeInTrouble || (lasts && hearsPeers));
+    m_storeInTrouble = !state.storeOk && (m_storeInTrouble || (lasts && state.hearsPeers));
     if (m_storeInTrouble) {
         m_engine.leafs().noteStoreTrouble(now);
     }
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -10,6 +10,10 @@
 
 constexpr millis tickInterval(100); // a quarter of the beat among processes
 
+// Of the drain limit, that the store holds a watch on leafs: twice that and the way down the tree is how old the word
+// of a leaf that leaves may be, and for so long less it is asked.
+constexpr double leafWatchShare = 0.13;
+
 // Shares of the time in which a configuration must be in force. A third of it passes until the reader notices that the
 // store has left it; the rest is for one more seed to fail, then others by the draw (ten of them at most, a fifth of
 // the time), and the reading.
@@ -67,7 +71,9 @@
         store_reader_settings reading;
         reading.address = settings.storeAddress;
         reading.prefix = prefix;
-        reading.wait = settings.storeWait;
+        const bool aboutLeafs = prefix == platform::leafPrefix;
+        reading.wait =
+            aboutLeafs ? std::min(settings.storeWait, settings.drainLimit * leafWatchShare) : settings.storeWait;
         m_readers.push_back(std::make_unique<store_reader>(reactor, reading, *this));
     }
 }
@@ -153,6 +159,14 @@
     flush();
 }
 
+void store_feed::onStoreCurrent(std::string_view prefix, millis asOf)
+{
+    if (prefix == platform::leafPrefix) {
+        m_node.onStoreCurrent(asOf, m_clock.now());
+        flush();
+    }
+}
+
 void store_feed::onStoreState(std::string_view prefix, bool ok)
 {
     if (ok && prefix == m_prefixes.front()) {
@@ -168,7 +182,7 @@
     m_node.report(m_listener.takeLeafReports());
     m_node.tick(now);
     flush();
-    m_listener.onFleetState(m_node.fleetSize(now), m_node.storeOk(), m_node.hearsPeers(now));
+    m_listener.onFleetState({m_node.fleetSize(now), m_node.storeOk(), m_node.hearsPeers(now), m_node.currentAsOf()});
     m_timer.expires_after(std::chrono::milliseconds(tickInterval.ceiled()));
     m_timer.async_wait([this](const boost::system::error_code &stopped) {
         if (!stopped) {
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -20,6 +20,14 @@
 
 namespace chivelock {
 
+/** What this process knows of the fleet and of the store's word. */
+struct fleet_state {
+    std::size_t size = 1; ///< processes
+    bool storeOk = false; ///< the store answers the one that reads
+    bool hearsPeers = false; ///< another process was heard of late
+    millis currentAsOf; ///< see @ref fleet_node::currentAsOf
+};
+
 /** Who uses the news. */
 class feed_listener
 {
@@ -32,9 +40,8 @@
     /** Items of one prefix that changed, oldest first; the first time all of them. */
     virtual void onStoreNews(std::string_view prefix, const std::vector<store_item> &items) = 0;
 
-    /** How many processes the fleet has, whether the store answers the one that reads, and whether any other process
-     * was heard of late; told some times a second. */
-    virtual void onFleetState(std::size_t size, bool storeOk, bool hearsPeers) = 0;
+    /** Told some times a second. */
+    virtual void onFleetState(const fleet_state &state) = 0;
 
     /** Who the fleet is, when it changes. */
     virtual void onFleetMembers(const std::vector<fleet_member> &members) = 0;
@@ -82,6 +89,7 @@
     bool onLinkFrame(link_id link, std::span<const std::uint8_t> payload) override;
     void onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision) override;
     void onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision) override;
+    void onStoreCurrent(std::string_view prefix, millis asOf) override;
     void onStoreState(std::string_view prefix, bool ok) override;
 
     void startReader(std::size_t at);
--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -81,6 +81,7 @@
     m_input.clear();
     m_reader.expect(false, mostBodyBytes);
     m_turn += 1;
+    m_askedAt = m_after.empty() ? m_clock.now() : m_askedAt;
     m_wholeBy = m_clock.now() + wait + wholeLimit;
     armTimeout(m_watching ? wait + answerLimit : answerLimit);
     if (m_socket) {
@@ -202,6 +203,7 @@
     m_watching = true;
     m_after.clear();
     m_listener.onStoreContents(m_settings.prefix, std::exchange(m_pages, {}), m_revision);
+    m_listener.onStoreCurrent(m_settings.prefix, m_askedAt);
     ask();
 }
 
@@ -216,6 +218,9 @@
     const bool news = !page->events.empty();
     if (news) {
         m_listener.onStoreChanges(m_settings.prefix, std::move(page->events), m_revision);
+    }
+    m_listener.onStoreCurrent(m_settings.prefix, m_askedAt);
+    if (news) {
         later(m_settings.gather);
     } else {
         ask();
--- a/programs/chivelockd/gateway/store_reader.h
+++ b/programs/chivelockd/gateway/store_reader.h
@@ -44,6 +44,10 @@
     /** What changed up to @p revision, oldest first. */
     virtual void onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision) = 0;
 
+    /** All that the store accepted under the prefix up to this moment has been told: it has answered a call that was
+     * made then. That it holds one is no such word, it may be out of reach. */
+    virtual void onStoreCurrent(std::string_view prefix, millis asOf) = 0;
+
     /** Whether calls are answered; told after the first call and when it changes. */
     virtual void onStoreState(std::string_view prefix, bool ok) = 0;
 };
@@ -106,6 +110,7 @@
     std::string m_after; ///< last key of the pages read so far
     std::vector<store_item> m_pages;
     boot_clock m_clock;
+    millis m_askedAt; ///< for the call under way, or the first of the pages that are being read
     millis m_wholeBy; ///< what has not come by then is given up
     std::uint64_t m_turn = 0; ///< rises when what is on its way is given up
     std::uint64_t m_calls = 0;
