The store's trouble is believed until it has answered again, and what lapses in it has not gone

Cause: as the store is down, all VMs become readers one after the other; each then counted as starting, not as in trouble, heard nobody, and did not count as in trouble either when its call failed. The last sign of trouble was five seconds old when the store came back and lapsed entries returned; six seconds of excuse had hidden that, 2.5 do not. Change: the tree's node judges the trouble: begun while another process is heard, it is believed until the store has answered whoever is at the top; one that seeks says that no answer stands behind its word. And what is deleted then may have lapsed: what is written after that is a return, so it is neither told to who begins nor taken for missed.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -40,12 +40,15 @@
 class store_view
 {
 public:
-    /** @return the items that are news here, oldest first. */
-    std::vector<store_item> applyChanges(std::vector<store_item> items, std::uint64_t revision);
+    /** @param mayHaveLapsed deletions may be the store's trouble alone. @return the items that are news here, oldest
+     *  first. */
+    std::vector<store_item>
+    applyChanges(std::vector<store_item> items, std::uint64_t revision, bool mayHaveLapsed = false);
 
     /** @param items all that the prefix held at @p revision. @return as @ref applyChanges; keys that are missing
      *  count as deleted. */
-    std::vector<store_item> applyContents(std::vector<store_item> items, std::uint64_t revision);
+    std::vector<store_item>
+    applyContents(std::vector<store_item> items, std::uint64_t revision, bool mayHaveLapsed = false);
 
     /** Whether the contents were known at some time. */
     [[nodiscard]] bool known() const
@@ -79,13 +82,18 @@
 private:
     void addMissedDeletions(std::vector<store_item> &items) const;
     [[nodiscard]] bool isNews(const store_item &item) const;
-    void keep(const store_item &item);
+    void keep(const store_item &item, bool mayHaveLapsed);
     void forgetOldDeletions();
 
+    struct deletion {
+        std::uint64_t revision = 0;
+        bool mayHaveLapsed = false; ///< what is written after it is a return
+    };
+
     bool m_known = false;
     std::uint64_t m_revision = 0;
     std::map<std::string, held, std::less<>> m_items;
-    std::map<std::string, std::uint64_t, std::less<>> m_deleted; ///< last, at that revision; some are written anew
+    std::map<std::string, deletion, std::less<>> m_deleted; ///< the last one; some keys are written anew
     std::uint64_t m_deletionsSince = 0; ///< deletions after this revision are all in @ref m_deleted
 };
 
@@ -346,6 +354,13 @@
         return m_asOf;
     }
 
+    /** The store does not answer whoever is at the top of the tree. A process that hears nobody may be cut off itself,
+     * and for it nothing lapses; but what it has known it believes until the store has answered again. */
+    [[nodiscard]] bool storeInTrouble() const
+    {
+        return m_inTrouble;
+    }
+
     /** Whether the process at the top of the tree reads the store without trouble, as far as is known here. */
     [[nodiscard]] bool storeOk() const
     {
@@ -438,6 +453,8 @@
     void onBeat(link_id link, const follow_beat &sign, millis now);
     void tellFollowers(millis now);
     void noteTick(millis now);
+    void judgeStore(millis now);
+    [[nodiscard]] bool mayLapse() const;
     void hearCurrent(const upstream_state &state, millis now);
     void noteCurrent(millis asOf, millis now);
     void dropSilentFollowers(millis now);
@@ -489,6 +506,9 @@
     millis m_nextBeat;
     millis m_tickAt;
     millis m_quietAt; ///< the tick before the last: what is handled now arrived later than that
+    bool m_inTrouble = false; ///< see @ref storeInTrouble
+    millis m_lostSince = millis::never(); ///< nobody above reads the store
+    millis m_troubleAt = millis() - millis::never(); ///< its last sign
     millis m_asOf = millis() - millis::never();
     millis m_toldAsOf; ///< as the followers know it
     millis m_toldAt; ///< when they last heard
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -164,6 +164,7 @@
     }
     for (auto &[told, links] : byKnowledge) {
         upstream_state state = ownState(true);
+        state.starting = state.starting || m_phase == phase::Seeking; // no answer of the store stands behind its word
         state.currentAsOf = mayVouch() ? std::optional(m_asOf - now) : std::nullopt;
         state.changes = told == m_members ? member_changes() : differenceOf(*told, *m_members);
         m_actions.emplace_back(tell_action {std::move(links), std::move(state)});
--- a/libs/fleet/src/fleet_items.cpp
+++ b/libs/fleet/src/fleet_items.cpp
@@ -88,7 +88,7 @@
 {
     store_view &view = m_views.find(prefix)->second;
     const bool first = !view.known();
-    const std::vector<store_item> news = view.applyContents(std::move(items), revision);
+    const std::vector<store_item> news = view.applyContents(std::move(items), revision, mayLapse());
     if (first || !news.empty()) {
         // Followers that came before the contents were known got none then.
         passOn({std::string(prefix), first, view.revision(), news, {}}, news);
@@ -100,7 +100,7 @@
     store_view &view = m_views.find(prefix)->second;
     std::vector<store_item> rest = items;
     std::vector<item_patch> patches = takePatches(prefix, rest);
-    std::vector<store_item> news = view.applyChanges(std::move(items), revision);
+    std::vector<store_item> news = view.applyChanges(std::move(items), revision, mayLapse());
     if (!news.empty()) {
         passOn({std::string(prefix), false, view.revision(), std::move(rest), std::move(patches)}, std::move(news));
     }
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -106,9 +106,29 @@
     }
 }
 
+void fleet_node::judgeStore(millis now)
+{
+    constexpr millis troubleAfter(100); // one that has just begun to read has had no answer yet: that is no trouble
+    const bool follows = m_phase == phase::Following;
+    const bool answers =
+        follows ? m_upstreamState.storeOk && !m_upstreamState.starting : m_phase == phase::Reading && ownStoreOk();
+    m_lostSince = storeOk() ? millis::never() : std::min(m_lostSince, now);
+    const bool lost = m_lostSince + troubleAfter <= now && hearsPeers(now);
+    m_inTrouble = !answers && (m_inTrouble || lost);
+    m_troubleAt = m_inTrouble ? now : m_troubleAt;
+}
+
+/** Whether an entry that is missing may have lapsed for the store's trouble: it is back some two seconds after that. */
+bool fleet_node::mayLapse() const
+{
+    constexpr millis echo(2500);
+    return m_tickAt - m_troubleAt < echo;
+}
+
 void fleet_node::tick(millis now)
 {
     noteTick(now);
+    judgeStore(now);
     if (m_phase == phase::Following) {
         judgeUpstream(now);
     }
--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -12,18 +12,22 @@
 
 } // namespace
 
-std::vector<store_item> store_view::applyChanges(std::vector<store_item> items, std::uint64_t revision)
+std::vector<store_item>
+store_view::applyChanges(std::vector<store_item> items, std::uint64_t revision, bool mayHaveLapsed)
 {
-    addMissedDeletions(items);
+    if (!mayHaveLapsed) {
+        addMissedDeletions(items);
+    }
     std::erase_if(items, [this](const store_item &item) { return !isNews(item); });
     std::ranges::stable_sort(items, {}, &store_item::revision);
-    std::ranges::for_each(items, [this](const store_item &item) { keep(item); });
+    std::ranges::for_each(items, [&](const store_item &item) { keep(item, mayHaveLapsed); });
     m_revision = std::max(m_revision, revision);
     forgetOldDeletions();
     return items;
 }
 
-std::vector<store_item> store_view::applyContents(std::vector<store_item> items, std::uint64_t revision)
+std::vector<store_item>
+store_view::applyContents(std::vector<store_item> items, std::uint64_t revision, bool mayHaveLapsed)
 {
     std::set<std::string_view> present;
     for (const store_item &item : items) {
@@ -43,7 +47,7 @@
         m_deletionsSince = revision;
     }
     m_known = true;
-    return applyChanges(std::move(items), revision);
+    return applyChanges(std::move(items), revision, mayHaveLapsed);
 }
 
 const store_view::held *store_view::find(std::string_view key) const
@@ -63,9 +67,9 @@
             changes.push_back({key, known.revision, false, known.value});
         }
     }
-    for (const auto &[key, deletedAt] : m_deleted) {
-        if (deletedAt > revision) {
-            changes.push_back({key, deletedAt, true, {}});
+    for (const auto &[key, last] : m_deleted) {
+        if (last.revision > revision) {
+            changes.push_back({key, last.revision, true, {}});
         }
     }
     return changes;
@@ -83,8 +87,10 @@
 std::vector<store_item> store_view::contentsWithDeletions() const
 {
     std::vector<store_item> all;
-    for (const auto &[key, deletedAt] : m_deleted) {
-        all.push_back({key, deletedAt, true, {}});
+    for (const auto &[key, last] : m_deleted) {
+        if (!last.mayHaveLapsed) {
+            all.push_back({key, last.revision, true, {}});
+        }
     }
     const std::size_t told = std::min(all.size(), mostToldDeletions);
     const auto end = all.begin() + static_cast<std::ptrdiff_t>(told);
@@ -115,24 +121,29 @@
     }
     // Also of a key that was never seen here: what is written after it may be older than it looks.
     const auto deleted = m_deleted.find(item.key);
-    return deleted == m_deleted.end() || item.revision > deleted->second;
+    return deleted == m_deleted.end() || item.revision > deleted->second.revision;
 }
 
-void store_view::keep(const store_item &item)
+void store_view::keep(const store_item &item, bool mayHaveLapsed)
 {
     if (item.deleted) {
         m_items.erase(item.key);
-        m_deleted[item.key] = item.revision;
+        m_deleted[item.key] = {item.revision, mayHaveLapsed};
         return;
     }
+    const auto before = m_deleted.find(item.key);
+    if (before != m_deleted.end() && before->second.mayHaveLapsed) {
+        m_deleted.erase(before);
+    }
     m_items[item.key] = {item.revision, item.value};
 }
 
 void store_view::forgetOldDeletions()
 {
     while (m_deleted.size() > mostDeletions) {
-        const auto oldest = std::ranges::min_element(m_deleted, {}, [](const auto &one) { return one.second; });
-        m_deletionsSince = std::max(m_deletionsSince, oldest->second);
+        const auto oldest =
+            std::ranges::min_element(m_deleted, {}, [](const auto &one) { return one.second.revision; });
+        m_deletionsSince = std::max(m_deletionsSince, oldest->second.revision);
         m_deleted.erase(oldest);
     }
 }
--- a/libs/fleet/tests/test_fleet_current.cpp
+++ b/libs/fleet/tests/test_fleet_current.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/** Writes something new each 50 ms and looks after each step. @return nodes that took themselves for current wrongly. */
+/** Writes something new each 50 ms and looks after each step. @return nodes that took themselves for current wrongly.
+ */
 std::size_t falselyCurrentWhile(fleet_world &world, millis time, std::size_t &written)
 {
     constexpr millis step(50);
@@ -39,8 +40,8 @@
     }
 }
 
-// Guards against ages that are lost where several processes of one path stand still, by turns or at one moment, end, or are
-// cut from the store.
+// Guards against ages that are lost where several processes of one path stand still, by turns or at one moment, end, or
+// are cut from the store.
 BOOST_AUTO_TEST_CASE(ages_add_up_along_a_path_that_stands_still_by_turns)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -118,8 +118,6 @@
     std::unordered_map<session_id, exchange_id> m_bySession;
     std::map<asked_work, exchange_id> m_askedWork; ///< of other VMs, in hand here
     bool m_leafsKnown = false;
-    millis m_storeBadSince = millis::never();
-    bool m_storeInTrouble = false; ///< not only out of reach of this VM
     bool m_stopping = false;
     bool m_closing = false;
     millis m_stopBegan;
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -130,23 +130,12 @@
     return m_engine.requests().all();
 }
 
-/**
- * Entries that lapse while the store is in trouble come back for good. A VM that is cut off sees the same silence, but
- * no entry lapses for it: taken for trouble of the store, its return would make leafs that leave look as if they came
- * back. So it counts only if another process is heard at the same time.
- */
 void gateway_service::onFleetState(const fleet_state &state)
 {
     m_engine.setFleetSize(state.size);
     m_engine.leafs().noteCurrent(state.currentAsOf);
-    const millis now = m_clock.now();
-    m_storeBadSince = state.storeOk ? millis::never() : std::min(m_storeBadSince, now);
-    // A process that has just begun to read has had no answer yet: that is no trouble of the store.
-    constexpr millis troubleAfter(100);
-    const bool lasts = m_storeBadSince + troubleAfter <= now;
-    m_storeInTrouble = !state.storeOk && (m_storeInTrouble || (lasts && state.hearsPeers));
-    if (m_storeInTrouble) {
-        m_engine.leafs().noteStoreTrouble(now);
+    if (state.storeInTrouble) {
+        m_engine.leafs().noteStoreTrouble(m_clock.now());
     }
 }
 
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -23,8 +23,7 @@
 /** What this process knows of the fleet and of the store's word. */
 struct fleet_state {
     std::size_t size = 1; ///< processes
-    bool storeOk = false; ///< the store answers the one that reads
-    bool hearsPeers = false; ///< another process was heard of late
+    bool storeInTrouble = false; ///< see @ref fleet_node::storeInTrouble
     millis currentAsOf; ///< see @ref fleet_node::currentAsOf
 };
 
