Whoever joins and whoever is joined tell each other what was deleted of late

What callers saw: requests at leafs that had left up to 9.5 s before, from a VM that had been started right after the removal and reads the store itself: the store does not tell it of what is gone, and a late write was a new leaf to it. Cause: what is known of a removal went down the tree with the store's word and never up; the first seed reads at once and knew nothing. Change: both ends of a new link tell each other the deletions of the last ten seconds (256 at most, none that may have lapsed for the store's trouble), and what of it is news goes on to the others; what was written after a deletion follows it anew. The older check of the soak (drain) stays as strict as it was, for all VMs.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -62,6 +63,9 @@
         return m_revision;
     }
 
+    /** Deletions that were told elsewhere. @return as @ref applyChanges; what was written after one follows it anew. */
+    std::vector<store_item> applyPastDeletions(std::span<const store_item> items);
+
     struct held {
         std::uint64_t revision = 0;
         std::string value;
@@ -188,7 +192,14 @@
     std::vector<request_evidence> requests; ///< with ages on the wire; decoded as seen that long before zero
 };
 
-using fleet_message = std::variant<follow_request, follow_beat, upstream_state, store_items, leaf_news, request_news>;
+/** Up and down: what was deleted of late, to whoever joins. The store does not say it to one that begins to read. */
+struct past_deletions {
+    std::string prefix;
+    std::vector<store_item> items;
+};
+
+using fleet_message =
+    std::variant<follow_request, follow_beat, upstream_state, store_items, leaf_news, request_news, past_deletions>;
 
 /** Why bytes are not a message of the fleet. */
 enum class fleet_wire_error : std::uint8_t {
@@ -467,6 +478,9 @@
     void passOn(store_items items, std::vector<store_item> news);
     [[nodiscard]] std::vector<item_patch> takePatches(std::string_view prefix, std::vector<store_item> &items) const;
 
+    void onPastDeletions(link_id link, const past_deletions &told);
+    void tellPastDeletions(link_id link);
+    void keepDeletions(const std::string &prefix, std::span<const store_item> news);
     void onLeafNews(link_id link, leaf_news news, millis now);
     void onRequestNews(link_id link, request_news news, millis now);
     [[nodiscard]] bool isNeighbour(link_id link) const;
@@ -520,6 +534,12 @@
     millis m_upstreamHeardAt;
     upstream_state m_upstreamState;
     millis m_upstreamBadSince = millis::never();
+    struct late_deletion {
+        std::string prefix;
+        store_item item;
+        millis heardAt;
+    };
+    std::deque<late_deletion> m_lateDeletions; ///< for whoever joins
     std::set<std::string> m_wholeAsked; ///< prefixes of which all was asked for and has not come yet
     std::map<link_id, follower> m_followers;
     std::vector<waiting_follower> m_waiting;
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -108,16 +108,17 @@
                         .Union());
     }
 
+    Offset<fleet_wire::Envelope> operator()(const past_deletions &message) const
+    {
+        const auto prefix = builder.CreateString(message.prefix);
+        const auto all = itemsOf(message.items);
+        return wrap(fleet_wire::Message::Deletions, fleet_wire::CreateDeletions(builder, prefix, all).Union());
+    }
+
     Offset<fleet_wire::Envelope> operator()(const store_items &message) const
     {
-        std::vector<Offset<fleet_wire::Item>> items;
-        for (const store_item &item : message.items) {
-            const auto key = builder.CreateString(item.key);
-            const auto value = builder.CreateString(item.value);
-            items.push_back(fleet_wire::CreateItem(builder, key, item.revision, item.deleted, value));
-        }
         const auto prefix = builder.CreateString(message.prefix);
-        const auto all = builder.CreateVector(items);
+        const auto all = itemsOf(message.items);
         const auto patches = patchesOf(message.patches);
         return wrap(fleet_wire::Message::Items,
                     fleet_wire::CreateItems(builder, prefix, message.whole, message.revision, all, patches).Union());
@@ -156,6 +157,17 @@
     }
 
 private:
+    [[nodiscard]] Offset<flatbuffers::Vector<Offset<fleet_wire::Item>>> itemsOf(std::span<const store_item> items) const
+    {
+        std::vector<Offset<fleet_wire::Item>> offsets;
+        for (const store_item &item : items) {
+            const auto key = builder.CreateString(item.key);
+            const auto value = builder.CreateString(item.value);
+            offsets.push_back(fleet_wire::CreateItem(builder, key, item.revision, item.deleted, value));
+        }
+        return builder.CreateVector(offsets);
+    }
+
     [[nodiscard]] Offset<flatbuffers::Vector<Offset<fleet_wire::Patch>>>
     patchesOf(std::span<const item_patch> patches) const
     {
@@ -226,14 +238,20 @@
     return {from.subtree(), {readMembers(from.joined()), readMembers(from.left())}};
 }
 
-store_items readItems(const fleet_wire::Items &from)
+std::vector<store_item> readItemList(const flatbuffers::Vector<Offset<fleet_wire::Item>> *from)
 {
-    store_items message {textOf(from.prefix()), from.whole(), from.revision(), {}, {}};
-    if (from.items() != nullptr) {
-        for (const auto *item : *from.items()) {
-            message.items.push_back({textOf(item->key()), item->revision(), item->deleted(), textOf(item->value())});
+    std::vector<store_item> items;
+    if (from != nullptr) {
+        for (const auto *item : *from) {
+            items.push_back({textOf(item->key()), item->revision(), item->deleted(), textOf(item->value())});
         }
     }
+    return items;
+}
+
+store_items readItems(const fleet_wire::Items &from)
+{
+    store_items message {textOf(from.prefix()), from.whole(), from.revision(), readItemList(from.items()), {}};
     if (from.patches() != nullptr) {
         for (const auto *patch : *from.patches()) {
             message.patches.push_back({textOf(patch->key()),
@@ -364,6 +382,10 @@
         return readReports(*envelope.message_as_Reports());
     case fleet_wire::Message::Requests:
         return readRequests(*envelope.message_as_Requests());
+    case fleet_wire::Message::Deletions: {
+        const fleet_wire::Deletions &from = *envelope.message_as_Deletions();
+        return past_deletions {textOf(from.prefix()), readItemList(from.items())};
+    }
     case fleet_wire::Message::Packed:
         return mayBePacked ? readPacked(*envelope.message_as_Packed()) : tl::unexpected(fleet_wire_error::Malformed);
     default:
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -100,6 +100,7 @@
     tell(link, std::move(welcome));
     m_actions.emplace_back(greet_action {link}); // before the configuration, with which it begins to serve
     sendMissing(link, request);
+    tellPastDeletions(link);
 }
 
 /** Those who asked while this process itself was looking. */
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -57,6 +57,8 @@
         onState(link, *state, now);
     } else if (auto *items = std::get_if<store_items>(&message)) {
         onItems(link, std::move(*items), now);
+    } else if (const auto *deletions = std::get_if<past_deletions>(&message)) {
+        onPastDeletions(link, *deletions);
     } else if (auto *news = std::get_if<leaf_news>(&message)) {
         onLeafNews(link, std::move(*news), now);
     } else if (auto *requests = std::get_if<request_news>(&message)) {
--- a/libs/fleet/src/fleet_search.cpp
+++ b/libs/fleet/src/fleet_search.cpp
@@ -244,6 +244,7 @@
     hearMembers(state);
     note("follows", m_upstreamAddress, millis());
     m_actions.emplace_back(greet_action {link});
+    tellPastDeletions(link);
     tellFollowers(now);
     answerWaiting(now);
 }
--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -50,6 +50,26 @@
     return applyChanges(std::move(items), revision, mayHaveLapsed);
 }
 
+std::vector<store_item> store_view::applyPastDeletions(std::span<const store_item> items)
+{
+    std::vector<store_item> news;
+    for (const store_item &item : items) {
+        deletion &last = m_deleted[item.key];
+        if (!item.deleted || last.revision >= item.revision) {
+            continue;
+        }
+        last.revision = item.revision;
+        news.push_back(item);
+        const auto known = m_items.find(item.key);
+        if (known != m_items.end() && known->second.revision > item.revision) {
+            news.push_back({item.key, known->second.revision, false, known->second.value});
+        }
+    }
+    std::erase_if(m_deleted, [](const auto &one) { return one.second.revision == 0; });
+    forgetOldDeletions();
+    return news;
+}
+
 const store_view::held *store_view::find(std::string_view key) const
 {
     const auto found = m_items.find(key);
--- a/libs/fleet/tests/fleet_world.h
+++ b/libs/fleet/tests/fleet_world.h
@@ -268,6 +268,13 @@
         return m_nodes[at].reports;
     }
 
+    /** @return what a node has heard of a key since its start, in order. */
+    [[nodiscard]] std::string heardOf(std::size_t at, const std::string &key) const
+    {
+        const auto found = m_nodes[at].heard.find(key);
+        return found == m_nodes[at].heard.end() ? std::string() : found->second;
+    }
+
     [[nodiscard]] std::size_t membersAt(std::size_t at) const
     {
         return m_nodes[at].members;
@@ -330,6 +337,7 @@
         std::uint64_t calls = 0;
         std::size_t members = 0;
         std::vector<leaf_report> reports;
+        std::map<std::string, std::string> heard; ///< by key
         request_ledger ledger {quarantine_settings()};
         std::set<request_fingerprint> unwarned; ///< requests that others knew of when this node knew the store's word
         std::uint64_t readUpTo = 0;
@@ -647,8 +655,12 @@
         }
     }
 
-    void perform(std::size_t, const news_action &)
+    void perform(std::size_t at, const news_action &told)
     {
+        for (const store_item &item : told.items) {
+            std::string &heard = m_nodes[at].heard[item.key];
+            heard += (heard.empty() ? "" : ",") + (item.deleted ? std::string("deleted") : item.value);
+        }
     }
 
     void perform(std::size_t at, const members_action &known)
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -225,6 +225,61 @@
     BOOST_TEST(empty.contents().size() == 2U);
 }
 
+// Guards against a reader that has just begun and takes a late write for a new thing, though others know the removal.
+BOOST_AUTO_TEST_CASE(a_reader_that_starts_hears_of_past_deletions_from_its_followers)
+{
+    for (const bool writtenAfterStart : {true, false}) {
+        fleet_world fleet(8);
+        fleet.write("leaf", "ready");
+        fleet.write("other", "ready");
+        fleet.run(millis(4000));
+        fleet.write("leaf", "");
+        fleet.run(millis(500));
+        if (!writtenAfterStart) {
+            fleet.write("leaf", "ready");
+            fleet.run(millis(300));
+        }
+        fleet.kill(0);
+        fleet.start(0, fleet.now() + millis(200));
+        fleet.run(millis(2500));
+        BOOST_TEST(fleet.node(0).isReading());
+        if (writtenAfterStart) {
+            fleet.write("leaf", "ready");
+            fleet.run(millis(300));
+        }
+        BOOST_TEST(fleet.heardOf(0, "leaf").ends_with("deleted,ready"));
+    }
+}
+
+// Guards against leafs doubted by all after an outage: what lapsed for it has not gone.
+BOOST_AUTO_TEST_CASE(what_lapses_in_the_stores_trouble_is_no_past_deletion)
+{
+    fleet_world fleet(8);
+    fleet.write("leaf", "ready");
+    fleet.run(millis(4000));
+    for (std::size_t at = 0; at < 8; ++at) {
+        fleet.cutFromStore(at, true);
+    }
+    fleet.run(millis(3000));
+    for (std::size_t at = 1; at < 8; ++at) {
+        BOOST_TEST(fleet.node(at).storeInTrouble());
+    }
+    fleet.write("leaf", "");
+    for (std::size_t at = 0; at < 8; ++at) {
+        fleet.cutFromStore(at, false);
+    }
+    fleet.run(millis(1500));
+    fleet.write("leaf", "ready");
+    fleet.run(millis(500));
+    fleet.kill(5);
+    fleet.start(5, fleet.now() + millis(100));
+    fleet.run(millis(6000));
+    BOOST_TEST(fleet.heardOf(5, "leaf") == "ready");
+    for (std::size_t at = 0; at < 8; ++at) {
+        BOOST_TEST(!fleet.node(at).storeInTrouble());
+    }
+}
+
 // Guards against a whole document that grows with all that was ever deleted.
 BOOST_AUTO_TEST_CASE(only_the_latest_deletions_are_told)
 {
--- a/programs/chivelockd/gateway/peer_traffic.cpp
+++ b/programs/chivelockd/gateway/peer_traffic.cpp
@@ -42,6 +42,11 @@
         return message.whole ? peer_message_kind::WholeDocuments : peer_message_kind::DocumentChanges;
     }
 
+    peer_message_kind operator()(const past_deletions &) const
+    {
+        return peer_message_kind::DocumentChanges;
+    }
+
     peer_message_kind operator()(const leaf_news &) const
     {
         return peer_message_kind::LeafReports;
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -27,6 +27,8 @@
 DRAIN_S, GRACE_S, MAX_ATTEMPTS = 3.0, 6.0, 2
 APPLY_S = 3.0
 BACK_AFTER_S = 2.5  # a leaf that ended under a request
+LAPSE_S = 3.6  # without a leaf's word, and the store removes its entry
+NOT_IN_TOUCH_DRAIN_S = 6.0  # our aim, the users set none
 KNOWN_AFTER_S = 0.5  # from the third leaf that ended under a request: some messages between VMs
 IN_TOUCH_S = 4.0  # a VM that nothing troubled for so long is held to the bound on such requests
 EMPTY_S = 5.0  # from the store's word until nothing is sent to leafs of an emptied zone
@@ -76,9 +78,12 @@
     least_answered = 0.3  # of all that is asked
     ends_after_s = (0.03, 0.05, 0.08, 0.16)  # of leafs under a request; the last one is more than a part is given
 
-    def __init__(self, program, seed, seconds, folder, zones=False):
+    def __init__(self, program, seed, seconds, folder, zones=False, leaving=False):
         self.random = random.Random(seed)
         self.with_zones, self.zone_random = zones, random.Random(f"{seed}/zones")  # apart: seeds play as without them
+        self.calm_since = {}  # request id -> since when its VM had not been disturbed as it was asked
+        self.with_leaving, self.leaving_random = leaving, random.Random(f"{seed}/leaving")
+        self.store_troubled_at = float("-inf")  # when the store or the way to it was last in trouble
         self.emptied = []  # (zone, from when on nothing may arrive, until when)
         self.seed, self.seconds, self.folder, self.program = seed, seconds, folder, program
         self.port = 10000 + (os.getpid() * 37 + seed * 101) % 20000  # below the system's own choice of ports
@@ -204,6 +209,57 @@
         for vm in lost:
             await vm.start()
 
+    # ---- leafs that leave where no other answers, with late writes of their entries
+
+    async def leaving_faults(self):
+        end, tasks = time.monotonic() + self.seconds, []
+        while time.monotonic() < end:
+            await asyncio.sleep(self.leaving_random.uniform(0.5, 2.0))
+            self.played.append("leave")
+            tasks.append(asyncio.create_task(self.leave()))
+        await asyncio.gather(*tasks)
+
+    async def leave(self):
+        """The leaf serves on for longer than it may be asked, while the others of its service are no use."""
+        leaf = self.leaving_random.choice(self.leafs)
+        others = [one for one in self.leafs if one.service == leaf.service and one is not leaf]
+        if leaf.draining or not others or any(one.draining for one in others):
+            return
+        leaf.draining = True
+        bad = self.leaving_random.choice(["refuse", "silent", "break", "fail"])
+        for other in others:
+            other.mode = bad
+        word = self.leaving_random.choice(["draining", None])
+        back = self.leaving_random.choice([0.05, 0.5, 1.5, 3.0, 5.0])
+        stable = self.store_is_stable()
+        self.write_state(leaf, word)
+        leaf.left_at = time.monotonic() if stable else None
+        await self.add_leaf(leaf.service, leaf.zone)
+        if word is None and self.leaving_random.random() < 0.7:
+            await asyncio.sleep(back)
+            self.write_state(leaf, "ready")  # a write that was long on its way
+            await asyncio.sleep(LAPSE_S)
+            self.write_state(leaf, None)
+        await asyncio.sleep(DRAIN_S + 2)
+        for other in others:
+            other.mode = "ok"
+        self.retire(leaf)
+
+    def write_state(self, leaf, state):
+        self.store.write(f"servers/{leaf.id}", None if state is None else {**leaf.entry(), "state": state})
+
+    def store_is_stable(self):
+        """Nothing troubled the store, or a VM's way to it, for as long as counts."""
+        now = time.monotonic()
+        if self.store.mode != "ok" or any(proxy.mode != "ok" for proxy in self.proxies):
+            self.store_troubled_at = now
+        return now - self.store_troubled_at > IN_TOUCH_S
+
+    def may_be_asked_for(self, request_id, at):
+        """How long after its word a leaf may run the request: a VM that was started, or stood still, is held to more."""
+        in_touch = at - self.calm_since.get(request_id, at) > IN_TOUCH_S
+        return DRAIN_S if in_touch else NOT_IN_TOUCH_DRAIN_S
+
     def check_emptied(self):
         for zone, since, until in self.emptied:
             late = [(run[0], leaf.id) for leaf in self.leafs + self.gone if leaf.zone == zone
@@ -231,7 +287,7 @@
             vm.send(signal.SIGSTOP)
             await asyncio.sleep(pause)
             vm.send(signal.SIGCONT)
-            vm.frozen = False
+            vm.frozen, vm.calm_since = False, time.monotonic()
 
     async def stop(self):
         if vm := self.pick_vm():
@@ -253,7 +309,7 @@
     async def store_fault(self):
         self.store.mode = self.random.choice(["down", "silent"])
         await asyncio.sleep(self.random.uniform(0.5, 2.5))
-        self.store.mode = "ok"
+        self.store.mode, self.store_troubled_at = "ok", time.monotonic()
 
     async def proxy_fault(self):
         proxy = self.random.choice(self.proxies)
@@ -261,7 +317,7 @@
         if proxy.mode == "reset":
             proxy.reset_all()
         await asyncio.sleep(self.random.uniform(0.5, 2.5))
-        proxy.mode = "ok"
+        proxy.mode, self.store_troubled_at = "ok", time.monotonic()
         proxy.reset_all()
 
     async def forget(self):
@@ -365,6 +421,7 @@
             planned = vm.planned_since is not None and vm.planned_since <= time.monotonic()
             calm = calm and not vm.stopping and not vm.frozen
             self.attempts[request_id] = (path, answer)
+            self.calm_since[request_id] = vm.calm_since
             if answer is None and planned and vm.troubled_until < began:
                 self.cut_by_stop.add(request_id)
             self.counts["calm"] += calm
@@ -389,6 +446,8 @@
                     self.broken("unchanged", f"{request_id} reached a leaf as {path}")
                 if leaf.stopped_at and at > leaf.stopped_at + DRAIN_S:
                     self.broken("draining", f"{request_id} ran on {leaf.id} {at - leaf.stopped_at:.2f} s after its word")
+                if leaf.left_at and at > leaf.left_at + self.may_be_asked_for(request_id, at):
+                    self.broken("leaving", f"{request_id} ran on {leaf.id} {at - leaf.left_at:.2f} s after its word")
         self.check_ending()
         self.check_emptied()
         for request_id, (path, answer) in self.attempts.items():
@@ -438,7 +497,9 @@
     async def run(self):
         await self.prepare()
         callers = [asyncio.create_task(self.caller(n)) for n in range(8)]
-        await asyncio.gather(self.faults(), *([self.zone_faults()] if self.with_zones else []))
+        besides = [self.zone_faults()] if self.with_zones else []
+        besides += [self.leaving_faults()] if self.with_leaving else []
+        await asyncio.gather(self.faults(), *besides)
         await asyncio.sleep(1.0)
         self.running = False
         await asyncio.gather(*callers)
@@ -470,11 +531,12 @@
     parser.add_argument("--seeds", default="1-3")
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--zones", action="store_true", help="also faults of whole zones")
+    parser.add_argument("--leaving", action="store_true", help="also leafs that leave where no other answers")
     options = parser.parse_args()
     failed = 0
     for seed in seeds_from(options.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder, options.zones)))
+        soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder, options.zones, options.leaving)))
         for problem in soak.problems[:10]:
             print(problem)
         failed += bool(soak.problems)
