What is known as of when, and what was deleted of late, are files of their own

No behaviour changes: moved out of fleet_node.cpp, fleet_search.cpp, fleet_followers.cpp and fleet_items.cpp; the time within which entries that lapsed for the store's trouble come back stands once.

--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -200,13 +200,6 @@
     return state;
 }
 
-/** Whoever waits for the whole of a prefix has passed over what changed in it. */
-bool fleet_node::mayVouch() const
-{
-    const bool knowsAll = std::ranges::all_of(m_views, [](const auto &one) { return one.second.known(); });
-    return knowsAll && m_wholeAsked.empty();
-}
-
 std::uint32_t fleet_node::subtree() const
 {
     std::uint32_t size = 1;
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -80,23 +80,6 @@
     tellFollowers(now);
 }
 
-void fleet_node::onStoreCurrent(millis asOf, millis now)
-{
-    if (m_phase == phase::Reading) {
-        noteCurrent(asOf, now);
-    }
-}
-
-/** Passed on at once, or each level of the tree would add a beat. */
-void fleet_node::noteCurrent(millis asOf, millis now)
-{
-    constexpr double leastProgress = 0.75; // of a beat
-    m_asOf = std::max(m_asOf, asOf);
-    if (m_asOf - m_toldAsOf >= m_settings.beat * leastProgress) {
-        tellFollowers(now);
-    }
-}
-
 void fleet_node::noteTick(millis now)
 {
     const millis gap = now - m_tickAt;
@@ -108,25 +91,6 @@
     }
 }
 
-void fleet_node::judgeStore(millis now)
-{
-    constexpr millis troubleAfter(100); // one that has just begun to read has had no answer yet: that is no trouble
-    const bool follows = m_phase == phase::Following;
-    const bool answers =
-        follows ? m_upstreamState.storeOk && !m_upstreamState.starting : m_phase == phase::Reading && ownStoreOk();
-    m_lostSince = storeOk() ? millis::never() : std::min(m_lostSince, now);
-    const bool lost = m_lostSince + troubleAfter <= now && hearsPeers(now);
-    m_inTrouble = !answers && (m_inTrouble || lost);
-    m_troubleAt = m_inTrouble ? now : m_troubleAt;
-}
-
-/** Whether an entry that is missing may have lapsed for the store's trouble: it is back some two seconds after that. */
-bool fleet_node::mayLapse() const
-{
-    constexpr millis echo(2500);
-    return m_tickAt - m_troubleAt < echo;
-}
-
 void fleet_node::tick(millis now)
 {
     noteTick(now);
--- a/libs/fleet/src/fleet_search.cpp
+++ b/libs/fleet/src/fleet_search.cpp
@@ -188,15 +188,6 @@
     }
 }
 
-/** The message may have waited here while this process was not at work, and its age says nothing of that: it counts
- * from the tick before the last. */
-void fleet_node::hearCurrent(const upstream_state &state, millis now)
-{
-    if (state.currentAsOf && m_wholeAsked.empty()) {
-        noteCurrent(m_quietAt + *state.currentAsOf, now);
-    }
-}
-
 void fleet_node::onCandidateState(link_id link, const upstream_state &state, millis now)
 {
     const bool inPath = contains(state.path, m_settings.address);
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -21,6 +21,12 @@
 
 namespace chivelock {
 
+/**
+ * After the store's trouble, within which entries that lapsed for it come back. They need two seconds; four after its
+ * trouble the store's word counts again, and whoever reads it notices the end up to a second late.
+ */
+inline constexpr millis lapseEcho(2500);
+
 /** What a leaf says of itself in the platform's store. */
 struct leaf_entry {
     std::string id;
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -16,9 +16,6 @@
 constexpr millis latestWrite(2000);
 constexpr millis rememberDeparted(60000); // ten times what the latest write of all takes
 constexpr std::size_t mostDeparted = 4096; // some hundred kilobytes; a new set of shards ends some hundred leafs
-// After the store's trouble, within which entries that lapsed for it come back. They need two seconds; four after its
-// trouble the store's word counts again, and whoever reads it notices the end up to a second late.
-constexpr millis troubleEcho(2500);
 constexpr millis troubleGap(1000); // between two signs of trouble that are not the same one
 
 constexpr millis longestCold(60000); // leafs warm up in seconds; anyone may write anything into an entry
@@ -104,7 +101,7 @@
 /** Whether an entry that is missing from then on may have lapsed for the store's trouble alone. */
 bool leaf_directory::mayLapseAt(millis at) const
 {
-    return at >= m_troubleSince && at - m_troubleAt < troubleEcho;
+    return at >= m_troubleSince && at - m_troubleAt < lapseEcho;
 }
 
 /** @return since when an entry that is missing now may have been so. One that lapsed for trouble has its time to return
