A doubt about a leaf ends by what the store has told, not by the clock

Cause: as with words on leafs, time passed without knowledge counted as knowledge. Change: a doubt ends when this VM is current as of its end.

--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -16,6 +16,7 @@
 constexpr millis latestWrite(2000);
 constexpr millis rememberDeparted(60000); // ten times what the latest write of all takes
 constexpr std::size_t mostDeparted = 4096; // some hundred kilobytes; a new set of shards ends some hundred leafs
+constexpr millis lookAgain(100); // whether this process is current by now
 constexpr millis troubleGap(1000); // between two signs of trouble that are not the same one
 
 constexpr millis longestCold(60000); // leafs warm up in seconds; anyone may write anything into an entry
@@ -195,10 +196,11 @@
     m_nextExpiry = std::min(m_nextExpiry, known.doubtfulUntil);
 }
 
+/** That it has outlived the time shows only to one that would know of the contrary: the store may be silent. */
 void leaf_directory::endDoubt(leaf &known, millis now)
 {
     const bool doubtful = known.doubtfulUntil > millis();
-    if (doubtful && known.doubtfulUntil <= now && known.removeAt == millis::never()) {
+    if (doubtful && known.doubtfulUntil <= std::min(now, m_currentAsOf) && known.removeAt == millis::never()) {
         known.doubtfulUntil = millis() - millis::never();
         known.drainSeenAt = known.entry.draining ? known.drainSeenAt : millis::never();
     }
@@ -268,9 +270,9 @@
             continue;
         }
         endDoubt(*at->second, now);
-        const bool doubtful = at->second->doubtfulUntil > now;
-        m_nextExpiry =
-            std::min({m_nextExpiry, at->second->removeAt, doubtful ? at->second->doubtfulUntil : millis::never()});
+        const bool doubtful = at->second->doubtfulUntil > millis();
+        const millis nextLook = std::max(at->second->doubtfulUntil, now + lookAgain);
+        m_nextExpiry = std::min({m_nextExpiry, at->second->removeAt, doubtful ? nextLook : millis::never()});
         ++at;
     }
     return removed;
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -178,6 +178,29 @@
     BOOST_TEST(directory.find("a")->isLeaving());
 }
 
+// Guards against a leaf that is believed to have outlived its entry's lapse while the store was silent.
+BOOST_AUTO_TEST_CASE(a_doubt_ends_only_by_what_the_store_has_told)
+{
+    leaf_directory directory(millis(2200));
+    directory.setHeartbeat(millis(1200));
+    leaf_entry entry;
+    entry.id = "a";
+    entry.service = {"s"};
+    directory.put(entry, millis(10000));
+    directory.noteCurrent(millis(19900));
+    directory.remove("a", millis(20000));
+    directory.put(entry, millis(23000));
+    directory.noteCurrent(millis(25000));
+    directory.expire(millis(28000));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    directory.noteCurrent(millis(27700));
+    directory.expire(millis(28200));
+    BOOST_TEST(directory.find("a")->isLeaving());
+    directory.noteCurrent(millis(27900));
+    directory.expire(millis(28400));
+    BOOST_TEST(!directory.find("a")->isLeaving());
+}
+
 // Guards against memory that grows with each leaf that ever ended.
 BOOST_AUTO_TEST_CASE(of_many_departed_leafs_the_latest_are_kept)
 {
