A VM tells the reader that it follows what it misses in the reader's contents

Cause: it had been started at the moment of the removal; its followers learnt of the removal only from what its contents lacked, after they had told it what they knew, and what comes from above was not told upwards. Change: whoever gets a whole document tells the VM above once more what was deleted of late. A test in virtual time was tried and did not fail without the change; it is not kept.

--- a/libs/fleet/src/fleet_items.cpp
+++ b/libs/fleet/src/fleet_items.cpp
@@ -42,6 +42,7 @@
     if (items.whole) {
         m_wholeAsked.erase(items.prefix);
         onStoreContents(items.prefix, std::move(items.items), items.revision);
+        tellPastDeletions(m_upstream); // what is missing here it may never have known
     } else if (unpack(items)) {
         onStoreChanges(items.prefix, std::move(items.items), items.revision);
     }
