State that decides nothing, and steps written twice, leave the drain's code

No behaviour changes. Whether an entry may have lapsed is judged when it is found missing, so that the beginning of the store's trouble can no longer decide anything: m_troubleSince, its gap and the function around them go. Past deletions are looked up before a place for them is made, in place of making empty ones and sweeping them out; old ones are forgotten in one place. upstreamAddress says what it returns.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -386,7 +386,7 @@
      */
     [[nodiscard]] bool hearsPeers(millis now) const;
 
-    /** @return whom this process hears the store through; empty if through nobody. */
+    /** @return the process that this one follows, or followed last; empty before the first. */
     [[nodiscard]] const std::string &upstreamAddress() const
     {
         return m_upstreamAddress;
@@ -481,6 +481,7 @@
     void onPastDeletions(link_id link, const past_deletions &told);
     void tellPastDeletions(link_id link);
     void keepDeletions(const std::string &prefix, std::span<const store_item> news);
+    void forgetLateDeletions();
     void onLeafNews(link_id link, leaf_news news, millis now);
     void onRequestNews(link_id link, request_news news, millis now);
     [[nodiscard]] bool isNeighbour(link_id link) const;
--- a/libs/fleet/src/fleet_deletions.cpp
+++ b/libs/fleet/src/fleet_deletions.cpp
@@ -20,7 +20,7 @@
 /** The lapses of the store's trouble are none: what is written after them is a return. */
 void fleet_node::keepDeletions(const std::string &prefix, std::span<const store_item> news)
 {
-    std::erase_if(m_lateDeletions, [&](const auto &one) { return m_tickAt - one.heardAt > lateWriteLife; });
+    forgetLateDeletions();
     for (const store_item &item : news) {
         if (item.deleted && !mayLapse()) {
             m_lateDeletions.push_back({prefix, item, m_tickAt});
@@ -31,12 +31,18 @@
     }
 }
 
+void fleet_node::forgetLateDeletions()
+{
+    std::erase_if(m_lateDeletions, [&](const auto &one) { return m_tickAt - one.heardAt > lateWriteLife; });
+}
+
 void fleet_node::tellPastDeletions(link_id link)
 {
+    forgetLateDeletions();
     for (const auto &[prefix, view] : m_views) {
         past_deletions told {prefix, {}};
         for (const late_deletion &one : m_lateDeletions) {
-            if (one.prefix == prefix && m_tickAt - one.heardAt <= lateWriteLife) {
+            if (one.prefix == prefix) {
                 told.items.push_back(one.item);
             }
         }
--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -54,18 +54,18 @@
 {
     std::vector<store_item> news;
     for (const store_item &item : items) {
-        deletion &last = m_deleted[item.key];
-        if (!item.deleted || last.revision >= item.revision) {
+        const auto last = m_deleted.find(item.key);
+        const std::uint64_t knownUpTo = last == m_deleted.end() ? 0 : last->second.revision;
+        if (!item.deleted || knownUpTo >= item.revision) {
             continue;
         }
-        last.revision = item.revision;
+        m_deleted[item.key].revision = item.revision;
         news.push_back(item);
         const auto known = m_items.find(item.key);
         if (known != m_items.end() && known->second.revision > item.revision) {
             news.push_back({item.key, known->second.revision, false, known->second.value});
         }
     }
-    std::erase_if(m_deleted, [](const auto &one) { return one.second.revision == 0; });
     forgetOldDeletions();
     return news;
 }
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -245,7 +245,10 @@
     }
 
     /** The store does not answer: entries lapse that their leafs write again when it is back. */
-    void noteStoreTrouble(millis now);
+    void noteStoreTrouble(millis now)
+    {
+        m_troubleAt = now;
+    }
 
     /** Everything that the store said up to then is known here. What is learnt after a gap may be as old as that. */
     void noteCurrent(millis asOf)
@@ -286,7 +289,7 @@
     [[nodiscard]] std::size_t countIn(const zone_name &zone) const;
 
 private:
-    [[nodiscard]] bool mayLapseAt(millis at) const;
+    [[nodiscard]] bool mayLapse(millis now) const;
     [[nodiscard]] millis sinceWhen(bool mayHaveLapsed, millis now) const;
     void add(const leaf_entry &entry, millis now);
     bool update(leaf &known, const leaf_entry &entry, millis now);
@@ -299,8 +302,7 @@
     millis m_hold;
     millis m_heartbeat {1200};
     millis m_currentAsOf = millis::never();
-    millis m_troubleSince = millis() - millis::never(); ///< of the store, the latest one
-    millis m_troubleAt = millis() - millis::never(); ///< its last sign
+    millis m_troubleAt = millis() - millis::never(); ///< last sign of the store's
     std::map<std::string, std::shared_ptr<leaf>, std::less<>> m_byId;
     std::map<std::string, departed_leaf, std::less<>> m_departed;
     std::unordered_map<service_name, std::vector<std::shared_ptr<leaf>>> m_byService;
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -10,14 +10,12 @@
 
 namespace {
 
-constexpr double outlivedHeartbeats =
-    4; // the store removes an entry after three intervals without a word, and tells it
+constexpr double outlivedHeartbeats = 4; // the store removes an entry after three, and tells it
 // Between a leaf's last write and the moment at which the store does it, where the store counts as stable by then.
 constexpr millis latestWrite(2000);
 constexpr millis rememberDeparted(60000); // ten times what the latest write of all takes
 constexpr std::size_t mostDeparted = 4096; // some hundred kilobytes; a new set of shards ends some hundred leafs
 constexpr millis lookAgain(100); // whether this process is current by now
-constexpr millis troubleGap(1000); // between two signs of trouble that are not the same one
 
 constexpr millis longestCold(60000); // leafs warm up in seconds; anyone may write anything into an entry
 
@@ -91,18 +89,10 @@
         std::ranges::count_if(m_byId, [&](const auto &one) { return one.second->entry.zone == zone; }));
 }
 
-void leaf_directory::noteStoreTrouble(millis now)
+/** Whether an entry that turns out to be missing now may have lapsed for the store's trouble alone. */
+bool leaf_directory::mayLapse(millis now) const
 {
-    if (now - m_troubleAt > troubleGap) {
-        m_troubleSince = now;
-    }
-    m_troubleAt = now;
-}
-
-/** Whether an entry that is missing from then on may have lapsed for the store's trouble alone. */
-bool leaf_directory::mayLapseAt(millis at) const
-{
-    return at >= m_troubleSince && at - m_troubleAt < lapseEcho;
+    return now - m_troubleAt < lapseEcho;
 }
 
 /** @return since when an entry that is missing now may have been so. One that lapsed for trouble has its time to return
@@ -210,13 +200,13 @@
 {
     const auto found = m_byId.find(id);
     if (found == m_byId.end()) {
-        const bool mayHaveLapsed = mayLapseAt(now);
+        const bool mayHaveLapsed = mayLapse(now);
         keepDeparted(id, {sinceWhen(mayHaveLapsed, now), mayHaveLapsed, false, std::nullopt, now + rememberDeparted});
         return false;
     }
     leaf &gone = *found->second;
     if (gone.removeAt == millis::never()) {
-        gone.mayHaveLapsed = mayLapseAt(now);
+        gone.mayHaveLapsed = mayLapse(now);
         gone.missingSince = sinceWhen(gone.mayHaveLapsed, now);
         gone.removeAt = gone.missingSince + m_hold;
         m_nextExpiry = std::min(m_nextExpiry, gone.removeAt);
--- a/libs/leafs/tests/test_leafs.cpp
+++ b/libs/leafs/tests/test_leafs.cpp
@@ -9,15 +9,25 @@
 
 using namespace chivelock;
 
+namespace {
+
+leaf_entry entryOf(std::string id)
+{
+    leaf_entry entry;
+    entry.id = std::move(id);
+    entry.service = {"s"};
+    return entry;
+}
+
+} // namespace
+
 // Symptom: nothing can be served for seconds after the store was away.
 // Sequence: entries lapse while the store is down; it comes back without them; the leafs register again.
 // Cause: their absence was taken for their end at once.
 BOOST_AUTO_TEST_CASE(lapsed_entries_are_kept_until_their_time_to_return_is_over)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(0));
     directory.replaceAll({}, millis(1000));
     BOOST_TEST(directory.expire(millis(3100)) == 0U);
@@ -35,9 +45,7 @@
 BOOST_AUTO_TEST_CASE(a_leaf_that_drains_when_first_seen_may_have_drained_for_long)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     entry.draining = true;
     directory.put(entry, millis(50000));
     BOOST_TEST((directory.find("a")->drainSeenAt == millis()));
@@ -55,9 +63,7 @@
 BOOST_AUTO_TEST_CASE(what_is_learnt_after_a_gap_may_be_as_old_as_the_gap)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(1000));
     directory.noteCurrent(millis(2000));
     entry.draining = true;
@@ -73,9 +79,7 @@
 {
     leaf_directory directory(millis(2200));
     directory.setHeartbeat(millis(1200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(10000));
     directory.remove("a", millis(20000));
     directory.put(entry, millis(20100));
@@ -98,9 +102,7 @@
 {
     leaf_directory directory(millis(2200));
     directory.setHeartbeat(millis(1200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     BOOST_TEST(!directory.remove("a", millis(20000)));
     directory.put(entry, millis(20100));
     BOOST_TEST(directory.find("a")->isLeaving());
@@ -116,9 +118,7 @@
 {
     leaf_directory directory(millis(2200));
     directory.setHeartbeat(millis(1200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(10000));
     directory.remove("a", millis(20000));
     BOOST_TEST(directory.expire(millis(22300)) == 1U);
@@ -135,9 +135,7 @@
 BOOST_AUTO_TEST_CASE(a_leaf_that_drained_and_ended_does_not_come_back_under_its_birth)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     entry.bornAt = millis(1e12);
     directory.put(entry, millis(10000));
     entry.draining = true;
@@ -160,9 +158,7 @@
 BOOST_AUTO_TEST_CASE(a_removal_learnt_after_a_silence_is_as_old_as_the_silence)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(10000));
     directory.noteCurrent(millis(20000));
     directory.remove("a", millis(21500));
@@ -183,9 +179,7 @@
 {
     leaf_directory directory(millis(2200));
     directory.setHeartbeat(millis(1200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(10000));
     directory.noteCurrent(millis(19900));
     directory.remove("a", millis(20000));
@@ -223,9 +217,7 @@
 {
     leaf_directory directory(millis(2200));
     directory.setHeartbeat(millis(1200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(10000));
     directory.noteStoreTrouble(millis(19000));
     directory.remove("a", millis(20000));
@@ -238,9 +230,7 @@
 {
     const auto isDoubted = [](millis removedAt) {
         leaf_directory directory(millis(2200));
-        leaf_entry entry;
-        entry.id = "a";
-        entry.service = {"s"};
+        leaf_entry entry = entryOf("a");
         directory.put(entry, millis(1000));
         const bool before = removedAt < millis(20000);
         if (before) {
@@ -265,9 +255,7 @@
 BOOST_AUTO_TEST_CASE(a_second_trouble_of_the_store_does_not_take_back_what_the_first_excuses)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(1000));
     directory.noteStoreTrouble(millis(20000));
     directory.remove("a", millis(20500));
@@ -281,9 +269,7 @@
 {
     for (const bool knownBefore : {true, false}) {
         leaf_directory directory(millis(2200));
-        leaf_entry entry;
-        entry.id = "a";
-        entry.service = {"s"};
+        leaf_entry entry = entryOf("a");
         if (knownBefore) {
             directory.put(entry, millis(10000));
         }
@@ -301,9 +287,7 @@
 BOOST_AUTO_TEST_CASE(a_leaf_drains_from_its_first_word_on)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(1000));
     entry.draining = true;
     directory.put(entry, millis(2000));
@@ -321,9 +305,7 @@
 BOOST_AUTO_TEST_CASE(a_leaf_that_starts_again_under_its_id_is_another_leaf)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     entry.address = "10.0.0.1:80";
     entry.bornAt = millis(1e12);
     entry.sequence = 40;
@@ -354,9 +336,7 @@
 BOOST_AUTO_TEST_CASE(a_late_heartbeat_changes_nothing)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     entry.bornAt = millis(1e12);
     entry.sequence = 5;
     entry.draining = true;
@@ -380,9 +360,7 @@
 BOOST_AUTO_TEST_CASE(a_spoilt_entry_names_no_leaf_until_it_is_written_again)
 {
     leaf_directory directory(millis(2200));
-    leaf_entry entry;
-    entry.id = "a";
-    entry.service = {"s"};
+    leaf_entry entry = entryOf("a");
     directory.put(entry, millis(1000));
     BOOST_TEST(directory.markUnreadable("a"));
     BOOST_TEST(!directory.markUnreadable("unknown"));
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -178,7 +178,7 @@
         if any(key.startswith("op/evacuate/z") for key in self.store.items):
             return
         zone = self.zone_random.choice(["z0", "z1"])
-        stable = self.store.mode == "ok" and all(p.mode == "ok" for p in self.proxies)
+        stable = self.store_is_ok()
         self.store.write(f"op/evacuate/{zone}", self.zone_random.choice([True, None, "", [1], 7]) or "")
         self.store.write(f"op/evacuate/{self.zone_random.choice(['nowhere', '', 'z' * 180, 'z0/z1'])}", 1)
         began = time.monotonic()
@@ -248,10 +248,13 @@
     def write_state(self, leaf, state):
         self.store.write(f"servers/{leaf.id}", None if state is None else {**leaf.entry(), "state": state})
 
+    def store_is_ok(self):
+        return self.store.mode == "ok" and all(proxy.mode == "ok" for proxy in self.proxies)
+
     def store_is_stable(self):
         """Nothing troubled the store, or a VM's way to it, for as long as counts."""
         now = time.monotonic()
-        if self.store.mode != "ok" or any(proxy.mode != "ok" for proxy in self.proxies):
+        if not self.store_is_ok():
             self.store_troubled_at = now
         return now - self.store_troubled_at > IN_TOUCH_S
 
@@ -338,7 +341,7 @@
             return
         leaf.draining = True
         self.store.write(f"servers/{leaf.id}", leaf.entry())
-        stable = self.store.mode == "ok" and all(p.mode == "ok" for p in self.proxies)
+        stable = self.store_is_ok()
         leaf.stopped_at = time.monotonic() if stable else None
         await asyncio.sleep(DRAIN_S + 1.5)
         leaf.checked_until = time.monotonic()
