Log skipped answers, repeated requests and discarded reports

The logs could not tell the hypotheses on the mixed answer apart.

New lines: answer_skipped (the request whose answer is due, the one that the answer names, the one before on the connection, leaf, digest, status, bytes), request_repeated_on_connection, report_discarded; request gets digest.

--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -149,6 +149,9 @@
             && !work.calls[from.calls[part.shard]].missing;
     };
     const bool allOpen = std::ranges::all_of(progress.parts, isOpen);
+    if (!allOpen) {
+        logEvent(work, "report_discarded", "shard_answered", nullptr, {from.helper}, now - work.arrivedAt, now);
+    }
     for (delegated_part &part : progress.parts) {
         if (!allOpen && isOpen(part)) {
             progress.lost.push_back({part.shard, true, true, false, {}});
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -178,6 +178,26 @@
     flush();
 }
 
+void gateway_service::onSkippedAnswer(const skipped_answer &skipped)
+{
+    logEvent(log_level::Info,
+             "answer_skipped",
+             {{"id", skipped.requestId},
+              {"named", skipped.namedId},
+              {"previous", skipped.previousId},
+              {"leaf", skipped.leafId},
+              {"digest", skipped.digest},
+              {"status", std::uint64_t {skipped.status}},
+              {"bytes", std::uint64_t {skipped.bodyBytes}},
+              {"outcome", std::string(skipped.connectionClosed ? "connection_closed" : "next_awaited")}});
+}
+
+void gateway_service::onRepeatedRequest(const repeated_request &repeated)
+{
+    logEvent(
+        log_level::Info, "request_repeated_on_connection", {{"id", repeated.requestId}, {"leaf", repeated.leafId}});
+}
+
 void gateway_service::flush()
 {
     for (auto actions = m_engine.takeActions(); !actions.empty(); actions = m_engine.takeActions()) {
@@ -240,6 +260,7 @@
               {"outcome", std::string(toString(action.outcome))},
               {"cause", std::string(action.cause)},
               {"status", std::uint64_t {action.reply.status}},
+              {"digest", action.reply.stamp},
               {"shards", std::uint64_t {action.shards}},
               {"missing", std::uint64_t {action.missing}},
               {"emptied_zone", action.drainedZone.value},
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -60,6 +60,8 @@
     void onCallerLeft(session_id session) override;
     void onLeafReply(send_id id, gateway_reply reply) override;
     void onLeafFailure(send_id id, send_failure failure) override;
+    void onSkippedAnswer(const skipped_answer &skipped) override;
+    void onRepeatedRequest(const repeated_request &repeated) override;
     void onStoreItems(std::string_view prefix, const std::vector<store_item> &items) override;
     void onFleetState(const fleet_state &state) override;
     void onFleetMembers(const std::vector<fleet_member> &members) override;
--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -74,7 +74,11 @@
 
     void reuse(leaf_message message)
     {
+        m_previousId = std::move(m_message.requestId);
         m_message = std::move(message);
+        if (m_previousId == m_message.requestId) {
+            m_pool.m_listener.onRepeatedRequest({m_message.requestId, peer().entry.id});
+        }
         write(millis());
     }
 
@@ -266,7 +270,7 @@
         platform::leaf_answer answer = platform::readLeafAnswer(m_reader.take());
         const bool stray = !answer.requestId.empty() && answer.requestId != m_message.requestId;
         if (stray) {
-            onStray();
+            onStray(answer);
             return;
         }
         const send_id id = m_message.id;
@@ -287,11 +291,20 @@
     }
 
     /** Skips a late duplicate answer to an earlier request; the answer to the current request is still to come. */
-    void onStray()
+    void onStray(const platform::leaf_answer &answer)
     {
         m_strayCount += 1;
         m_pool.m_counts.strayAnswers += 1;
-        if (m_strayCount > maxStrayAnswers || m_endOfStream) {
+        const bool close = m_strayCount > maxStrayAnswers || m_endOfStream;
+        m_pool.m_listener.onSkippedAnswer({m_message.requestId,
+                                           answer.requestId,
+                                           m_previousId,
+                                           peer().entry.id,
+                                           answer.reply.stamp,
+                                           answer.reply.status,
+                                           answer.reply.body.size(),
+                                           close});
+        if (close) {
             fail(send_failure::Broken);
             return;
         }
@@ -332,6 +345,7 @@
     asio::steady_timer m_connectTimer;
     response_reader m_reader;
     leaf_message m_message;
+    std::string m_previousId; ///< id of the request before on this connection
     std::array<char, readBytes> m_readBuffer {};
     std::string m_input;
     std::string m_output;
--- a/programs/chivelockd/gateway/leaf_pool.h
+++ b/programs/chivelockd/gateway/leaf_pool.h
@@ -18,6 +18,24 @@
 
 namespace chivelock {
 
+/** A leaf's answer that belongs to no open send and was skipped. */
+struct skipped_answer {
+    std::string requestId; ///< of the request whose answer is due on the connection
+    std::string namedId; ///< the request id in the answer
+    std::string previousId; ///< of the request before on the connection; empty for the first one
+    std::string leafId;
+    std::string digest;
+    unsigned status = 0;
+    std::size_t bodyBytes = 0;
+    bool connectionClosed = false;
+};
+
+/** A leaf gets a request again on the connection on which it got it before. */
+struct repeated_request {
+    std::string requestId;
+    std::string leafId;
+};
+
 /** Receives the outcome of sends. */
 class send_listener
 {
@@ -29,6 +47,10 @@
 
     virtual void onLeafReply(send_id id, gateway_reply reply) = 0;
     virtual void onLeafFailure(send_id id, send_failure failure) = 0;
+
+    /** For logs. */
+    virtual void onSkippedAnswer(const skipped_answer &skipped) = 0;
+    virtual void onRepeatedRequest(const repeated_request &repeated) = 0;
 };
 
 /** One request to send to a leaf. */
