Send a request to a leaf only once on each connection

Cause: the pool matches an answer to the request that is due by the request id. All sends of an attempt bear the caller's id. If an attempt goes to a leaf a second time on the connection of the first send, a late copy of the first answer lies before the answer that is due and matches. The copy of a success is cut short, yet bears id and digest; the copy of a refusal makes the gateway send the request again while the leaf runs it.

The two new checks of gateway_sockets failed on the code before: the cut copy was relayed with 200 and 2 of 16 bytes; six of six requests of a route that must not run twice ran twice after a copied refusal.

Change: a connection remembers the requests that it carried for as long as they may be sent again (sent_requests). A request that was sent before takes another kept connection, or a new one. The id then names one send of a connection. The log line request_repeated says which. gateway_sockets passes, test_sent_requests passes.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -8,6 +8,7 @@
  */
 
 #include "delegated_work.h"
+#include "sent_requests.h"
 
 #include <base/base.h>
 #include <leafs/leafs.h>
@@ -77,6 +78,7 @@
     exchange_id exchange = 0;
     std::shared_ptr<leaf> to;
     millis deadline; ///< time after which the leaf may stop working on it
+    millis attemptEnd; ///< the attempt is not sent to a leaf after this time
     unsigned maxConnections = 1; ///< this VM's share of the connections that the leaf accepts
     bool once = false; ///< run at most once (non-idempotent): use only a connection known to be alive
 };
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -288,8 +288,8 @@
     call.nextHedge = mayHedge ? now + hedgeDelay : millis::never();
     work.sends += 1;
     m_due.push({one.closeAt, due_kind::Send, one.id});
-    m_actions.emplace_back(
-        send_action {one.id, work.id, to, one.deadline, connectionShare(call.service), !work.route->idempotent});
+    m_actions.emplace_back(send_action {
+        one.id, work.id, to, one.deadline, work.limit, connectionShare(call.service), !work.route->idempotent});
     m_sends.emplace(one.id, std::move(one));
 }
 
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -194,8 +194,11 @@
 
 void gateway_service::onRepeatedRequest(const repeated_request &repeated)
 {
-    logEvent(
-        log_level::Info, "request_repeated_on_connection", {{"id", repeated.requestId}, {"leaf", repeated.leafId}});
+    logEvent(log_level::Info,
+             "request_repeated",
+             {{"id", repeated.requestId},
+              {"leaf", repeated.leafId},
+              {"outcome", std::string(repeated.newConnection ? "new_connection" : "kept_connection")}});
 }
 
 void gateway_service::flush()
@@ -223,6 +226,7 @@
     message.text = found->second.text;
     message.requestId = found->second.requestId;
     message.remaining = action.deadline - m_clock.now();
+    message.attemptEnd = action.attemptEnd;
     message.toHead = found->second.toHead;
     message.once = action.once;
     m_pool->send(std::move(message));
--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -76,9 +76,6 @@
     {
         m_previousId = std::move(m_message.requestId);
         m_message = std::move(message);
-        if (m_previousId == m_message.requestId) {
-            m_pool.m_listener.onRepeatedRequest({m_message.requestId, peer().entry.id});
-        }
         write(millis());
     }
 
@@ -98,18 +95,16 @@
         close();
     }
 
-    [[nodiscard]] bool isUsableFor(const leaf_message &message, millis now) const
+    [[nodiscard]] bool isUsableFor(const leaf_message &message)
     {
-        const millis idle = now - m_idleSince;
-        return idle < m_idleLimit * idleLimitShare && (!message.once || idle < nonIdempotentIdleLimit);
+        const millis idle = boot_clock().now() - m_idleSince;
+        const bool isFresh = idle < m_idleLimit * idleLimitShare;
+        return isFresh && (!message.once || (idle < nonIdempotentIdleLimit && isOpenWithoutInput()));
     }
 
-    /** Whether the leaf has neither closed the connection nor sent anything, as far as the kernel knows now. */
-    [[nodiscard]] bool isOpenWithoutInput()
+    [[nodiscard]] bool hasCarried(std::string_view requestId) const
     {
-        char byte = 0;
-        const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return m_carried.contains(requestId);
     }
 
     /** The leaf at the other end. */
@@ -119,6 +114,14 @@
     }
 
 private:
+    /** Whether the leaf has neither closed the connection nor sent anything, as far as the kernel knows now. */
+    [[nodiscard]] bool isOpenWithoutInput()
+    {
+        char byte = 0;
+        const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
     void onConnected(const error_code &failed)
     {
         if (m_closed) {
@@ -143,6 +146,7 @@
         m_reader.expect(m_message.toHead, maxAnswerBodyBytes);
         m_output = platform::completeLeafRequest(*m_message.text, m_message.remaining - spent, m_message.to->entry.id);
         m_pool.m_counts.sent += 1;
+        m_carried.add(m_message.requestId, m_message.attemptEnd, boot_clock().now());
         asio::async_write(
             m_socket, asio::buffer(m_output), [self = shared_from_this()](const error_code &error, std::size_t count) {
                 self->m_written = !error;
@@ -251,6 +255,7 @@
         m_reader.expect(false, maxAnswerBodyBytes);
         m_idleLimit = defaultIdleLimit;
         m_confirming = false;
+        m_carried.clear();
         m_pool.m_busy.erase(id);
         keepIdle();
         read();
@@ -346,6 +351,7 @@
     response_reader m_reader;
     leaf_message m_message;
     std::string m_previousId; ///< id of the request before on this connection
+    sent_requests m_carried;
     std::array<char, readBytes> m_readBuffer {};
     std::string m_input;
     std::string m_output;
@@ -395,14 +401,30 @@
     if (idle == m_idle.end() || idle->second.empty()) {
         return nullptr;
     }
-    auto newest = idle->second.back();
-    if (!newest->isUsableFor(message, boot_clock().now()) || (message.once && !newest->isOpenWithoutInput())) {
+    if (!idle->second.back()->isUsableFor(message)) {
         closeIdleOf(*message.to); // the other connections have been idle for longer
         return nullptr;
     }
-    idle->second.pop_back();
+    return takeWithoutRequest(idle->second, message);
+}
+
+/** Takes the most recently used connection that has not carried the request. */
+std::shared_ptr<leaf_pool::connection> leaf_pool::takeWithoutRequest(connections &idle, const leaf_message &message)
+{
+    const auto found = std::ranges::find_if(idle.rbegin(), idle.rend(), [&](const std::shared_ptr<connection> &one) {
+        return !one->hasCarried(message.requestId);
+    });
+    const bool isUsable = found != idle.rend() && (*found)->isUsableFor(message);
+    if (found != idle.rbegin()) {
+        m_listener.onRepeatedRequest({message.requestId, message.to->entry.id, !isUsable});
+    }
+    if (!isUsable) {
+        return nullptr;
+    }
+    const std::shared_ptr<connection> taken = *found;
+    idle.erase(std::prev(found.base()));
     message.to->keptConnections -= 1;
-    return newest;
+    return taken;
 }
 
 void leaf_pool::cancel(send_id id)
--- a/programs/chivelockd/gateway/leaf_pool.h
+++ b/programs/chivelockd/gateway/leaf_pool.h
@@ -30,10 +30,11 @@
     bool connectionClosed = false;
 };
 
-/** A leaf gets a request again on the connection on which it got it before. */
+/** A request that a leaf got before goes to it again, on another connection than before. */
 struct repeated_request {
     std::string requestId;
     std::string leafId;
+    bool newConnection = false; ///< no other connection was kept
 };
 
 /** Receives the outcome of sends. */
@@ -60,6 +61,7 @@
     std::shared_ptr<const platform::leaf_request_text> text;
     std::string requestId;
     millis remaining; ///< time until the leaf may stop working on the request
+    millis attemptEnd; ///< see @ref send_action::attemptEnd
     bool toHead = false; ///< the answer has no body
     bool once = false; ///< the request must run at most once
 };
@@ -97,6 +99,7 @@
     using connections = std::vector<std::shared_ptr<connection>>;
 
     [[nodiscard]] std::shared_ptr<connection> takeIdle(const leaf_message &message);
+    [[nodiscard]] std::shared_ptr<connection> takeWithoutRequest(connections &idle, const leaf_message &message);
     void closeIdleOf(const leaf &target);
 
     boost::asio::io_context &m_reactor;
