Take an answer without a request id only on a new connection

Cause: an answer without a request id was taken for the one that is due, whatever the connection had carried before.

Change: such an answer is accepted only if it can belong to one request alone, the first one of its connection, which is then closed. On a connection that carried more, the connection counts as broken: an idempotent request goes to another leaf, any other fails at once.

The new check of gateway_sockets failed on the code before (200 with the body of the other request). A second check holds that a leaf that names no request is still served, one request a connection. gateway_sockets: 20 passed.

--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -74,7 +74,7 @@
 
     void reuse(leaf_message message)
     {
-        m_previousId = std::move(m_message.requestId);
+        m_previousId = m_requestCount > 0 ? m_message.requestId : std::string();
         m_message = std::move(message);
         write(millis());
     }
@@ -146,6 +146,7 @@
         m_reader.expect(m_message.toHead, maxAnswerBodyBytes);
         m_output = platform::completeLeafRequest(*m_message.text, m_message.remaining - spent, m_message.to->entry.id);
         m_pool.m_counts.sent += 1;
+        m_requestCount += 1;
         m_carried.add(m_message.requestId, m_message.attemptEnd, boot_clock().now());
         asio::async_write(
             m_socket, asio::buffer(m_output), [self = shared_from_this()](const error_code &error, std::size_t count) {
@@ -255,6 +256,7 @@
         m_reader.expect(false, maxAnswerBodyBytes);
         m_idleLimit = defaultIdleLimit;
         m_confirming = false;
+        m_requestCount = 0;
         m_carried.clear();
         m_pool.m_busy.erase(id);
         keepIdle();
@@ -273,17 +275,27 @@
     void onAnswer()
     {
         platform::leaf_answer answer = platform::readLeafAnswer(m_reader.take());
-        const bool stray = !answer.requestId.empty() && answer.requestId != m_message.requestId;
-        if (stray) {
+        const bool isNamed = answer.requestId == m_message.requestId;
+        if (!isNamed && !answer.requestId.empty()) {
             onStray(answer);
             return;
         }
+        if (!isNamed && m_requestCount > 1) {
+            notifySkipped(answer, true);
+            fail(send_failure::Broken); // it may answer any request of this connection
+            return;
+        }
+        deliver(std::move(answer), isNamed);
+    }
+
+    void deliver(platform::leaf_answer answer, bool isNamed)
+    {
         const send_id id = m_message.id;
         m_idleLimit = answer.keepAlive.value_or(m_idleLimit);
         // A leaf may answer before it has read the complete request. Reusing the connection then would make the leaf
         // read the rest of this request as the next one.
         const bool reusable =
-            answer.keepsConnection && m_written && m_input.empty() && m_strayCount == 0 && !m_endOfStream;
+            isNamed && answer.keepsConnection && m_written && m_input.empty() && m_strayCount == 0 && !m_endOfStream;
         const auto self = shared_from_this();
         m_pool.m_busy.erase(id);
         if (reusable) {
@@ -301,14 +313,7 @@
         m_strayCount += 1;
         m_pool.m_counts.strayAnswers += 1;
         const bool close = m_strayCount > maxStrayAnswers || m_endOfStream;
-        m_pool.m_listener.onSkippedAnswer({m_message.requestId,
-                                           answer.requestId,
-                                           m_previousId,
-                                           peer().entry.id,
-                                           answer.reply.stamp,
-                                           answer.reply.status,
-                                           answer.reply.body.size(),
-                                           close});
+        notifySkipped(answer, close);
         if (close) {
             fail(send_failure::Broken);
             return;
@@ -322,6 +327,18 @@
         }
     }
 
+    void notifySkipped(const platform::leaf_answer &answer, bool connectionClosed)
+    {
+        m_pool.m_listener.onSkippedAnswer({m_message.requestId,
+                                           answer.requestId,
+                                           m_previousId,
+                                           peer().entry.id,
+                                           answer.reply.stamp,
+                                           answer.reply.status,
+                                           answer.reply.body.size(),
+                                           connectionClosed});
+    }
+
     void fail(send_failure failure)
     {
         if (m_closed) {
@@ -359,6 +376,7 @@
     millis m_idleSince;
     millis m_idleLimit = defaultIdleLimit;
     unsigned m_strayCount = 0;
+    std::uint64_t m_requestCount = 0; ///< on this connection
     bool m_connected = false;
     bool m_busy = false;
     bool m_written = false;
