Soak with leafs that answer twice and refuse often

The soak had leafs that answer twice, but the copy was whole and came at once, so that a VM that took it for another send's answer still looked right, and refusals were never copied. That is why it missed the mixed answer.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -78,9 +78,10 @@
     least_answered = 0.3  # share of all requests
     ends_after_s = (0.03, 0.05, 0.08, 0.16)  # until a crash; the last exceeds a shard request's time limit
 
-    def __init__(self, program, seed, seconds, folder, zones=False, leaving=False):
+    def __init__(self, program, seed, seconds, folder, zones=False, leaving=False, stutter=False):
         self.random = random.Random(seed)
         # Zone faults draw from a separate generator, so that they leave the other faults of a seed unchanged.
+        self.with_stutter, self.stutter_random = stutter, random.Random(f"{seed}/stutter")
         self.with_zones, self.zone_random = zones, random.Random(f"{seed}/zones")
         self.vm_calm_since = {}  # request id -> last start or resume of its VM
         self.with_leaving, self.leaving_random = leaving, random.Random(f"{seed}/leaving")
@@ -105,6 +106,7 @@
     async def begin_leaf(self, leaf):
         leaf.ends_under, leaf.ended = lambda path: "ending" in path, self.on_ended
         leaf.ends_after = self.random.choice(self.ends_after_s)
+        leaf.stutter_share, leaf.refused_share = (0.5, 0.2) if self.with_stutter else (0.0, 0.0)
         await leaf.start()
         self.leafs.append(leaf)
         self.store.write(f"servers/{leaf.id}", leaf.entry())
@@ -287,12 +289,22 @@
 
     async def freeze(self):
         if vm := self.pick_vm():
-            pause = self.random.uniform(0.3, 2.0)
-            vm.troubled_until, vm.frozen = time.monotonic() + pause + 1.5, True
-            vm.send(signal.SIGSTOP)
-            await asyncio.sleep(pause)
-            vm.send(signal.SIGCONT)
-            vm.frozen, vm.calm_since = False, time.monotonic()
+            await self.freeze_vm(vm, self.random.uniform(0.3, 2.0))
+
+    async def freeze_vm(self, vm, pause):
+        vm.troubled_until, vm.frozen = time.monotonic() + pause + 1.5, True
+        vm.send(signal.SIGSTOP)
+        await asyncio.sleep(pause)
+        vm.send(signal.SIGCONT)
+        vm.frozen, vm.calm_since = False, time.monotonic()
+
+    async def short_freezes(self):
+        """Freezes VMs so briefly that the delegations between them are still open afterwards."""
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.stutter_random.uniform(0.1, 0.4))
+            if vm := self.pick_vm():
+                await self.freeze_vm(vm, self.stutter_random.uniform(0.05, 0.3))
 
     async def stop(self):
         if vm := self.pick_vm():
@@ -506,6 +518,7 @@
         callers = [asyncio.create_task(self.caller(n)) for n in range(8)]
         extra_faults = [self.zone_faults()] if self.with_zones else []
         extra_faults += [self.leaving_faults()] if self.with_leaving else []
+        extra_faults += [self.short_freezes()] if self.with_stutter else []
         await asyncio.gather(self.faults(), *extra_faults)
         await asyncio.sleep(1.0)
         self.running = False
@@ -539,11 +552,13 @@
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--zones", action="store_true", help="also inject faults of whole zones")
     parser.add_argument("--leaving", action="store_true", help="also remove leafs while the others of their service fail")
+    parser.add_argument("--stutter", action="store_true", help="leafs answer twice and refuse often, VMs freeze briefly")
     options = parser.parse_args()
     failed = 0
     for seed in seeds_from(options.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder, options.zones, options.leaving)))
+        soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder, options.zones, options.leaving,
+                                       options.stutter)))
         for problem in soak.problems[:10]:
             print(problem)
         failed += bool(soak.problems)
