--- a/libs/query/include/query/query.h
+++ b/libs/query/include/query/query.h
@@ -238,6 +238,8 @@
         std::vector<vm_id> owners;
     };
 
+    /** The Retry-After time is the default one of the reason. */
+    [[nodiscard]] lookup_answer makeRefusal(const lookup_request &request, answer_reason reason) const;
     [[nodiscard]] lookup_answer
     makeRefusal(const lookup_request &request, answer_reason reason, millis retryAfter) const;
     std::optional<lookup_answer>
