fleet: split the public header into its parts

The local copy of the store (store_view.h), the messages with their encoding (fleet_messages.h) and the actions (fleet_actions.h) are now parts that fleet.h includes, as gateway.h does with delegated_work.h. fleet.h keeps the settings and the state machine. Users of the library still include fleet.h alone.

Why: a reader of one part no longer has to read past the other three.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -8,237 +8,27 @@
  * the tree; the tree only saves calls. This library does no I/O, starts no threads and reads no clock.
  */
 
+#include "fleet_actions.h"
+#include "fleet_messages.h"
+#include "store_view.h"
+
 #include <base/base.h>
 #include <leafs/leafs.h>
 #include <quarantine/quarantine.h>
 
-#include <tl/expected.hpp>
-
 #include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 namespace chivelock {
 
-/** One item of the store as it was written, or its deletion. */
-struct store_item {
-    std::string key;
-    std::uint64_t revision = 0; ///< store revision; increases with every change of any key
-    bool deleted = false;
-    std::string value; ///< empty if deleted
-    std::uint64_t created = 0; ///< revision at which the key was created; 0 if unknown, as in messages of the fleet
-};
-
-/**
- * Local copy of one prefix of the store. Accepts changes in any order and from several sources, and never replaces an
- * item by an older revision.
- */
-class store_view
-{
-public:
-    /**
-     * @param mayHaveExpired the store was unavailable, so a deletion may only mean that an entry's lease expired.
-     * @return the items that are newer than the local copy, oldest first.
-     */
-    std::vector<store_item>
-    applyChanges(std::vector<store_item> items, std::uint64_t revision, bool mayHaveExpired = false);
-
-    /**
-     * @param items the complete contents of the prefix at @p revision; keys that are missing count as deleted.
-     * @return as @ref applyChanges.
-     */
-    std::vector<store_item>
-    applyContents(std::vector<store_item> items, std::uint64_t revision, bool mayHaveExpired = false);
-
-    /** Whether the complete contents have been received at least once. */
-    [[nodiscard]] bool known() const
-    {
-        return m_known;
-    }
-
-    /** All changes up to this revision have been applied. */
-    [[nodiscard]] std::uint64_t revision() const
-    {
-        return m_revision;
-    }
-
-    /**
-     * Applies deletions that another process recorded. @return the deletions that are new here; if the key was written
-     * after the deletion, the current item is returned again after it.
-     */
-    std::vector<store_item> applyRecentDeletions(std::span<const store_item> items);
-
-    struct stored_value {
-        std::uint64_t revision = 0;
-        std::string value;
-    };
-
-    /** @return the item under the key, valid until the next change; nullptr if there is none. */
-    [[nodiscard]] const stored_value *find(std::string_view key) const;
-
-    /** @return the changes after @p revision, or nullopt if deletions since then are no longer remembered. */
-    [[nodiscard]] std::optional<std::vector<store_item>> changesSince(std::uint64_t revision) const;
-
-    [[nodiscard]] std::vector<store_item> contents() const;
-
-    /**
-     * @return the contents and the latest deletions. A write that follows a deletion may be a late write of the removed
-     * entry; a new follower can only recognise it as such if it knows of the deletion.
-     */
-    [[nodiscard]] std::vector<store_item> contentsWithDeletions() const;
-
-private:
-    void addInferredDeletions(std::vector<store_item> &items) const;
-    [[nodiscard]] bool isNewer(const store_item &item) const;
-    void applyItem(const store_item &item, bool mayHaveExpired);
-    void dropOldDeletions();
-
-    struct deletion {
-        std::uint64_t revision = 0;
-        bool mayHaveExpired = false; ///< a later write restores the entry and is no late write
-    };
-
-    bool m_known = false;
-    std::uint64_t m_revision = 0;
-    std::map<std::string, stored_value, std::less<>> m_items;
-    std::map<std::string, deletion, std::less<>> m_deleted; ///< last deletion of each key; the key may exist again
-    std::uint64_t m_deletionsSince = 0; ///< @ref m_deleted holds all deletions after this revision
-};
-
-// ---- messages
-
-/** Revision up to which a process knows one prefix. */
-struct known_revision {
-    std::string prefix;
-    std::uint64_t revision = 0;
-};
-
-/** A process of the fleet. */
-struct fleet_member {
-    std::string address;
-    zone_name zone;
-    auto operator<=>(const fleet_member &) const = default;
-};
-
-/** Sent to a prospective upstream: asks it to accept the sender as a follower and to forward store changes to it. */
-struct follow_request {
-    std::string address; ///< at which the sender accepts followers
-    zone_name zone; ///< of the sender
-    bool readsStore = false; ///< the sender reads the store successfully; a receiver without the store may follow it
-    std::uint32_t subtree = 1; ///< number of processes in the sender's subtree, itself included
-    std::vector<known_revision> known;
-    std::vector<fleet_member> members; ///< of the subtree
-};
-
-/** Difference between a list of processes and the one that was sent before on the same link. */
-struct member_changes {
-    std::vector<fleet_member> joined;
-    std::vector<fleet_member> left;
-
-    [[nodiscard]] bool empty() const
-    {
-        return joined.empty() && left.empty();
-    }
-};
-
-/** @pre both lists are sorted. */
-[[nodiscard]] member_changes memberChangesBetween(std::span<const fleet_member> before,
-                                                  std::span<const fleet_member> after);
-
-/** @param before sorted. @return the list after the changes, sorted. */
-[[nodiscard]] std::vector<fleet_member> applyMemberChanges(std::span<const fleet_member> before,
-                                                           const member_changes &changes);
-
-/** Heartbeat that a follower sends to its upstream. */
-struct follow_heartbeat {
-    std::uint32_t subtree = 1;
-    member_changes changes; ///< of the subtree
-};
-
-/** Heartbeat that an upstream sends to its followers, with the state of the store reader and of the path to it. */
-struct upstream_state {
-    bool accepted = false; ///< the receiver is a follower of the sender
-    bool storeOk = false; ///< the root of the tree reads the store successfully
-    bool starting = false; ///< the root has asked the store and waits for its first answer
-    std::uint32_t fleetSize = 1;
-    std::vector<std::string> path; ///< addresses from the root down to the sender
-    std::vector<std::string> referrals; ///< addresses to ask instead, if not accepted
-    std::vector<fleet_member> members; ///< of the whole fleet; empty if the message carries only changes
-    member_changes changes; ///< of the fleet
-    std::optional<millis> currentAsOf; ///< see @ref fleet_node::currentAsOf; encoded as an age, decoded negative
-};
-
-/** One item as a delta to the value that the receiver holds. */
-struct item_patch {
-    std::string key;
-    std::uint64_t revision = 0;
-    std::uint64_t baseRevision = 0; ///< revision of the value that the delta applies to
-    std::uint64_t digest = 0; ///< of the complete new value
-    std::uint32_t size = 0; ///< of the complete new value
-    std::string bytes;
-};
-
-/** Sent to followers: changes or complete contents of one prefix. */
-struct store_items {
-    std::string prefix;
-    bool whole = false; ///< complete contents of the prefix, not only changes
-    std::uint64_t revision = 0;
-    std::vector<store_item> items;
-    std::vector<item_patch> patches;
-};
-
-/** Sent in both directions: reports of VMs about leafs. */
-struct leaf_reports_message {
-    std::vector<leaf_report> reports; ///< times are sent as ages and decoded as negative ages
-};
-
-/** Sent in both directions without delay: evidence of VMs about requests that crash leafs (queries of death). */
-struct request_evidence_message {
-    std::vector<request_evidence> requests; ///< times are sent as ages and decoded as negative ages
-};
-
-/** Recent deletions, sent by both ends of a new link. The store does not report them to a process that starts reading.
- */
-struct recent_deletions {
-    std::string prefix;
-    std::vector<store_item> items;
-};
-
-using fleet_message = std::variant<follow_request,
-                                   follow_heartbeat,
-                                   upstream_state,
-                                   store_items,
-                                   leaf_reports_message,
-                                   request_evidence_message,
-                                   recent_deletions>;
-
-/** Why bytes are not a message of the fleet. */
-enum class fleet_wire_error : std::uint8_t {
-    Malformed, ///< rejected by the FlatBuffers verifier
-    DecompressionFailed, ///< compressed bytes that do not decompress to the declared size
-    UnknownMessage
-};
-
-/** @return a complete frame: a four-byte little-endian length, then the message. */
-[[nodiscard]] std::string encodeFleetFrame(const fleet_message &message);
-
-/** @param payload one frame without its length prefix. */
-[[nodiscard]] tl::expected<fleet_message, fleet_wire_error> decodeFleetPayload(std::span<const std::uint8_t> payload);
-
-// ---- the tree
-
-/** Identifies one connection to another process of the fleet for as long as it is open. */
-using link_id = std::uint64_t;
-
 struct fleet_settings {
     std::string address; ///< of this process, at which the others reach it
     zone_name zone;
@@ -257,73 +47,6 @@
     std::size_t maxReportsPerMessage = 20; ///< in the worst case 1.2 kB per second on each link of the tree
 };
 
-/** Open a connection to a process. */
-struct dial_action {
-    link_id link = 0;
-    std::string address;
-};
-
-/** Close a connection. */
-struct close_link_action {
-    link_id link = 0;
-};
-
-/** Send the same message on each of these connections. */
-struct send_message_action {
-    std::vector<link_id> links;
-    fleet_message message;
-};
-
-/** Start or stop reading the store. */
-struct read_action {
-    bool reading = false;
-};
-
-/** Store changes for use by this process. */
-struct store_changes_action {
-    std::string prefix;
-    std::vector<store_item> items;
-};
-
-/** The processes of the fleet, this one included; at most @ref fleet_settings::maxMembers. */
-struct members_action {
-    std::vector<fleet_member> members;
-};
-
-/** Reports about leafs that other processes sent. */
-struct reports_action {
-    std::vector<leaf_report> reports;
-};
-
-/** Evidence about requests that another process sent; what is new here goes to @ref fleet_node::sendRequestEvidence. */
-struct requests_action {
-    link_id from = 0;
-    std::vector<request_evidence> requests;
-};
-
-/** A process has joined at the link: pass all evidence about requests to @ref fleet_node::sendAllRequestEvidence. */
-struct link_joined_action {
-    link_id link = 0;
-};
-
-/** Log event: this process changed its place in the tree or its upstream, or rejected a delta. */
-struct tree_event_action {
-    std::string_view event;
-    std::string about;
-    millis input; ///< time since the last message of the upstream; zero for events without one
-};
-
-using fleet_action = std::variant<dial_action,
-                                  close_link_action,
-                                  send_message_action,
-                                  read_action,
-                                  store_changes_action,
-                                  members_action,
-                                  reports_action,
-                                  requests_action,
-                                  link_joined_action,
-                                  tree_event_action>;
-
 /** State machine of this process's place in the tree. */
 class fleet_node
 {
