--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -453,6 +453,10 @@
     void retryIfUnreached(exchange &work, std::size_t call, std::string_view cause, millis now);
     void cancelDelegations(exchange &work, bool callerLeft);
     void acceptDelegatedParts(exchange &work, delegated_progress &progress, delegation &from, millis now);
+    [[nodiscard]] static bool
+    isUsable(const exchange &work, std::span<const delegated_part> parts, const delegation &from);
+    void discardReport(exchange &work, delegated_progress &progress, delegation &from, millis now);
+    void takePart(exchange &work, shard_call &call, std::string stamp, millis now);
     void excludeTriedLeafs(exchange &work, std::span<const std::string> leafIds);
     exchange_id refuseDelegated(exchange &work, millis now);
     void reportProgress(exchange &work, bool last, millis now);
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -27,7 +27,7 @@
     answer_action merged;
     for (const shard_call &call : work.calls) {
         if (call.done) {
-            parts.emplace_back(call.part.body); // empty for a part that another VM delivered
+            parts.emplace_back(call.part.body); // empty if another VM merged its records with others
             merged.stamps.push_back(call.part.stamp);
         }
     }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -74,6 +74,7 @@
     unsigned openDelegations = 0; ///< delegations of this call that have not ended
     bool helperLate = false; ///< the helper's first report is overdue
     bool pendingReported = false; ///< reported as pending; the delegating VM may ask a second leaf
+    bool mergedWithOthers = false; ///< a helper merged its records with those of other shards
     bool reported = false; ///< its result was reported to the delegating VM
     gateway_reply part;
 
@@ -120,7 +121,7 @@
     std::map<zone_name, std::size_t> partsByZone; ///< number of parts of its shards by zone, see partCount
     std::map<std::string, std::vector<std::size_t>> secondSends; ///< calls to delegate at the end of this step, by VM
     bool reportSeparately = false; ///< of delegated work: each shard is reported separately
-    std::vector<std::string> mergedRecords; ///< records of parts that other VMs delivered
+    std::vector<std::string> mergedRecords; ///< records of several parts each, as other VMs merged them
     std::shared_ptr<attempt_evidence> evidence;
     std::size_t canaryLimit = 0; ///< canary requests allowed before a leaf has survived the request; 0 for no limit
     asked_leafs_action asked; ///< for the log
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -138,40 +138,77 @@
 }
 
 /**
- * Records of several shards arrive merged and can't be separated again. If one of the shards has been answered by
- * another source in the meantime, its records would be in the answer twice. A helper therefore reports shards whose
- * second leaf may be asked one by one, and a report that contains an answered shard is discarded.
+ * A report on several parts holds their records merged, so it is used as a whole or not at all. A part that was
+ * reported alone can be taken back: the merged report replaces it.
  */
 void gateway_engine::acceptDelegatedParts(exchange &work, delegated_progress &progress, delegation &from, millis now)
 {
-    const auto isOpen = [&](const delegated_part &part) {
-        return part.shard < from.calls.size() && !from.shardDone[part.shard] && !work.calls[from.calls[part.shard]].done
-            && !work.calls[from.calls[part.shard]].missing;
-    };
-    const bool allOpen = std::ranges::all_of(progress.parts, isOpen);
-    if (!allOpen) {
-        logEvent(work, "report_discarded", "shard_answered", nullptr, {from.helper}, now - work.arrivedAt, now);
+    if (!isUsable(work, progress.parts, from)) {
+        discardReport(work, progress, from, now);
+        return;
     }
+    const bool alone = progress.parts.size() == 1;
     for (delegated_part &part : progress.parts) {
-        if (!allOpen && isOpen(part)) {
-            progress.lost.push_back({part.shard, true, true, false, {}});
-        } else if (!allOpen && markShardDone(from, part.shard)) {
-            work.calls[from.calls[part.shard]].openDelegations -= 1;
-        }
-        if (allOpen && markShardDone(from, part.shard)) {
-            shard_call &call = work.calls[from.calls[part.shard]];
-            call.openDelegations -= 1;
-            call.done = true;
-            call.part.stamp = std::move(part.stamp);
-            work.done += 1;
-            recordSurvived(work, now);
+        shard_call &call = work.calls[from.calls[part.shard]];
+        call.openDelegations -= markShardDone(from, part.shard) ? 1 : 0;
+        if (alone && call.done) {
+            return;
         }
+        takePart(work, call, std::move(part.stamp), now);
+        call.mergedWithOthers = !alone;
     }
-    if (allOpen) {
+    if (alone) {
+        work.calls[from.calls[progress.parts.front().shard]].part.body = std::move(progress.records);
+    } else if (!progress.parts.empty()) {
         work.mergedRecords.push_back(std::move(progress.records));
     }
 }
 
+/** @return false if the parts are invalid or if one is contained in another merged report, which would count its
+ *  records twice. */
+bool gateway_engine::isUsable(const exchange &work, std::span<const delegated_part> parts, const delegation &from)
+{
+    std::set<std::uint32_t> shards;
+    return std::ranges::all_of(parts, [&](const delegated_part &part) {
+        return part.shard < from.calls.size() && shards.insert(part.shard).second && !part.stamp.empty()
+            && (parts.size() == 1 || !work.calls[from.calls[part.shard]].mergedWithOthers);
+    });
+}
+
+/** Treats the shards of the report that have no part yet as lost. */
+void gateway_engine::discardReport(exchange &work, delegated_progress &progress, delegation &from, millis now)
+{
+    const auto isRepeated = [&](const delegated_part &part) {
+        return part.shard < from.calls.size() && from.shardDone[part.shard];
+    };
+    if (std::ranges::all_of(progress.parts, isRepeated)) {
+        return;
+    }
+    logEvent(work, "report_discarded", "unusable", nullptr, {from.helper}, now - work.arrivedAt, now);
+    for (const delegated_part &part : progress.parts) {
+        if (part.shard >= from.calls.size()) {
+            continue;
+        }
+        shard_call &call = work.calls[from.calls[part.shard]];
+        if (!call.done) {
+            progress.lost.push_back({part.shard, true, true, false, {}});
+        } else if (markShardDone(from, part.shard)) {
+            call.openDelegations -= 1;
+        }
+    }
+}
+
+void gateway_engine::takePart(exchange &work, shard_call &call, std::string stamp, millis now)
+{
+    work.done += call.done ? 0 : 1;
+    work.missing -= call.missing ? 1 : 0;
+    call.done = true;
+    call.missing = false;
+    call.part = {};
+    call.part.stamp = std::move(stamp);
+    recordSurvived(work, now);
+}
+
 /** @return true if this is the first final report on the shard; false if it repeats one or the shard is unknown. */
 bool gateway_engine::markShardDone(delegation &from, std::uint32_t shard)
 {
--- a/libs/gateway/tests/test_helpers.cpp
+++ b/libs/gateway/tests/test_helpers.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE helpers
 #include <boost/test/included/unit_test.hpp>
 
+#include "delegating_vm.h"
 #include "two_vms.h"
 
 using namespace chivelock;
@@ -338,3 +339,161 @@
     }
     BOOST_TEST(delegated == 15U);
 }
+
+// Guards against shards that are asked again although a helper has delivered them: its merged report was discarded
+// because a second leaf had answered one of its shards.
+BOOST_AUTO_TEST_CASE(a_merged_report_is_used_after_a_second_leaf_answered_one_of_its_shards)
+{
+    for (const std::size_t helpers : {1U, 2U}) {
+        delegating_vm vm(helpers);
+        vm.runUntilHedged();
+        if (helpers == 1) { // the second leafs are asked by this VM
+            BOOST_REQUIRE(vm.sends.size() == delegating_vm::shards);
+            vm.reply(0);
+            for (std::uint32_t send = 1; send < delegating_vm::shards; ++send) {
+                vm.failSend(send);
+            }
+        } else {
+            BOOST_REQUIRE(vm.delegations.size() == 2U);
+            vm.report(1, delegating_vm::reportOf({0}, "second"));
+            vm.report(1, delegating_vm::lossOf({1, 2, 3, 4, 5}));
+        }
+        vm.report(0, delegating_vm::reportOf({0, 1, 2, 3, 4, 5}, "first"));
+        BOOST_REQUIRE(vm.answer.has_value());
+        BOOST_TEST(vm.answer->missing == 0U);
+        BOOST_TEST(vm.answer->retries == 0U);
+        BOOST_TEST(vm.isAnswerConsistent());
+    }
+}
+
+// Guards against a part that is left out of the answer because its shard had been given up before.
+BOOST_AUTO_TEST_CASE(a_part_of_a_shard_that_was_given_up_is_used)
+{
+    delegating_vm vm(2);
+    vm.runUntilHedged();
+    const delegated_progress bothAttemptsRan {{}, {}, {{0, true, true, false, {}}}, {}, false};
+    vm.report(0, bothAttemptsRan);
+    vm.report(1, bothAttemptsRan);
+    vm.report(0, delegating_vm::reportOf({0, 1, 2, 3, 4, 5}, "first"));
+    BOOST_REQUIRE(vm.answer.has_value());
+    BOOST_TEST(vm.answer->missing == 0U);
+    BOOST_TEST(vm.timesAsked(0) == 2U);
+    BOOST_TEST(vm.isAnswerConsistent());
+}
+
+// Guards against records of a shard that are in the answer twice: two reports with merged records share a shard.
+BOOST_AUTO_TEST_CASE(a_merged_report_that_shares_a_shard_with_another_is_discarded)
+{
+    delegating_vm vm(2);
+    vm.runUntilHedged();
+    vm.report(0, delegating_vm::reportOf({0, 1, 2}, "first"));
+    vm.report(1, delegating_vm::reportOf({2, 3}, "second"));
+    vm.report(0, delegating_vm::reportOf({4, 5}, "first"));
+    vm.report(0, delegating_vm::reportOf({3}, "first"));
+    BOOST_REQUIRE(vm.answer.has_value());
+    BOOST_TEST(vm.answer->missing == 0U);
+    BOOST_TEST(vm.isAnswerConsistent());
+}
+
+// Guards against an answer that names a shard twice or a part without digest, whatever a faulty helper reports.
+BOOST_AUTO_TEST_CASE(malformed_reports_are_discarded)
+{
+    delegated_progress withoutDigest = delegating_vm::reportOf({0, 1}, "first");
+    withoutDigest.parts.front().stamp.clear();
+    const std::vector<delegated_progress> malformed = {
+        withoutDigest,
+        delegating_vm::reportOf({0, 0}, "first"),
+        delegating_vm::reportOf({0, 17}, "first"),
+        delegating_vm::reportOf({17}, "first"),
+    };
+    for (const delegated_progress &report : malformed) {
+        delegating_vm vm(2);
+        vm.runUntilHedged();
+        vm.report(0, report);
+        vm.report(1, delegating_vm::reportOf({2, 3}, "second"));
+        for (std::uint32_t shard = 0; shard < delegating_vm::shards; ++shard) {
+            vm.report(1, delegating_vm::reportOf({shard}, "second"));
+        }
+        BOOST_REQUIRE(vm.answer.has_value());
+        BOOST_TEST(vm.answer->missing == 0U);
+        BOOST_TEST(vm.isAnswerConsistent());
+    }
+}
+
+namespace {
+
+/** Reports of one helper about all shards, in random portions: merged, single, lost or repeated. */
+class random_reports
+{
+public:
+    random_reports(seeded_random &random, std::size_t delegation, bool alone)
+        : m_random(random)
+        , m_delegation(delegation)
+        , m_alone(alone)
+    {
+    }
+
+    void addTo(std::vector<std::pair<std::size_t, delegated_progress>> &reports, std::set<std::uint32_t> &delivered)
+    {
+        const std::string source = "vm" + std::to_string(m_delegation);
+        std::vector<std::uint32_t> lost;
+        std::array<std::vector<std::uint32_t>, 2> merged;
+        for (std::uint32_t shard = 0; shard < delegating_vm::shards; ++shard) {
+            if (m_random.below(4) == 0) {
+                lost.push_back(shard);
+                continue;
+            }
+            delivered.insert(shard);
+            if (m_alone || m_random.below(4) == 0) {
+                add(reports, delegating_vm::reportOf({shard}, source));
+            } else {
+                merged[m_random.below(2)].push_back(shard);
+            }
+        }
+        std::ranges::for_each(merged, [&](const auto &one) { add(reports, delegating_vm::reportOf(one, source)); });
+        add(reports, delegating_vm::lossOf(lost));
+    }
+
+private:
+    void add(std::vector<std::pair<std::size_t, delegated_progress>> &reports, const delegated_progress &report)
+    {
+        reports.resize(reports.size() + 1 + m_random.below(2), {m_delegation, report});
+    }
+
+    seeded_random &m_random;
+    std::size_t m_delegation;
+    bool m_alone;
+};
+
+} // namespace
+
+// Guards against parts that are lost, asked again or merged twice when reports on the same shards come in any order.
+BOOST_AUTO_TEST_CASE(reports_in_any_order_are_merged_once_and_none_is_lost)
+{
+    constexpr std::uint64_t seeds = 500;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        seeded_random random(seed);
+        delegating_vm vm(2);
+        vm.runUntilHedged();
+        BOOST_REQUIRE(vm.delegations.size() == 2U);
+        std::vector<std::pair<std::size_t, delegated_progress>> reports;
+        std::set<std::uint32_t> delivered;
+        random_reports(random, 0, false).addTo(reports, delivered);
+        random_reports(random, 1, true).addTo(reports, delivered);
+        for (std::size_t at = reports.size(); at > 1; --at) {
+            std::swap(reports[at - 1], reports[random.below(at)]);
+        }
+        for (const auto &[delegation, report] : reports) {
+            vm.report(delegation, report);
+        }
+        vm.runUntilAnswered();
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(vm.answer->missing == delegating_vm::shards - delivered.size());
+            BOOST_TEST(vm.isAnswerConsistent());
+            for (const std::uint32_t shard : delivered) {
+                BOOST_TEST(vm.timesAsked(shard) == 2U);
+            }
+        }
+    }
+}
