Relay a success to a caller only with the leaf's digest

Callers got a success without a digest of the leaf, which they can't check. For parts of a lookup the digest was demanded, for an answer of one leaf it was not: each status below 500 was relayed as it came.

A success without a digest is now a failure of its leaf in both places, by one predicate of the reply. An idempotent request goes to another leaf. One that must run at most once is answered 502 at once, since it may have run. The reply is not kept as the request's failure, so that it can't be relayed later either. Failures of leafs (3xx, 4xx, 5xx) keep their own status, with or without a digest.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -60,6 +60,12 @@
     {
         return status >= 200 && status < 300;
     }
+
+    /** Whether this is a success that may reach a caller. Without the digest the caller can't check the body. */
+    [[nodiscard]] bool isWholeSuccess() const
+    {
+        return isSuccess() && !stamp.empty();
+    }
 };
 
 /** Why a send got no answer. */
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -22,6 +22,12 @@
     target.averageServiceTime = first ? work : target.averageServiceTime * (1 - newestShare) + work * newestShare;
 }
 
+/** @return why the answer of a leaf that ran the request is not used; for logs and callers. */
+std::string_view failureCause(const gateway_reply &reply)
+{
+    return reply.isSuccess() ? "success_not_whole" : "leaf_failed";
+}
+
 millis timeoutAfterNetwork(millis callerTimeout, millis networkTime)
 {
     return callerTimeout > networkTime * 2 ? callerTimeout - networkTime : callerTimeout * 0.5;
@@ -395,8 +401,8 @@
 
 void gateway_engine::acceptPart(exchange &work, std::size_t at, gateway_reply reply, millis now)
 {
-    if (!reply.isSuccess() || reply.stamp.empty()) {
-        retryCall(work, at, "leaf_failed", now);
+    if (!reply.isWholeSuccess()) {
+        retryCall(work, at, failureCause(reply), now);
         return;
     }
     shard_call &call = work.calls[at];
@@ -408,14 +414,16 @@
 
 void gateway_engine::answerSingle(exchange &work, gateway_reply reply, millis now)
 {
-    const bool served = reply.isSuccess() || reply.status < 500;
-    if (served || !work.route->idempotent) {
+    const bool served = reply.isWholeSuccess() || (!reply.isSuccess() && reply.status < 500);
+    const std::string_view cause = served ? "answered" : failureCause(reply);
+    if (served || !reply.isSuccess()) {
         work.failure = std::move(reply);
-        answerUnserved(work, served ? "answered" : "leaf_failed", false, now);
+    }
+    if (served || !work.route->idempotent) {
+        answerUnserved(work, cause, false, now);
         return;
     }
-    work.failure = std::move(reply);
-    retryCall(work, 0, "leaf_failed", now);
+    retryCall(work, 0, cause, now);
 }
 
 void gateway_engine::finishGatherIfDone(exchange &work, millis now)
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -258,6 +258,32 @@
     BOOST_TEST(world.runs.size() == 1U);
 }
 
+// Guards against a success without a digest that reached the caller of a request to one leaf.
+BOOST_AUTO_TEST_CASE(a_success_without_a_digest_counts_as_a_failure_of_its_leaf)
+{
+    for (const bool idempotent : {true, false}) {
+        gateway_world world;
+        world.publish({gateway_world::singleRoute(idempotent)});
+        world.addLeaf("single", {.sendsDigest = false});
+        const exchange_id only = world.submit("/one/x");
+        world.runFor(millis(300));
+        BOOST_CHECK(world.answerOf(only).answer.outcome == exchange_outcome::Failed);
+        BOOST_TEST(!world.answerOf(only).answer.timedOut);
+        BOOST_TEST(world.answerOf(only).answer.elapsed.count() < 50);
+        BOOST_TEST(world.arrivals.size() == 1U);
+        world.addLeaf("single", {.processingTime = millis(1)});
+        for (int at = 0; at < 10; ++at) {
+            const std::size_t before = world.arrivals.size();
+            const exchange_id id = world.submit("/one/x");
+            world.runFor(millis(300));
+            const answer_action &answer = world.answerOf(id).answer;
+            BOOST_CHECK(answer.outcome == exchange_outcome::Failed || !answer.reply.stamp.empty());
+            BOOST_CHECK(answer.outcome == exchange_outcome::Relayed || !idempotent);
+            BOOST_TEST(world.arrivals.size() <= before + (idempotent ? 2 : 1));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_leafs_500_is_relayed_unchanged)
 {
     gateway_world world;
