Reject a body without length that holds the head of a further answer

A caller got the leaf's body with the head and body of the leaf's next answer behind it, as a success. An answer without a length takes all bytes until the close, and a leaf may send an answer too many before it closes. Nothing in the protocol shows where the first body ended, so such a body is treated like one that broke off: an idempotent request goes to another leaf, one that must run at most once gets 502.

A head is a status line of HTTP/1.x that is followed by a header line, by the end of the head, or by the end of the body: the close may cut the second answer anywhere. A body that merely mentions the protocol or quotes a status line in its text is still relayed. A second answer of which fewer than the seven bytes "HTTP/1." arrived is not recognized.

--- a/libs/http1/include/http1/http1.h
+++ b/libs/http1/include/http1/http1.h
@@ -110,7 +110,8 @@
 
     [[nodiscard]] read_state feed(std::string &input);
 
-    /** Handles an orderly close by the peer. @return Complete for a body that is delimited by the close. */
+    /** Handles an orderly close by the peer. @return Complete for a body that is delimited by the close and doesn't
+     * hold the head of a further response. */
     [[nodiscard]] read_state finish();
 
     [[nodiscard]] bool begun() const;
--- a/libs/http1/src/response_reader.cpp
+++ b/libs/http1/src/response_reader.cpp
@@ -5,7 +5,9 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <string_view>
 
 namespace chivelock {
 
@@ -23,6 +25,55 @@
     return status < firstFinalStatus && status != switchingProtocols;
 }
 
+constexpr std::string_view protocolName = "HTTP/1.";
+
+bool isDigit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+/** Whether @p text starts with a status line, or is the start of one. */
+bool startsWithStatusLine(std::string_view text)
+{
+    constexpr std::string_view pattern = "HTTP/1.0 000"; // a 0 stands for any digit
+    const auto matches = [](char c, char expected) { return expected == '0' ? isDigit(c) : c == expected; };
+    const auto [end, patternEnd] = std::ranges::mismatch(text, pattern, matches);
+    return end == text.end() || patternEnd == pattern.end();
+}
+
+/** Whether @p text starts with a response head, or is the start of one. */
+bool startsWithHead(std::string_view text)
+{
+    constexpr std::string_view tokenCharacters =
+        "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+    if (!startsWithStatusLine(text)) {
+        return false;
+    }
+    const std::size_t lineEnd = text.find('\n');
+    if (lineEnd == std::string_view::npos) {
+        return true;
+    }
+    const std::string_view next = text.substr(lineEnd + 1);
+    const std::size_t nameEnd = next.find_first_not_of(tokenCharacters);
+    const bool isCut = nameEnd == std::string_view::npos;
+    const bool hasNoHeaders = next.starts_with('\r') || next.starts_with('\n');
+    return isCut || hasNoHeaders || (nameEnd > 0 && next[nameEnd] == ':');
+}
+
+/**
+ * Whether a body that the close of the connection delimits holds the head of a further response. A leaf may send one
+ * too many, and nothing else shows where the body ended. The head may be cut off by the close.
+ */
+bool holdsFurtherHead(std::string_view body)
+{
+    for (std::size_t at = body.find(protocolName); at != std::string_view::npos; at = body.find(protocolName, at + 1)) {
+        if (startsWithHead(body.substr(at, maxHeadBytes))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 struct response_reader::state {
@@ -87,7 +138,8 @@
     }
     boost::system::error_code error;
     m_state->parser->put_eof(error);
-    return !error && m_state->parser->is_done() ? read_state::Complete : read_state::BadMessage;
+    const bool isComplete = !error && m_state->parser->is_done() && !holdsFurtherHead(m_state->parser->get().body());
+    return isComplete ? read_state::Complete : read_state::BadMessage;
 }
 
 bool response_reader::begun() const
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -15,6 +15,16 @@
     return state == read_state::HeadComplete ? reader.feed(input) : state;
 }
 
+/** Reads a response whose connection the leaf closes behind @p bytes. */
+read_state readResponse(const std::string &bytes)
+{
+    response_reader reader;
+    reader.expect(false, 1000);
+    std::string input = bytes;
+    const read_state state = reader.feed(input);
+    return state == read_state::NeedMore ? reader.finish() : state;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(request_keeps_target_and_headers_byte_for_byte)
@@ -129,3 +139,19 @@
     BOOST_TEST(isHopByHopHeader("Keep-Alive", headers));
     BOOST_TEST(!isHopByHopHeader("X-Other", headers));
 }
+
+// Guards against a body that holds a further answer: without a length, all bytes until the close belong to the body.
+BOOST_AUTO_TEST_CASE(a_body_that_ends_with_the_connection_holds_no_further_response)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nX: 1\r\n\r\nabc";
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    constexpr std::size_t recognizable = std::string_view("HTTP/1.").size();
+    for (std::size_t count = recognizable; count <= second.size(); ++count) {
+        BOOST_CHECK(readResponse(first + second.substr(0, count)) == read_state::BadMessage);
+    }
+    BOOST_CHECK(readResponse(first + "HTTP/1.0 503 Full\r\n\r\n") == read_state::BadMessage);
+    BOOST_CHECK(readResponse(first + "HTTP/1.1 200 OK\nA: b\n\n") == read_state::BadMessage);
+    BOOST_CHECK(readResponse(first + "HTTP/1.1 is spoken here") == read_state::Complete);
+    BOOST_CHECK(readResponse(first + "HTTP/1.1 200 OK\r\nis a status line") == read_state::Complete);
+    BOOST_CHECK(readResponse(first + "HTTP/1.1 200 OK\r\nHTTP/1.1 404 Gone\r\n: ") == read_state::Complete);
+}
