Reject a leaf's answer with a transfer coding other than chunked

The gateway takes off the Transfer-Encoding header of a leaf's answer and sends the body with a length. With "gzip, chunked", "chunked, gzip" or "gzip" (with or without a Content-Length) a caller would have got a coded body, or the raw chunks, as the leaf's own body. With "Transfer-Encoding: gzip" and a Content-Length the reader followed the length and left the rest for the next answer. An answer in HTTP/1.0 was read as chunked.

Requests were already checked for this. The check is now shared by both readers; such an answer counts as malformed. Answers with both headers, with two lengths that differ, or cut at any byte were rejected before and are now checked.

--- a/libs/http1/src/request_reader.cpp
+++ b/libs/http1/src/request_reader.cpp
@@ -31,17 +31,6 @@
     return head.find('\0') != std::string_view::npos;
 }
 
-bool hasUnambiguousFraming(const http::request<http::string_body> &message)
-{
-    const auto encodings = message.equal_range(http::field::transfer_encoding);
-    for (auto line = encodings.first; line != encodings.second; ++line) {
-        if (message.version() < 11 || !boost::beast::iequals(line->value(), "chunked")) {
-            return false;
-        }
-    }
-    return std::distance(encodings.first, encodings.second) <= 1;
-}
-
 bool hasOneHost(const http::request<http::string_body> &message)
 {
     return message.count(http::field::host) == 1;
--- a/libs/http1/src/response_reader.cpp
+++ b/libs/http1/src/response_reader.cpp
@@ -118,7 +118,11 @@
             return error == http::error::body_limit ? read_state::BodyTooLarge : read_state::BadMessage;
         }
         if (m_state->parser->is_done()) {
-            if (!isInterim(m_state->parser->get().result_int())) {
+            const auto &message = m_state->parser->get();
+            if (!hasUnambiguousFraming(message)) {
+                return read_state::BadMessage;
+            }
+            if (!isInterim(message.result_int())) {
                 return read_state::Complete;
             }
             m_state->startResponse();
@@ -138,8 +142,9 @@
     }
     boost::system::error_code error;
     m_state->parser->put_eof(error);
-    const bool isComplete = !error && m_state->parser->is_done() && !holdsFurtherHead(m_state->parser->get().body());
-    return isComplete ? read_state::Complete : read_state::BadMessage;
+    const auto &message = m_state->parser->get();
+    const bool isWhole = hasUnambiguousFraming(message) && !holdsFurtherHead(message.body());
+    return !error && m_state->parser->is_done() && isWhole ? read_state::Complete : read_state::BadMessage;
 }
 
 bool response_reader::begun() const
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -155,3 +155,36 @@
     BOOST_CHECK(readResponse(first + "HTTP/1.1 200 OK\r\nis a status line") == read_state::Complete);
     BOOST_CHECK(readResponse(first + "HTTP/1.1 200 OK\r\nHTTP/1.1 404 Gone\r\n: ") == read_state::Complete);
 }
+
+// Guards against a body that is still encoded, or that has another end for the leaf.
+BOOST_AUTO_TEST_CASE(a_response_with_ambiguous_framing_is_rejected)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string chunks = "\r\n1\r\na\r\n0\r\n\r\n";
+    for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", ""}) {
+        BOOST_CHECK(readResponse(start + "Transfer-Encoding: " + coding + "\r\n" + chunks) == read_state::BadMessage);
+    }
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    BOOST_CHECK(readResponse(start + chunked + chunked + chunks) == read_state::BadMessage);
+    BOOST_CHECK(readResponse("HTTP/1.0 200 OK\r\n" + chunked + chunks) == read_state::BadMessage);
+    BOOST_CHECK(readResponse(start + chunked + "Content-Length: 1\r\n" + chunks) == read_state::BadMessage);
+    BOOST_CHECK(readResponse(start + "Content-Length: 1\r\n" + chunked + chunks) == read_state::BadMessage);
+    BOOST_CHECK(readResponse(start + "Transfer-Encoding: gzip\r\nContent-Length: 1\r\n\r\na")
+                == read_state::BadMessage);
+    BOOST_CHECK(readResponse(start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab") == read_state::BadMessage);
+    BOOST_CHECK(readResponse(start + chunked + chunks) == read_state::Complete);
+    BOOST_CHECK(readResponse("HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\na") == read_state::Complete);
+    BOOST_CHECK(readResponse("HTTP/1.0 200 OK\r\n\r\na") == read_state::Complete);
+}
+
+BOOST_AUTO_TEST_CASE(a_response_that_ends_early_is_rejected)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &whole :
+         {start + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", start + "Content-Length: 2\r\n\r\nab"}) {
+        BOOST_CHECK(readResponse(whole) == read_state::Complete);
+        for (std::size_t count = 0; count < whole.size(); ++count) {
+            BOOST_CHECK(readResponse(whole.substr(0, count)) == read_state::BadMessage);
+        }
+    }
+}
