Reject a leaf's answer with status 101 or below 100

A caller got the leaf's 101 as the answer to its request. To a caller that is an interim answer: it goes on waiting, or takes what follows on the connection for another protocol. A status such as 099 passed as a final one whose body lasted until the close. The gateway never asks for a switch of protocols, so both are malformed answers: the request goes to another leaf if it is idempotent, or gets 502. Other 1xx answers are skipped as before.

The reader now looks at status and framing as soon as the head is complete.

--- a/libs/http1/src/response_reader.cpp
+++ b/libs/http1/src/response_reader.cpp
@@ -21,8 +21,20 @@
 bool isInterim(unsigned status)
 {
     constexpr unsigned firstFinalStatus = 200;
+    return status < firstFinalStatus;
+}
+
+/** Whether a response may have the status. No request asks for a switch of protocols. */
+bool isExpectedStatus(unsigned status)
+{
+    constexpr unsigned firstInterimStatus = 100;
     constexpr unsigned switchingProtocols = 101;
-    return status < firstFinalStatus && status != switchingProtocols;
+    return status >= firstInterimStatus && status != switchingProtocols;
+}
+
+bool isSound(const http::response<http::string_body> &message)
+{
+    return isExpectedStatus(message.result_int()) && hasUnambiguousFraming(message);
 }
 
 constexpr std::string_view protocolName = "HTTP/1.";
@@ -117,12 +129,11 @@
         if (error && error != http::error::need_more) {
             return error == http::error::body_limit ? read_state::BodyTooLarge : read_state::BadMessage;
         }
+        if (m_state->parser->is_header_done() && !isSound(m_state->parser->get())) {
+            return read_state::BadMessage;
+        }
         if (m_state->parser->is_done()) {
-            const auto &message = m_state->parser->get();
-            if (!hasUnambiguousFraming(message)) {
-                return read_state::BadMessage;
-            }
-            if (!isInterim(message.result_int())) {
+            if (!isInterim(m_state->parser->get().result_int())) {
                 return read_state::Complete;
             }
             m_state->startResponse();
@@ -142,9 +153,8 @@
     }
     boost::system::error_code error;
     m_state->parser->put_eof(error);
-    const auto &message = m_state->parser->get();
-    const bool isWhole = hasUnambiguousFraming(message) && !holdsFurtherHead(message.body());
-    return !error && m_state->parser->is_done() && isWhole ? read_state::Complete : read_state::BadMessage;
+    const bool isComplete = !error && m_state->parser->is_done() && !holdsFurtherHead(m_state->parser->get().body());
+    return isComplete ? read_state::Complete : read_state::BadMessage;
 }
 
 bool response_reader::begun() const
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -188,3 +188,26 @@
         }
     }
 }
+
+// Guards against a caller that waits until its timeout for a body that would be rejected anyway.
+BOOST_AUTO_TEST_CASE(a_response_is_rejected_as_soon_as_its_head_is_unsound)
+{
+    for (const std::string head : {"HTTP/1.1 099 X\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"}) {
+        response_reader reader;
+        reader.expect(false, 1000);
+        std::string input = head;
+        BOOST_CHECK(reader.feed(input) == read_state::BadMessage);
+    }
+}
+
+// Guards against an interim status that reaches the caller in place of the final answer.
+BOOST_AUTO_TEST_CASE(a_response_with_neither_a_final_nor_an_interim_status_is_rejected)
+{
+    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    for (const std::string status : {"000", "099", "101"}) {
+        BOOST_CHECK(readResponse("HTTP/1.1 " + status + " X\r\n\r\n" + final) == read_state::BadMessage);
+    }
+    for (const std::string status : {"100", "102", "103", "199"}) {
+        BOOST_CHECK(readResponse("HTTP/1.1 " + status + " X\r\n\r\n" + final) == read_state::Complete);
+    }
+}
