Don't relay a success whose body has a content coding

Callers got a success with a Content-Encoding as the leaf's own. They ask for bodies without any coding, so such a body isn't the leaf's, although it may bear the leaf's digest. As a part of a lookup its coded bytes would have been merged as records.

A typed field of the reply tells it, and the predicate for a whole success asks for it, so that parts and answers of one leaf are treated alike: an idempotent request goes to another leaf, one that must run at most once gets 502. Failures of leafs are relayed as before.

The test that failures are not merged as parts now covers this case too, besides the two that it had; it was renamed with it. So was the test of a success without a digest.

The unit tests use the new field, so they don't compile without it.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -50,6 +50,7 @@
     unsigned status = 0;
     std::string reason;
     std::string stamp; ///< the leaf's digest of the answer; empty if absent
+    bool isEncoded = false; ///< the body has a content coding, so it isn't the leaf's own
     bool notRun = false; ///< the leaf states that it did not run the request
     bool wrongInstance = false; ///< a different leaf answered at this address
     std::optional<leaf_load> load;
@@ -61,10 +62,10 @@
         return status >= 200 && status < 300;
     }
 
-    /** Whether this is a success that may reach a caller. Without the digest the caller can't check the body. */
+    /** Whether this is a success that may reach a caller: the leaf's own body with the digest to check it by. */
     [[nodiscard]] bool isWholeSuccess() const
     {
-        return isSuccess() && !stamp.empty();
+        return isSuccess() && !stamp.empty() && !isEncoded;
     }
 };
 
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -27,6 +27,7 @@
     bool wrongInstance = false;
     unsigned status = 200;
     bool sendsDigest = true;
+    bool encodesBody = false;
     unsigned slots = 0; ///< requests that run concurrently; 0 for no limit
     unsigned queueLimit = 12; ///< requests that may wait for a slot; the leaf refuses more
     double slowdownFactor = 1; ///< multiplies the processing time
@@ -316,6 +317,7 @@
                 }
                 gateway_reply reply;
                 reply.status = finished ? behaviour.status : timedOutStatus;
+                reply.isEncoded = behaviour.encodesBody;
                 reply.stamp = behaviour.sendsDigest && finished ? "digest-" + id : "";
                 if (behaviour.hostSlowdown || behaviour.reportsLoad) {
                     reply.load = loadOf(id, behaviour);
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -150,17 +150,15 @@
     BOOST_TEST(world.runs.empty());
 }
 
-// Guards against an answer that lists a shard which did not answer: a failure with a digest, or a success without one,
-// was merged as a part.
-BOOST_AUTO_TEST_CASE(failures_and_answers_without_digest_are_not_merged)
+// Guards against an answer that lists a shard which did not answer: a failure with a digest, or a success without one
+// or with an encoded body, was merged as a part.
+BOOST_AUTO_TEST_CASE(failures_and_successes_that_are_not_whole_are_not_merged)
 {
-    for (const bool sendsDigest : {true, false}) {
+    const std::vector<fake_leaf_behaviour> faulty = {{.status = 500}, {.sendsDigest = false}, {.encodesBody = true}};
+    for (const fake_leaf_behaviour &behaviour : faulty) {
         shard_world world(0.9);
-        for (auto &[id, behaviour] : world.behaviours) {
-            if (id.starts_with("shard0-")) {
-                behaviour.status = sendsDigest ? 500 : 200;
-                behaviour.sendsDigest = sendsDigest;
-            }
+        for (auto &[id, existing] : world.behaviours) {
+            existing = id.starts_with("shard0-") ? behaviour : existing;
         }
         const exchange_id id = world.submit("/all/x");
         world.runFor(millis(300));
@@ -258,29 +256,39 @@
     BOOST_TEST(world.runs.size() == 1U);
 }
 
-// Guards against a success without a digest that reached the caller of a request to one leaf.
-BOOST_AUTO_TEST_CASE(a_success_without_a_digest_counts_as_a_failure_of_its_leaf)
+namespace {
+
+void checkThatSuccessesAreNotRelayed(bool idempotent, const fake_leaf_behaviour &notWhole)
 {
-    for (const bool idempotent : {true, false}) {
-        gateway_world world;
-        world.publish({gateway_world::singleRoute(idempotent)});
-        world.addLeaf("single", {.sendsDigest = false});
-        const exchange_id only = world.submit("/one/x");
+    gateway_world world;
+    world.publish({gateway_world::singleRoute(idempotent)});
+    world.addLeaf("single", notWhole);
+    const exchange_id only = world.submit("/one/x");
+    world.runFor(millis(300));
+    BOOST_CHECK(world.answerOf(only).answer.outcome == exchange_outcome::Failed);
+    BOOST_TEST(!world.answerOf(only).answer.timedOut);
+    BOOST_TEST(world.answerOf(only).answer.elapsed.count() < 50);
+    BOOST_TEST(world.arrivals.size() == 1U);
+    const std::string sound = world.addLeaf("single", {.processingTime = millis(1)});
+    for (int at = 0; at < 10; ++at) {
+        const std::size_t before = world.arrivals.size();
+        const exchange_id id = world.submit("/one/x");
         world.runFor(millis(300));
-        BOOST_CHECK(world.answerOf(only).answer.outcome == exchange_outcome::Failed);
-        BOOST_TEST(!world.answerOf(only).answer.timedOut);
-        BOOST_TEST(world.answerOf(only).answer.elapsed.count() < 50);
-        BOOST_TEST(world.arrivals.size() == 1U);
-        world.addLeaf("single", {.processingTime = millis(1)});
-        for (int at = 0; at < 10; ++at) {
-            const std::size_t before = world.arrivals.size();
-            const exchange_id id = world.submit("/one/x");
-            world.runFor(millis(300));
-            const answer_action &answer = world.answerOf(id).answer;
-            BOOST_CHECK(answer.outcome == exchange_outcome::Failed || !answer.reply.stamp.empty());
-            BOOST_CHECK(answer.outcome == exchange_outcome::Relayed || !idempotent);
-            BOOST_TEST(world.arrivals.size() <= before + (idempotent ? 2 : 1));
-        }
+        const answer_action &answer = world.answerOf(id).answer;
+        BOOST_CHECK(answer.outcome == exchange_outcome::Failed || answer.reply.stamp == "digest-" + sound);
+        BOOST_CHECK(answer.outcome == exchange_outcome::Relayed || !idempotent);
+        BOOST_TEST(world.arrivals.size() <= before + (idempotent ? 2 : 1));
+    }
+}
+
+} // namespace
+
+// Guards against a success that reached the caller of a request to one leaf without a digest, or with an encoded body.
+BOOST_AUTO_TEST_CASE(a_success_that_is_not_whole_counts_as_a_failure_of_its_leaf)
+{
+    for (const bool idempotent : {true, false}) {
+        checkThatSuccessesAreNotRelayed(idempotent, {.sendsDigest = false});
+        checkThatSuccessesAreNotRelayed(idempotent, {.encodesBody = true});
     }
 }
 
