Send no body after the head of an answer to HEAD

Callers saw: after a HEAD request that the gateway answered itself (404, 400, 502, 503, 504), the JSON body followed the head. A caller reads no body after such a head, so on a kept connection it took these bytes for the start of the answer to its next request.

Cause: answers are written without regard to the method of their request. Only the reader of leafs' answers knew about HEAD.

Evidence: a HEAD request without a route and a GET request behind it on one connection: the second answer began with `{"error":"no_route"}HTTP/1.1 200`.

Fix: a caller's connection knows whether its current request is a HEAD request and cuts the body from whatever is given as the answer, so that no kind of answer can be forgotten, the status pages included.

The test an_answer_to_head_has_no_body failed before with exactly these bytes as the second answer's status line.

--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -24,6 +24,12 @@
 constexpr millis lingerLimit(1000); // for the caller to read the last answer before the connection is closed
 constexpr millis writeLimit(10000); // a caller that takes longer to read its answer counts as disconnected
 
+void removeBody(std::string &answer)
+{
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    answer.resize(answer.find(headEnd) + headEnd.size());
+}
+
 } // namespace
 
 /** One connection of a caller. */
@@ -53,6 +59,9 @@
         m_phase = phase::Writing;
         m_phaseStart = boot_clock().now();
         m_output = std::move(bytes);
+        if (m_toHead) {
+            removeBody(m_output); // its caller would take a body for the start of the next answer
+        }
         asio::async_write(
             m_socket, asio::buffer(m_output), [self = shared_from_this(), close](const error_code &error, std::size_t) {
                 self->onWritten(error, close);
@@ -171,6 +180,7 @@
         m_requests += 1;
         http_request request = m_reader.take();
         m_keepAlive = request.keepAlive;
+        m_toHead = request.method == "HEAD";
         m_server.m_listener.onRequest(m_id, std::move(request));
     }
 
@@ -188,6 +198,7 @@
     void rejectInput(read_state state)
     {
         m_phase = phase::Busy;
+        m_toHead = false;
         reply(m_server.m_writeReadError(state), true);
     }
 
@@ -247,6 +258,7 @@
     std::uint64_t m_requests = 0; ///< read completely
     bool m_readPending = false;
     bool m_keepAlive = true;
+    bool m_toHead = false; ///< the current request is a HEAD request
     millis m_phaseStart; ///< start of the phase, or arrival of the request's first byte
 };
 
