Own interface: every call to a leaf on a connection of its own

Callers saw: rows of another lookup as a success, if a leaf answered twice on a kept connection.

Cause: a leaf's reply names no request.

Fix: all calls (searches, cancels, health checks) use a new connection that is closed after the reply, so nothing but the reply can arrive on it. A look at the socket before reuse would not do: the third copy arrives after the next request was sent. A request that must run once no longer needs its own rule for this.

--- a/programs/chivelockd/leaf_client.cpp
+++ b/programs/chivelockd/leaf_client.cpp
@@ -45,9 +45,7 @@
 
 tl::expected<void, kernel_error> leaf_client::start()
 {
-    constexpr long maxCachedConnections = 1024;
     m_multi = curl_multi_init();
-    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxCachedConnections);
     m_headers = curl_slist_append(nullptr, "Content-Type: application/json");
     m_headers = curl_slist_append(m_headers, "Expect:"); // Bodies are small: sent without waiting for "100 Continue".
     m_thread = std::thread([this] { run(); });
@@ -125,11 +123,6 @@
     curl_easy_setopt(request.handle, CURLOPT_POSTFIELDS, request.body.c_str());
     curl_easy_setopt(request.handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
     curl_easy_setopt(request.handle, CURLOPT_HTTPHEADER, m_headers);
-    if (request.call.once) {
-        // If a reused connection breaks before the first byte of the reply, libcurl resends the request on its own,
-        // although the leaf may have run it already. It never does so on a new connection.
-        curl_easy_setopt(request.handle, CURLOPT_FRESH_CONNECT, 1L);
-    }
     startTransfer(request, remaining + replyMargin);
 }
 
@@ -167,6 +160,11 @@
 
 void leaf_client::startTransfer(transfer &request, millis timeout)
 {
+    // Nothing in a reply names its request. On a kept connection a duplicate of an earlier reply would be taken for the
+    // reply to the next request. libcurl would also resend a request on its own if a kept connection breaks, although
+    // the leaf may have run it already.
+    curl_easy_setopt(request.handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(request.handle, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(request.handle, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(request.handle, CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(request.handle, CURLOPT_WRITEDATA, &request.reply);
