No interim response to a caller of HTTP/1.0

Callers saw: `HTTP/1.1 100 Continue` ahead of their answer. HTTP/1.0 knows no interim responses, so its clients take this head for the answer.

Cause: the reader of requests looked at the Expect header alone.

Evidence: a POST of HTTP/1.0 with this header and a body 0.2 s later got both heads.

Fix: the header counts from HTTP/1.1 on, as the standard demands.

The test only_http_1_1_clients_wait_for_an_interim_response failed before for version 1.0.

--- a/libs/http1/src/request_reader.cpp
+++ b/libs/http1/src/request_reader.cpp
@@ -157,7 +157,11 @@
 
 bool request_reader::expectsContinue() const
 {
-    return m_state->headComplete && boost::beast::iequals(m_state->parser->get()[http::field::expect], "100-continue");
+    if (!m_state->headComplete) {
+        return false;
+    }
+    const auto &message = m_state->parser->get();
+    return message.version() >= 11 && boost::beast::iequals(message[http::field::expect], "100-continue");
 }
 
 bool request_reader::begun() const
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -123,6 +123,18 @@
     BOOST_CHECK(reader.finish() == read_state::BadMessage);
 }
 
+// Guards against bytes ahead of the response that a client of the older protocol version takes for the response.
+BOOST_AUTO_TEST_CASE(only_http_1_1_clients_wait_for_an_interim_response)
+{
+    for (const char version : {'0', '1'}) {
+        request_reader reader;
+        std::string input = std::string("POST /a HTTP/1.") + version
+            + "\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n";
+        BOOST_CHECK(reader.feed(input) == read_state::HeadComplete);
+        BOOST_TEST(reader.expectsContinue() == (version == '1'));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(bytes_after_a_response_stay_in_the_input)
 {
     response_reader reader;
