Interim responses are sent whole and delay no other caller

Callers saw: part of `HTTP/1.1 100 Continue` and the answer right behind it, which is no answer in the protocol; in other cases the whole gateway stood still until one caller read its answers.

Cause: the interim response was sent by one synchronous call whose result was not looked at. If the caller reads slowly and the socket has room for a part only, the rest was dropped. If it has no room at all, the call waits, and with it the reactor and all callers.

Fix: the socket does not block on synchronous calls, and what it did not accept of the interim response precedes the answer.

--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <utility>
 #include <vector>
 
 #include <netinet/tcp.h>
@@ -48,6 +49,7 @@
     {
         error_code ignored; // without this option answers are only slower
         m_socket.set_option(tcp::no_delay(true), ignored);
+        m_socket.non_blocking(true, ignored);
         read();
     }
 
@@ -58,10 +60,10 @@
         }
         m_phase = phase::Writing;
         m_phaseStart = boot_clock().now();
-        m_output = std::move(bytes);
         if (m_toHead) {
-            removeBody(m_output); // its caller would take a body for the start of the next answer
+            removeBody(bytes); // its caller would take a body for the start of the next answer
         }
+        m_output = std::move(bytes.insert(0, std::exchange(m_unsentInterim, {})));
         asio::async_write(
             m_socket, asio::buffer(m_output), [self = shared_from_this(), close](const error_code &error, std::size_t) {
                 self->onWritten(error, close);
@@ -184,15 +186,19 @@
         m_server.m_listener.onRequest(m_id, std::move(request));
     }
 
-    /** Sends the interim response synchronously: it is small, and nothing else is being written on the connection. */
+    /**
+     * Sends as much of the interim response as the socket has room for; the rest precedes the answer. Waiting for a
+     * caller that does not read would delay all others.
+     */
     void sendContinue()
     {
         if (!m_reader.expectsContinue()) {
             return;
         }
         static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        error_code ignored; // a failure is detected by the next read
-        m_socket.send(asio::buffer(interim), 0, ignored);
+        error_code ignored; // a broken connection is detected by the next read
+        const std::size_t sent = m_socket.send(asio::buffer(interim), 0, ignored);
+        m_unsentInterim = interim.substr(sent);
     }
 
     void rejectInput(read_state state)
@@ -254,6 +260,7 @@
     std::array<char, readBytes> m_readBuffer {};
     std::string m_input;
     std::string m_output;
+    std::string_view m_unsentInterim; ///< of an interim response, for lack of room in the socket
     phase m_phase = phase::Waiting;
     std::uint64_t m_requests = 0; ///< read completely
     bool m_readPending = false;
