Own interface: no answer overtakes an earlier one on its connection

Callers saw: the answer to their second request in place of that to their first, if they sent both on one connection without waiting.

Cause: Pistache passes on a request while the one before it is unanswered, and sends each answer once it is ready. HTTP/1.1 ties answers to requests by their order alone.

Fix: a request that arrives while another is unanswered is dropped before it is passed on. The answer that is due says that the connection closes, and the sending side is shut down after it, so the caller sends the request again elsewhere.

The test a_faster_lookup_does_not_overtake_an_earlier_one_on_its_connection failed before: the first answer held the rows of the fast lookup. a_connection_serves_one_lookup_after_the_other passed before and shows that 200 requests, each sent as soon as the answer before it is read, are served.

--- a/programs/chivelockd/caller_http.cpp
+++ b/programs/chivelockd/caller_http.cpp
@@ -5,11 +5,14 @@
 #include <schema/schema.h>
 
 #include <nlohmann/json.hpp>
+#include <pistache/peer.h>
 
 #include <atomic>
 #include <chrono>
 #include <thread>
 
+#include <sys/socket.h>
+
 namespace chivelock {
 
 namespace {
@@ -58,6 +61,42 @@
     caller_http *m_service;
 };
 
+/** @return the state of the connection that the response is written to. */
+std::shared_ptr<std::atomic<connection_state>> connectionOf(const http::ResponseWriter &response)
+{
+    static constexpr const char *key = "connection_state";
+    const std::shared_ptr<Pistache::Tcp::Peer> peer = response.peer();
+    if (auto known = std::static_pointer_cast<std::atomic<connection_state>>(peer->tryGetData(key))) {
+        return known;
+    }
+    auto added = std::make_shared<std::atomic<connection_state>>(connection_state::Idle);
+    peer->putData(key, added);
+    return added;
+}
+
+/** @return whether the connection had no unanswered request. */
+bool beginRequest(std::atomic<connection_state> &connection)
+{
+    connection_state previous = connection_state::Idle;
+    while (!connection.compare_exchange_weak(
+        previous, previous == connection_state::Idle ? connection_state::Busy : connection_state::Pipelined)) { }
+    return previous == connection_state::Idle;
+}
+
+/** @return whether the connection may serve further requests. */
+bool endRequest(std::atomic<connection_state> &connection)
+{
+    connection_state expected = connection_state::Busy;
+    return connection.compare_exchange_strong(expected, connection_state::Idle);
+}
+
+void closeAfterAnswer(const http::ResponseWriter &response)
+{
+    if (const auto peer = response.getPeer()) {
+        shutdown(peer->fd(), SHUT_WR);
+    }
+}
+
 void sendError(const waiting_caller &caller, http::Code code, std::string_view detail)
 {
     const nlohmann::json body = {{"outcome", "not_run"}, {"reason", "bad_request"}, {"detail", detail}};
@@ -143,11 +182,15 @@
                 http::Header::Raw("Retry-After", std::to_string(std::max<std::int64_t>(1, seconds))));
             response.headers().addRaw(http::Header::Raw("X-Retry-After-Ms", std::to_string(reply.retryAfter.ceiled())));
         }
-        if (reply.lastOnConnection) {
+        const bool reusable = endRequest(*caller.connection);
+        if (reply.lastOnConnection || !reusable) {
             response.headers().addRaw(http::Header::Raw("Connection", "close"));
         }
         response.headers().addRaw(http::Header::Raw("Content-Type", reply.contentType));
-        response.send(static_cast<http::Code>(reply.status), reply.body);
+        auto written = response.send(static_cast<http::Code>(reply.status), reply.body);
+        if (!reusable) {
+            written.then([caller](ssize_t) { closeAfterAnswer(*caller.response); }, Pistache::Async::IgnoreException);
+        }
     } catch (const std::exception &problem) {
         logEvent(log_level::Debug, "caller_gone", {{"problem", std::string(problem.what())}});
     }
@@ -155,7 +198,12 @@
 
 void caller_http::handleRequest(const http::Request &request, http::ResponseWriter response)
 {
-    const waiting_caller caller {std::make_shared<http::ResponseWriter>(std::move(response))};
+    const auto connection = connectionOf(response);
+    if (!beginRequest(*connection)) {
+        logEvent(log_level::Debug, "pipelined_request_dropped", {});
+        return;
+    }
+    const waiting_caller caller {std::make_shared<http::ResponseWriter>(std::move(response)), connection};
     const std::string &resource = request.resource();
     const bool isGet = request.method() == http::Method::Get;
     if (resource.starts_with(lookupPrefix)) {
--- a/programs/chivelockd/caller_http.h
+++ b/programs/chivelockd/caller_http.h
@@ -17,9 +17,17 @@
 
 class decision_service;
 
+/** State of a caller's connection. */
+enum class connection_state : std::uint8_t {
+    Idle,
+    Busy, ///< a request is unanswered
+    Pipelined ///< further requests arrived meanwhile and were dropped; closes after the answer
+};
+
 /** A caller that has not been sent its answer yet. */
 struct waiting_caller {
     std::shared_ptr<Pistache::Http::ResponseWriter> response;
+    std::shared_ptr<std::atomic<connection_state>> connection;
 };
 
 /** Contents of an HTTP response. */
@@ -31,7 +39,11 @@
     bool lastOnConnection = false; ///< sends "Connection: close", because this process is stopping
 };
 
-/** HTTP server for callers (Pistache). Validates requests and passes them to the decision thread. */
+/**
+ * HTTP server for callers (Pistache). Validates requests and passes them to the decision thread. Pistache sends answers
+ * in the order in which they become ready. Therefore a request that arrives before the answer to the one before it is
+ * dropped, and the connection closes after that answer, so that the caller sends the request again on another one.
+ */
 class caller_http : public kernel_service
 {
 public:
--- a/programs/chivelockd/tests/leaf_replies.py
+++ b/programs/chivelockd/tests/own_interface.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
-"""Tests one real process with the project's own interface, in front of a leaf that sends each reply twice.
+"""Tests one real process with the project's own interface, in front of a scripted leaf.
 
-    programs/chivelockd/tests/leaf_replies.py PROGRAM
+    programs/chivelockd/tests/own_interface.py PROGRAM
 
 Exit code 1 if a check fails.
 """
@@ -51,15 +51,18 @@
                 writer.write(response(204, {}))
 
 
-class StutteringLeaf:
-    """Sends each reply twice. `second`: with_the_first, while_idle or before_the_next reply."""
+class ScriptedLeaf:
+    """Sends each reply twice if `second` is with_the_first, while_idle or before_the_next reply. Takes longer for a query
+    that begins with "slow"."""
 
     def __init__(self):
-        self.second = "with_the_first"
+        self.second = "never"
 
     async def serve(self, reader, writer):
         previous = b""
         while (message := await read_message(reader)) is not None:
+            if b'"slow' in message[2]:
+                await asyncio.sleep(0.05)
             reply = self.reply_to(message)
             writer.write((previous if self.second == "before_the_next" else b"") + reply)
             if self.second == "with_the_first":
@@ -82,7 +85,7 @@
 class Fixture:
     def __init__(self, program):
         self.program, self.folder = program, pathlib.Path(tempfile.mkdtemp(prefix="replies-"))
-        self.port, self.leaf = 10000 + (os.getpid() * 41) % 20000, StutteringLeaf()
+        self.port, self.leaf = 10000 + (os.getpid() * 41) % 20000, ScriptedLeaf()
         self.process = None
 
     async def start(self):
@@ -106,15 +109,27 @@
                 pass
         raise RuntimeError("no lookup was answered within 100 attempts")
 
+    async def connect(self):
+        return await asyncio.open_connection(ADDRESS, self.port + 1)
+
     async def lookup(self, query):
         """Returns the ids of the rows of the answer; none unless it is a success."""
-        reader, writer = await asyncio.open_connection(ADDRESS, self.port + 1)
-        body = json.dumps({"query": query, "time_limit_ms": 2000}).encode()
-        head = f"POST /v1/lookups/k HTTP/1.1\r\nHost: vm\r\nContent-Length: {len(body)}\r\n\r\n"
-        writer.write(head.encode() + body)
-        answer = await asyncio.wait_for(read_message(reader), 5)
+        reader, writer = await self.connect()
+        writer.write(lookup_request(query))
+        rows = await read_rows(reader)
         writer.close()
-        return [row["id"] for row in json.loads(answer[2]).get("rows", [])]
+        return rows
+
+
+def lookup_request(query):
+    body = json.dumps({"query": query, "time_limit_ms": 2000}).encode()
+    return f"POST /v1/lookups/k HTTP/1.1\r\nHost: vm\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def read_rows(reader):
+    """Returns the ids of the rows of the next answer, or None at the end of the connection."""
+    answer = await asyncio.wait_for(read_message(reader), 5)
+    return None if answer is None else [row["id"] for row in json.loads(answer[2]).get("rows", [])]
 
 
 async def a_second_reply_is_never_the_reply_to_another_lookup(fixture):
@@ -127,9 +142,33 @@
             wrong += [(query, rows)] if rows != [query] else []
             await asyncio.sleep(0.01)
         assert not wrong, f"{len(wrong)} of {LOOKUPS} answers, the first: {wrong[0]}"
+    fixture.leaf.second = "never"
+
+
+async def a_faster_lookup_does_not_overtake_an_earlier_one_on_its_connection(fixture):
+    """Guards against answers in the order in which they become ready: a caller matches them by the order it sent."""
+    for number in range(10):
+        reader, writer = await fixture.connect()
+        writer.write(lookup_request(f"slow-{number}"))
+        await asyncio.sleep(0.01)
+        writer.write(lookup_request(f"fast-{number}"))
+        assert await read_rows(reader) == [f"slow-{number}"], number
+        assert await read_rows(reader) in ([f"fast-{number}"], None), number
+        writer.close()
+
+
+async def a_connection_serves_one_lookup_after_the_other(fixture):
+    """Guards against dropping the request that follows an answer at once."""
+    reader, writer = await fixture.connect()
+    for number in range(200):
+        writer.write(lookup_request(f"next-{number}"))
+        assert await read_rows(reader) == [f"next-{number}"], number
+    writer.close()
 
 
-CHECKS = [a_second_reply_is_never_the_reply_to_another_lookup]
+CHECKS = [a_second_reply_is_never_the_reply_to_another_lookup,
+          a_faster_lookup_does_not_overtake_an_earlier_one_on_its_connection,
+          a_connection_serves_one_lookup_after_the_other]
 
 
 async def run_checks(program):
