Own interface: no body after the head of an answer to HEAD

Callers saw: the JSON body of an error behind the head of an answer to HEAD, which they take for the start of their next answer.

Cause: Pistache writes whatever body it is given, whatever the method.

Evidence: `HEAD /v1/none` and a lookup behind it on one connection: the second answer began with `{"detail"`.

Fix: the waiting caller knows whether it sent a HEAD request; its answer is written without a body.

The test an_answer_to_head_has_no_body of own_interface.py failed before with these bytes.

--- a/programs/chivelockd/caller_http.cpp
+++ b/programs/chivelockd/caller_http.cpp
@@ -187,7 +187,7 @@
             response.headers().addRaw(http::Header::Raw("Connection", "close"));
         }
         response.headers().addRaw(http::Header::Raw("Content-Type", reply.contentType));
-        auto written = response.send(static_cast<http::Code>(reply.status), reply.body);
+        auto written = response.send(static_cast<http::Code>(reply.status), caller.toHead ? std::string() : reply.body);
         if (!reusable) {
             written.then([caller](ssize_t) { closeAfterAnswer(*caller.response); }, Pistache::Async::IgnoreException);
         }
@@ -203,7 +203,8 @@
         logEvent(log_level::Debug, "pipelined_request_dropped", {});
         return;
     }
-    const waiting_caller caller {std::make_shared<http::ResponseWriter>(std::move(response)), connection};
+    const bool toHead = request.method() == http::Method::Head;
+    const waiting_caller caller {std::make_shared<http::ResponseWriter>(std::move(response)), connection, toHead};
     const std::string &resource = request.resource();
     const bool isGet = request.method() == http::Method::Get;
     if (resource.starts_with(lookupPrefix)) {
--- a/programs/chivelockd/caller_http.h
+++ b/programs/chivelockd/caller_http.h
@@ -28,6 +28,7 @@
 struct waiting_caller {
     std::shared_ptr<Pistache::Http::ResponseWriter> response;
     std::shared_ptr<std::atomic<connection_state>> connection;
+    bool toHead = false; ///< the answer has no body
 };
 
 /** Contents of an HTTP response. */
--- a/programs/chivelockd/tests/own_interface.py
+++ b/programs/chivelockd/tests/own_interface.py
@@ -166,9 +166,22 @@
     writer.close()
 
 
+async def an_answer_to_head_has_no_body(fixture):
+    """Guards against a body behind the head of such an answer: the caller reads it as the start of its next answer."""
+    reader, writer = await fixture.connect()
+    writer.write(b"HEAD /v1/none HTTP/1.1\r\nHost: vm\r\n\r\n")
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+    assert head.startswith(b"HTTP/1.1 404 "), head
+    writer.write(lookup_request("behind_head"))
+    start = await asyncio.wait_for(reader.readexactly(9), 2)
+    assert start == b"HTTP/1.1 ", start
+    writer.close()
+
+
 CHECKS = [a_second_reply_is_never_the_reply_to_another_lookup,
           a_faster_lookup_does_not_overtake_an_earlier_one_on_its_connection,
-          a_connection_serves_one_lookup_after_the_other]
+          a_connection_serves_one_lookup_after_the_other,
+          an_answer_to_head_has_no_body]
 
 
 async def run_checks(program):
