standin: one handler passes requests to both servers

What: the configuration server and the leaf server had the same Pistache handler under two names. Both now use forwarding_handler.

Why: found by a search for repeated code. The daemon's caller_http has a third handler of this shape; it stays, since the daemon builds without the stand-in.

--- a/standin/config_server.cpp
+++ b/standin/config_server.cpp
@@ -1,5 +1,7 @@
 #include "config_server.h"
 
+#include "forwarding_handler.h"
+
 #include <algorithm>
 
 namespace chivelock::standin {
@@ -9,25 +11,6 @@
 namespace http = Pistache::Http;
 using nlohmann::json;
 
-class config_handler : public http::Handler
-{
-public:
-    HTTP_PROTOTYPE(config_handler)
-
-    explicit config_handler(config_server *server)
-        : m_server(server)
-    {
-    }
-
-    void onRequest(const http::Request &request, http::ResponseWriter response) override
-    {
-        m_server->handle(request, std::move(response));
-    }
-
-private:
-    config_server *m_server;
-};
-
 std::uint64_t readNumber(const http::Request &request, const std::string &key)
 {
     const auto value = request.query().get(key);
@@ -74,7 +57,7 @@
     constexpr std::size_t maxBytes = 4U << 20U;
     m_endpoint->init(
         http::Endpoint::options().threads(2).maxRequestSize(maxBytes).flags(Pistache::Tcp::Options::ReuseAddr));
-    m_endpoint->setHandler(http::make_handler<config_handler>(this));
+    m_endpoint->setHandler(http::make_handler<forwarding_handler<config_server>>(this));
     m_endpoint->serveThreaded();
 }
 
--- a/standin/leaf_server.cpp
+++ b/standin/leaf_server.cpp
@@ -1,5 +1,7 @@
 #include "leaf_server.h"
 
+#include "forwarding_handler.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,25 +19,6 @@
 constexpr int cancelledStatus = 499;
 constexpr int unavailableStatus = 503;
 
-class leaf_handler : public http::Handler
-{
-public:
-    HTTP_PROTOTYPE(leaf_handler)
-
-    explicit leaf_handler(leaf_server *server)
-        : m_server(server)
-    {
-    }
-
-    void onRequest(const http::Request &request, http::ResponseWriter response) override
-    {
-        m_server->handle(request, std::move(response));
-    }
-
-private:
-    leaf_server *m_server;
-};
-
 } // namespace
 
 leaf_server::leaf_server(options chosen, shared_leaf_state &shared)
@@ -56,7 +39,7 @@
     m_endpoint = std::make_unique<http::Endpoint>(Pistache::Address(m_options.address, Pistache::Port(m_options.port)));
     m_endpoint->init(http::Endpoint::options().threads(1).flags(Pistache::Tcp::Options::ReuseAddr
                                                                 | Pistache::Tcp::Options::NoDelay));
-    m_endpoint->setHandler(http::make_handler<leaf_handler>(this));
+    m_endpoint->setHandler(http::make_handler<forwarding_handler<leaf_server>>(this));
     m_endpoint->serveThreaded();
 }
 
