fleet: name the fields of the tree's log events by their meaning

What: tree_event_action::about is now subject, and input is now upstreamSilence. The fields of the log line keep their names.

Why: input said neither whose input nor that it is a time without one, and about needed its uses to be read.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -252,7 +252,7 @@
     [[nodiscard]] bool hasData() const;
     void sendMessage(link_id link, fleet_message message);
     void recordFleetSize(std::uint32_t size, millis now);
-    void addLogEvent(std::string_view event, std::string about, millis input);
+    void addLogEvent(std::string_view event, std::string subject, millis upstreamSilence);
 
     fleet_settings m_settings;
     seeded_random m_random;
--- a/libs/fleet/include/fleet/fleet_actions.h
+++ b/libs/fleet/include/fleet/fleet_actions.h
@@ -72,8 +72,8 @@
 /** Log event: this process changed its place in the tree or its upstream, or rejected a delta. */
 struct tree_event_action {
     std::string_view event;
-    std::string about;
-    millis input; ///< time since the last message of the upstream; zero for events without one
+    std::string subject; ///< the upstream, the reason or the key that the event is about
+    millis upstreamSilence; ///< time since the last message of the upstream; zero for events without one
 };
 
 using fleet_action = std::variant<dial_action,
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -164,9 +164,9 @@
     }
 }
 
-void fleet_node::addLogEvent(std::string_view event, std::string about, millis input)
+void fleet_node::addLogEvent(std::string_view event, std::string subject, millis upstreamSilence)
 {
-    m_actions.emplace_back(tree_event_action {event, std::move(about), input});
+    m_actions.emplace_back(tree_event_action {event, std::move(subject), upstreamSilence});
 }
 
 } // namespace chivelock
--- a/libs/fleet/tests/fleet_world.cpp
+++ b/libs/fleet/tests/fleet_world.cpp
@@ -208,7 +208,7 @@
 
 void fleet_world::perform(std::size_t, const tree_event_action &action)
 {
-    logEvents.push_back(std::string(action.event) + " " + action.about);
+    logEvents.push_back(std::string(action.event) + " " + action.subject);
 }
 
 void fleet_world::perform(std::size_t index, const requests_action &action)
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -278,8 +278,8 @@
 {
     logEvent(log_level::Info,
              action.event,
-             {{"about", action.about},
-              {"input_ms", action.input.ceiled()},
+             {{"about", action.subject},
+              {"input_ms", action.upstreamSilence.ceiled()},
               {"fleet", std::uint64_t {m_node.fleetSize(m_clock.now())}}});
 }
 
