A blank line ahead of a request may arrive in pieces

Callers saw: 400 and a closed connection for a proper request, if they end their bodies with a line break of their own and the network splits it.

Cause: blank lines are dropped only while nothing of the request was read, and a lone CR counted as its first byte.

Evidence: a POST with `\r` behind its body, then 0.2 s later `\n` and the next request: 400 for the next request; in one piece it is served.

Fix: a lone CR waits for the next bytes and does not begin a request.

The test a_blank_line_before_a_request_is_ignored_even_in_pieces failed before: the request had begun, and the state was not Complete.

--- a/libs/http1/src/request_reader.cpp
+++ b/libs/http1/src/request_reader.cpp
@@ -73,6 +73,9 @@
 {
     if (scannedBytes == 0) {
         dropLeadingBlankLines(input);
+        if (input == "\r") {
+            return read_state::NeedMore; // of a blank line
+        }
     }
     const std::size_t from = scannedBytes < headEnd.size() ? 0 : scannedBytes - headEnd.size();
     const std::size_t end = input.find(headEnd, from);
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -71,6 +71,18 @@
 
 // Guards against request smuggling: a leaf runs a request that no caller sent. A message with ambiguous framing is
 // accepted and read as one request here, but as two by the leaf.
+// Guards against a rejection that depends on where the network splits the bytes of a request.
+BOOST_AUTO_TEST_CASE(a_blank_line_before_a_request_is_ignored_even_in_pieces)
+{
+    request_reader reader;
+    std::string input = "\r";
+    BOOST_CHECK(reader.feed(input) == read_state::NeedMore);
+    BOOST_TEST(!reader.begun());
+    input += "\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    BOOST_CHECK(reader.feed(input) == read_state::Complete);
+    BOOST_TEST(reader.take().target == "/a");
+}
+
 BOOST_AUTO_TEST_CASE(ambiguous_framing_is_rejected)
 {
     const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
