Trailers of a request are not its headers

Callers saw: 400 or a success for the same bytes, depending on how the network split them. A leaf saw lines that were never checked: a second Host header, or a request without its id if a trailer named that header in Connection.

Cause: the parser adds trailers to the headers of its message. The checks run at the end of the head, the headers were copied at the end of the body.

Evidence: a chunked POST with the trailer `Host: evil`: 400 in one read, 200 if the body arrived 0.1 s after the head. A scripted leaf got both Host lines; with the trailer `Connection: Request-Id` it got no id.

Fix: headers and the choice to keep the connection are taken at the end of the head; the parser stops there first. Trailers are read and dropped.

The test trailers_are_not_headers failed before: in one piece the state was not Complete, in two pieces there were more than two headers and the connection was not kept.

--- a/libs/http1/src/request_reader.cpp
+++ b/libs/http1/src/request_reader.cpp
@@ -48,6 +48,8 @@
     std::optional<beast_parser> parser {std::in_place};
     std::size_t maxHeadBytes = 16384;
     std::size_t maxBodyBytes = 1048576;
+    http_headers headers; ///< without trailers, which the parser adds to the headers of its message
+    bool keepAlive = false;
     std::size_t scannedBytes = 0; ///< bytes of an incomplete head that were already searched for its end
     bool headComplete = false;
     bool headReported = false;
@@ -92,9 +94,9 @@
     }
     parser->header_limit(static_cast<std::uint32_t>(maxHeadBytes + headEnd.size()));
     parser->body_limit(maxBodyBytes);
-    parser->eager(true);
     boost::system::error_code error;
     const std::size_t used = parser->put(boost::asio::buffer(input), error);
+    parser->eager(true);
     input.erase(0, used);
     if (error == http::error::body_limit) {
         return read_state::BodyTooLarge;
@@ -107,6 +109,8 @@
     if (!hasUnambiguousFraming(message) || !hasOneHost(message) || !isPathTarget(message)) {
         return read_state::BadMessage;
     }
+    headers = copyHeaders(message);
+    keepAlive = message.version() >= 11 && message.keep_alive();
     return parser->is_done() ? read_state::Complete : read_state::HeadComplete;
 }
 
@@ -180,8 +184,8 @@
     request.method.assign(method.data(), method.size());
     const auto target = message.target();
     request.target.assign(target.data(), target.size());
-    request.keepAlive = message.version() >= 11 && message.keep_alive();
-    request.headers = copyHeaders(message);
+    request.keepAlive = m_state->keepAlive;
+    request.headers = std::move(m_state->headers);
     request.body = std::move(message.body());
     const std::size_t maxHeadBytes = m_state->maxHeadBytes;
     const std::size_t maxBodyBytes = m_state->maxBodyBytes;
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -71,6 +71,27 @@
 
 // Guards against request smuggling: a leaf runs a request that no caller sent. A message with ambiguous framing is
 // accepted and read as one request here, but as two by the leaf.
+// Guards against a trailer that replaces or adds a checked header, which a leaf then reads in another way.
+BOOST_AUTO_TEST_CASE(trailers_are_not_headers)
+{
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body = "2\r\nab\r\n0\r\nHost: other\r\nConnection: close\r\nX-Late: 1\r\n\r\n";
+    for (const bool inPieces : {false, true}) {
+        request_reader reader;
+        std::string input = inPieces ? head : head + body;
+        if (inPieces) {
+            BOOST_CHECK(reader.feed(input) == read_state::HeadComplete);
+            input += body;
+        }
+        BOOST_CHECK(reader.feed(input) == read_state::Complete);
+        const http_request request = reader.take();
+        BOOST_TEST(request.headers.size() == 2, inPieces);
+        BOOST_TEST(findHeader(request.headers, "Host") == "h");
+        BOOST_TEST(request.body == "ab");
+        BOOST_TEST(request.keepAlive);
+    }
+}
+
 // Guards against a rejection that depends on where the network splits the bytes of a request.
 BOOST_AUTO_TEST_CASE(a_blank_line_before_a_request_is_ignored_even_in_pieces)
 {
