Check that a refusal after a send that may have run is no promise

The second leaf's refusal must not become a 503 of the gateway when the first leaf broke off, or gave a success that wasn't whole or a 503 of its own.

--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -292,6 +292,28 @@
     }
 }
 
+// Guards against a promise that a request has not run, given by the second leaf after the first may have run it.
+BOOST_AUTO_TEST_CASE(a_refusal_after_a_send_that_may_have_run_is_no_promise)
+{
+    const std::vector<fake_leaf_behaviour> mayHaveRun = {
+        {.dropsConnection = true}, {.sendsDigest = false}, {.encodesBody = true}, {.status = 503}};
+    for (const fake_leaf_behaviour &first : mayHaveRun) {
+        gateway_world world;
+        world.publish({gateway_world::singleRoute(true)});
+        world.addLeaf("single", first);
+        world.addLeaf("single", {.refusesRequests = true});
+        for (int at = 0; at < 10; ++at) {
+            const std::size_t before = world.runs.size();
+            const exchange_id id = world.submit("/one/x");
+            world.runFor(millis(3000));
+            const bool refused = world.answerOf(id).answer.outcome == exchange_outcome::Refused;
+            BOOST_TEST(refused == (world.runs.size() == before));
+        }
+        BOOST_TEST(world.arrivals.size() > world.runs.size());
+        BOOST_TEST(!world.runs.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_leafs_500_is_relayed_unchanged)
 {
     gateway_world world;
