Reject an answer that continues with the head of another one

What callers would see: a success with the body of a failure (MIXED), or a request that must not run twice run twice. A leaf's late copy that is cut inside its head is continued by the answer that is due: its status line becomes a reason phrase or the value of a header. The joined answer bears the right id, so the id can't tell. The same holds for a body that is cut and goes on with the start of the next answer.

Cause: the reader counts bytes as part of an answer that belong to the next one.

Change: an answer is malformed if its reason phrase or a header value holds a status line, or if its body holds the start of a head that the bytes behind it continue.

--- a/libs/http1/src/response_reader.cpp
+++ b/libs/http1/src/response_reader.cpp
@@ -86,6 +86,41 @@
     return false;
 }
 
+bool holdsStatusLine(std::string_view text)
+{
+    for (std::size_t at = text.find(protocolName); at != std::string_view::npos; at = text.find(protocolName, at + 1)) {
+        if (startsWithStatusLine(text.substr(at))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/** Whether the head was cut and goes on with the head of a further response, which then stands in one of its lines. */
+bool joinsTwoHeads(const http::response<http::string_body> &message)
+{
+    return holdsStatusLine(viewOf(message.reason()))
+        || std::any_of(
+               message.begin(), message.end(), [](const auto &line) { return holdsStatusLine(viewOf(line.value())); });
+}
+
+/** Whether the body was cut and holds the start of a further response, the rest of which is in @p input. */
+bool runsIntoFurtherHead(std::string_view body, std::string_view input)
+{
+    const std::string joined = std::string(body).append(input.substr(0, maxHeadBytes));
+    for (std::size_t at = joined.find(protocolName); at < body.size(); at = joined.find(protocolName, at + 1)) {
+        if (startsWithHead(std::string_view(joined).substr(at, maxHeadBytes))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 struct response_reader::state {
@@ -133,6 +168,10 @@
             return read_state::BadMessage;
         }
         if (m_state->parser->is_done()) {
+            const auto &message = m_state->parser->get();
+            if (joinsTwoHeads(message) || (!input.empty() && runsIntoFurtherHead(message.body(), input))) {
+                return read_state::BadMessage;
+            }
             if (!isInterim(m_state->parser->get().result_int())) {
                 return read_state::Complete;
             }
@@ -153,7 +192,9 @@
     }
     boost::system::error_code error;
     m_state->parser->put_eof(error);
-    const bool isComplete = !error && m_state->parser->is_done() && !holdsFurtherHead(m_state->parser->get().body());
+    const auto &message = m_state->parser->get();
+    const bool isComplete =
+        !error && m_state->parser->is_done() && !joinsTwoHeads(message) && !holdsFurtherHead(message.body());
     return isComplete ? read_state::Complete : read_state::BadMessage;
 }
 
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -201,6 +201,29 @@
     BOOST_CHECK(readResponse(first + "HTTP/1.1 200 OK\r\nHTTP/1.1 404 Gone\r\n: ") == read_state::Complete);
 }
 
+// Guards against two answers read as one: where the head of the first one is cut, the second one continues it.
+BOOST_AUTO_TEST_CASE(a_head_that_continues_with_a_further_response_is_rejected)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nDigest: a\r\nX: y\r\nContent-Length: 1\r\n\r\na";
+    const std::string second = "HTTP/1.1 500 Failed\r\nDigest: b\r\nContent-Length: 1\r\n\r\nb";
+    for (std::size_t count = 1; count < first.find("\r\n\r\n"); ++count) {
+        BOOST_TEST((readResponse(first.substr(0, count) + second) != read_state::Complete), count);
+    }
+}
+
+// Guards against a body whose last bytes are the start of the next answer.
+BOOST_AUTO_TEST_CASE(a_body_that_ends_in_the_head_of_a_further_response_is_rejected)
+{
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb";
+    for (std::size_t missing = 0; missing < second.size(); ++missing) {
+        std::string input =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(missing + 3) + "\r\n\r\nabc" + second;
+        response_reader reader;
+        reader.expect(false, 1000);
+        BOOST_TEST((reader.feed(input) == read_state::Complete) == (missing == 0), missing);
+    }
+}
+
 // Guards against a body that is still encoded, or that has another end for the leaf.
 BOOST_AUTO_TEST_CASE(a_response_with_ambiguous_framing_is_rejected)
 {
