--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -439,7 +439,7 @@
     if (!isUsable) {
         return nullptr;
     }
-    const std::shared_ptr<connection> taken = *found;
+    std::shared_ptr<connection> taken = *found;
     idle.erase(std::prev(found.base()));
     message.to->keptConnections -= 1;
     return taken;
