Fields for priorities, VM load and home regions

Cause: priority and allowedRegions of a route, Cold-Ms of a leaf's answer, and memory, descriptors and link of a VM reached no decision, and no VM told another its capacity or backlog. Change: delegated work carries the rank of its route, a progress report the load of its VM; both fields are optional, so VMs of the preceding version ignore them. The settings name memory, descriptors, link, regions and four switches.

--- a/libs/base/include/base/base.h
+++ b/libs/base/include/base/base.h
@@ -135,6 +135,7 @@
 using service_name = string_id<struct service_tag>;
 using kind_name = string_id<struct kind_tag>;
 using zone_name = string_id<struct zone_tag>;
+using region_name = string_id<struct region_tag>;
 
 /** Whether a lookup takes precedence over others when a target is at capacity. */
 enum class urgency : std::uint8_t {
--- a/libs/delegation/src/delegation_codec.cpp
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -5,6 +5,7 @@
 #include <delegation_generated.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace chivelock {
 
@@ -13,6 +14,8 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
+constexpr double millicoresPerCore = 1000;
+
 struct table_writer {
     FlatBufferBuilder &builder;
 
@@ -44,7 +47,8 @@
                                                           message.work.alone,
                                                           message.work.key.caller,
                                                           message.work.key.content,
-                                                          message.work.attempt);
+                                                          message.work.attempt,
+                                                          message.work.rank);
         return wrapInEnvelope(delegation_wire::Message::Request, table.Union());
     }
 
@@ -71,8 +75,9 @@
         const auto records = builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
         const auto allLost = builder.CreateVector(lost);
         const auto allPending = builder.CreateVector(pending);
+        const auto load = writeLoad(message.progress.load);
         const auto table = delegation_wire::CreateProgress(
-            builder, message.id, allParts, records, allLost, allPending, message.progress.last);
+            builder, message.id, allParts, records, allLost, allPending, message.progress.last, load);
         return wrapInEnvelope(delegation_wire::Message::Progress, table.Union());
     }
 
@@ -84,6 +89,15 @@
     }
 
 private:
+    [[nodiscard]] Offset<delegation_wire::Load> writeLoad(const std::optional<vm_load> &load) const
+    {
+        if (!load) {
+            return 0;
+        }
+        const auto capacity = static_cast<std::uint32_t>(std::lround(load->capacity * millicoresPerCore));
+        return delegation_wire::CreateLoad(builder, capacity, load->lag.micros(), load->queuedBytes);
+    }
+
     [[nodiscard]] Offset<delegation_wire::Envelope> wrapInEnvelope(delegation_wire::Message type,
                                                                    Offset<void> message) const
     {
@@ -118,6 +132,7 @@
     message.work.alone = from.alone();
     message.work.key = {from.key_caller(), from.key_content()};
     message.work.attempt = from.attempt();
+    message.work.rank = from.rank();
     if (from.tried() != nullptr) {
         std::ranges::transform(*from.tried(), std::back_inserter(message.work.triedLeafs), textOrEmpty);
     }
@@ -129,6 +144,11 @@
     delegate_progress message;
     message.id = from.id();
     message.progress.last = from.last();
+    if (const delegation_wire::Load *load = from.load()) {
+        message.progress.load = vm_load {load->capacity_millicores() / millicoresPerCore,
+                                         millis::fromMicros(load->lag_micros()),
+                                         load->queued_bytes()};
+    }
     if (from.parts() != nullptr) {
         for (const auto *part : *from.parts()) {
             message.progress.parts.push_back({part->shard(), textOrEmpty(part->digest())});
--- a/libs/delegation/tests/test_delegation.cpp
+++ b/libs/delegation/tests/test_delegation.cpp
@@ -33,6 +33,7 @@
     request.work.alone = true;
     request.work.key = {8, 9};
     request.work.attempt = 10;
+    request.work.rank = 3;
     const delegate_request read = encodeAndDecode(request);
     BOOST_TEST(read.afterTime == request.afterTime);
     BOOST_TEST(read.work.shards[1].value == "b");
@@ -42,6 +43,7 @@
     BOOST_TEST(read.work.alone);
     BOOST_TEST((read.work.key == request.work.key));
     BOOST_TEST(read.work.attempt == request.work.attempt);
+    BOOST_TEST(read.work.rank == request.work.rank);
 }
 
 BOOST_AUTO_TEST_CASE(progress_and_cancel_survive_encoding_and_decoding)
@@ -52,11 +54,13 @@
     progress.progress.records = std::string("\0\xff", 2);
     progress.progress.lost = {{2, true, false, true, "lost"}};
     progress.progress.pending = {{3, "leaf"}};
+    progress.progress.load = vm_load {0.12, millis(7.5), 4096};
     progress.progress.last = true;
     const delegate_progress read = encodeAndDecode(progress);
     BOOST_TEST(read.progress.parts[0].stamp == "digest");
     BOOST_TEST(read.progress.lost[0].leafId == "lost");
     BOOST_TEST(read.progress.records == progress.progress.records);
+    BOOST_TEST((read.progress.load == progress.progress.load));
     BOOST_TEST(read.progress.lost[0].mayHaveRun);
     BOOST_TEST(!read.progress.lost[0].reachedLeaf);
     BOOST_TEST(read.progress.lost[0].leafCrashed);
--- a/libs/gateway/include/gateway/delegated_work.h
+++ b/libs/gateway/include/gateway/delegated_work.h
@@ -7,6 +7,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,18 @@
     std::size_t rank = 0; ///< position among the VMs of its zone; equal at all VMs once updates have arrived
 };
 
+/** Rank of work from a VM whose version sends none. */
+inline constexpr std::uint32_t unknownRank = std::numeric_limits<std::uint32_t>::max();
+
+/** What a VM reports about itself to the VMs that delegate work to it. */
+struct vm_load {
+    double capacity = 0; ///< CPU capacity, in cores
+    millis lag; ///< how late its reactor handles events
+    std::uint32_t queuedBytes = 0; ///< written to its sockets and not yet sent
+
+    bool operator==(const vm_load &) const = default;
+};
+
 /** Identifies one piece of delegated work; unique within the VM that delegates it. */
 using delegation_id = std::uint64_t;
 
@@ -34,6 +48,7 @@
     attempt_tag attempt = 0; ///< the same on both VMs, so that a leaf crash reported by both counts once
     std::vector<service_name> shards;
     std::size_t topRecords = 0;
+    std::uint32_t rank = unknownRank; ///< priority of the route; 0 is the most urgent
     millis objective; ///< target latency of the route
     millis firstReportIn; ///< time until the first progress report is due, even if no shard has answered
     millis cutoffIn; ///< time until all parts received so far are reported; later ones are reported as they arrive
@@ -70,6 +85,7 @@
     std::vector<lost_shard> lost;
     std::vector<pending_shard> pending; ///< reported once, when the first report is due
     bool last = false; ///< no further report follows
+    std::optional<vm_load> load; ///< of the reporting VM
 };
 
 } // namespace chivelock
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -44,6 +44,14 @@
     bool newConnection = false; ///< first request on its connection: the caller also waited for the handshake
 };
 
+/** Decisions under load that operators can switch off. Each takes effect only where the data call for it. */
+struct scheduling_switches {
+    bool priorities = true; ///< requests of less urgent routes yield to more urgent ones
+    bool placement = true; ///< delegated work is divided by the capacity and backlog of the VMs
+    bool hedging = true; ///< the time of a hedge follows from the response times of the route
+    bool overload = true; ///< requests that cannot be answered in time are refused, and zones overflow into others
+};
+
 /** Settings of the gateway. */
 struct gateway_settings {
     zone_name zone;
@@ -55,6 +63,9 @@
     millis answerMargin {4}; ///< from the decision to answer to the last byte written, on a busy VM
     std::size_t maxShardsPerVm = 25; ///< more shards are divided among VMs, since one VM would take too long for them
     millis removalHold {2200}; ///< how long a leaf stays usable whose entry expired while the store was unavailable
+    double capacity = 1; ///< CPU capacity of this VM, in cores
+    std::map<zone_name, region_name> regions; ///< region of each zone, as far as they are known
+    scheduling_switches scheduling;
     quarantine_settings quarantine;
 };
 
@@ -111,6 +122,13 @@
         m_ownRank = ownRank;
     }
 
+    /** Records the load of this VM, as measured by its reactor. */
+    void setOwnLoad(const vm_load &load, millis now)
+    {
+        m_ownLoad = load;
+        m_ownLoadAt = now;
+    }
+
     void onProgress(delegation_id id, delegated_progress progress, millis now);
 
     /** The connection to the helper was lost or could not be made. */
@@ -352,6 +370,8 @@
     std::unordered_map<std::string, std::vector<double>> m_shareCredits; ///< by route, for smooth weighted round-robin
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<send_id, send> m_sends;
+    vm_load m_ownLoad;
+    millis m_ownLoadAt = millis() - millis::never(); ///< when @ref m_ownLoad was measured
     std::vector<helper_vm> m_helpers;
     std::size_t m_ownRank = 0;
     std::unordered_map<std::string, millis> m_unresponsiveUntil; ///< helpers that did not report in time
--- a/libs/gateway/include/gateway/gateway_actions.h
+++ b/libs/gateway/include/gateway/gateway_actions.h
@@ -31,6 +31,7 @@
     bool notRun = false; ///< the leaf states that it did not run the request
     bool wrongInstance = false; ///< a different leaf answered at this address
     std::optional<leaf_load> load;
+    std::optional<millis> coldFor; ///< how much longer the leaf's cache stays cold, if the leaf states it
     std::vector<std::pair<std::string, std::string>> headers; ///< to forward to the caller
     std::string body;
 
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -35,6 +35,7 @@
     std::vector<weighted_service> split; ///< of a route to a single leaf; empty if the route has shards
     std::vector<service_name> shards; ///< of a scatter-gather route, which asks each of them; else empty
     std::size_t topRecords = 0; ///< most records in a merged answer
+    std::vector<region_name> homeRegions; ///< regions in which requests may be handled; empty: all
     double minCoverage = 1; ///< smallest fraction of the shards that a merged answer must contain
 
     /** @return whether a request goes to all shards and their parts are merged. */
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -7,10 +7,12 @@
 
 #include <base/base.h>
 #include <entry/entry.h>
+#include <gateway/gateway.h>
 #include <schema/schema.h>
 
 #include <tl/expected.hpp>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -66,6 +68,11 @@
     listen_address peers; ///< for connections from other processes of the fleet
     std::uint16_t helperPort = 0; ///< for work that other VMs delegate to this VM as a helper; the same on all VMs
     double cpuShare = 1; ///< CPU capacity of this VM, in cores
+    std::uint32_t memoryMegabytes = 0; ///< memory of this VM; 0 if it is not known
+    std::uint32_t maxDescriptors = 0; ///< file descriptors of this process; 0 if it is not known
+    double linkMegabits = 0; ///< bandwidth of this VM's network link, per second; 0 if it is not known
+    std::map<zone_name, region_name> regions; ///< region of each zone, as far as they are known
+    scheduling_switches scheduling;
     std::vector<std::string> seeds; ///< addresses of a few other processes of the fleet; may be stale
     std::string storeAddress; ///< IP address and port
     millis applyLimit {3000}; ///< limit from the store's notification until a configuration is in force on all VMs
--- a/libs/settings/src/gateway_settings.cpp
+++ b/libs/settings/src/gateway_settings.cpp
@@ -30,6 +30,18 @@
       }},
     "seeds": {"type": "array", "items": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}},
     "cpu_share": {"type": "number", "exclusiveMinimum": 0},
+    "memory_mb": {"type": "integer", "minimum": 0},
+    "max_fds": {"type": "integer", "minimum": 0},
+    "link_mbps": {"type": "number", "minimum": 0},
+    "regions": {"type": "object", "additionalProperties": {"type": "string"}},
+    "scheduling": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "priorities": {"type": "boolean"},
+        "placement": {"type": "boolean"},
+        "hedging": {"type": "boolean"},
+        "overload": {"type": "boolean"}
+      }},
     "log": {"enum": ["debug", "info", "warning", "error"]},
     "log_lines_per_s": {"type": "integer", "minimum": 10, "maximum": 100000},
     "limits": {
@@ -65,6 +77,27 @@
     return millis(from.get<double>() * millisPerSecond);
 }
 
+std::map<zone_name, region_name> readRegions(const json &document)
+{
+    std::map<zone_name, region_name> regions;
+    const json given = document.value("regions", json::object());
+    for (const auto &[zone, region] : given.items()) {
+        regions[{zone}] = {region.get<std::string>()};
+    }
+    return regions;
+}
+
+scheduling_switches readScheduling(const json &document)
+{
+    scheduling_switches switches;
+    const json given = document.value("scheduling", json::object());
+    readIfPresent(given, "priorities", switches.priorities);
+    readIfPresent(given, "placement", switches.placement);
+    readIfPresent(given, "hedging", switches.hedging);
+    readIfPresent(given, "overload", switches.overload);
+    return switches;
+}
+
 /**
  * The default wait of a watch. A store reader that silently loses the store detects it only when its watch is not
  * answered. Another reader must then read the store and update all VMs, still within the time limit for a configuration
@@ -90,6 +123,11 @@
         settings.peers = readAddress(listen.at("peers"));
         readIfPresent(document, "seeds", settings.seeds);
         readIfPresent(document, "cpu_share", settings.cpuShare);
+        readIfPresent(document, "memory_mb", settings.memoryMegabytes);
+        readIfPresent(document, "max_fds", settings.maxDescriptors);
+        readIfPresent(document, "link_mbps", settings.linkMegabits);
+        settings.regions = readRegions(document);
+        settings.scheduling = readScheduling(document);
         readIfPresent(listen, "helper_port", settings.helperPort);
         if (listen.contains("metrics")) {
             settings.metrics = readAddress(listen.at("metrics"));
--- a/libs/settings/tests/test_settings.cpp
+++ b/libs/settings/tests/test_settings.cpp
@@ -46,3 +46,27 @@
     BOOST_TEST(!readSettings(settingsWith(R"(,"leafs":{"fresh_bound_ms":60000})")).has_value());
     BOOST_TEST(!readSettings(settingsWith(R"(,"stop":{"lame_duck_ms":600,"limit_ms":500})")).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(gateway_settings_describe_the_vm_and_the_scheduling_switches)
+{
+    const auto settingsText = [](const std::string &extraKeys) {
+        return R"({"vm":"v","zone":"a","listen":{"callers":"10.0.0.1:1","readiness":"10.0.0.1:2","peers":"10.0.0.1:3",
+            "helper_port":4},"store":{"address":"10.0.0.2:5"},"limits":{"retry_ratio":0.2,"retry_slack":9,
+            "retry_window_s":10,"drain_ms":3000,"grace_s":6})"
+            + extraKeys + "}";
+    };
+    const auto settings = readGatewaySettings(
+        settingsText(R"(,"memory_mb":160,"max_fds":4100,"link_mbps":45.5,"regions":{"a":"north","b":"south"},
+            "scheduling":{"placement":false})"));
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->memoryMegabytes == 160U);
+    BOOST_TEST(settings->maxDescriptors == 4100U);
+    BOOST_TEST(settings->linkMegabits == 45.5);
+    BOOST_TEST(settings->regions.at({"b"}).value == "south");
+    BOOST_TEST(settings->scheduling.priorities);
+    BOOST_TEST(!settings->scheduling.placement);
+    const auto unknownSwitch = readGatewaySettings(settingsText(R"(,"scheduling":{"placements":false})"));
+    BOOST_REQUIRE(!unknownSwitch.has_value());
+    BOOST_TEST(unknownSwitch.error().problems.front().path == "/scheduling");
+    BOOST_TEST(!readGatewaySettings(settingsText(R"(,"regions":{"a":7})")).has_value());
+}
--- a/programs/chivelockd/gateway/engine_settings.cpp
+++ b/programs/chivelockd/gateway/engine_settings.cpp
@@ -29,6 +29,9 @@
     settings.callerRoundTrip = from.callerRoundTrip;
     settings.answerMargin = minAnswerMargin + answerCpuTime * (1 / from.cpuShare);
     settings.maxShardsPerVm = std::max(minShardsAtOnce, static_cast<std::size_t>(from.cpuShare * shardsPerCore));
+    settings.capacity = from.cpuShare;
+    settings.regions = from.regions;
+    settings.scheduling = from.scheduling;
     settings.quarantine.hold = from.quarantineHold;
     settings.quarantine.capacity = from.quarantineEntries;
     constexpr double removalHoldShare = 0.73; // of the drain limit; the rest is left for the store's update to arrive
