Requests stay in the home regions of their route, and leafs state that they are cold

Cause: nothing read allowedRegions of a route or Cold-Ms of a leaf's answer; a request could reach a leaf in any region. A leaf's statement in an answer sets how long it counts as cold.

--- a/libs/delegation/src/delegation_codec.cpp
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 
 namespace chivelock {
 
@@ -16,19 +17,27 @@
 
 constexpr double millicoresPerCore = 1000;
 
+/** @return the texts of string identifiers. */
+template<std::ranges::input_range ids>
+std::vector<std::string> valuesOf(const ids &from)
+{
+    std::vector<std::string> values;
+    std::ranges::transform(from, std::back_inserter(values), [](const auto &one) { return one.value; });
+    return values;
+}
+
 struct table_writer {
     FlatBufferBuilder &builder;
 
     Offset<delegation_wire::Envelope> operator()(const delegate_request &message) const
     {
-        std::vector<std::string> shards;
-        std::ranges::transform(
-            message.work.shards, std::back_inserter(shards), [](const auto &shard) { return shard.value; });
+        const std::vector<std::string> shards = valuesOf(message.work.shards);
         const auto requestId = builder.CreateString(message.requestId);
         const auto before = builder.CreateString(message.beforeTime);
         const auto after = builder.CreateString(message.afterTime);
         const auto route = builder.CreateString(message.work.route);
         const auto shardNames = builder.CreateVectorOfStrings(shards);
+        const auto regions = builder.CreateVectorOfStrings(valuesOf(message.work.homeRegions));
         const auto tried = builder.CreateVectorOfStrings(message.work.triedLeafs);
         const auto table = delegation_wire::CreateRequest(builder,
                                                           message.id,
@@ -48,7 +57,8 @@
                                                           message.work.key.caller,
                                                           message.work.key.content,
                                                           message.work.attempt,
-                                                          message.work.rank);
+                                                          message.work.rank,
+                                                          regions);
         return wrapInEnvelope(delegation_wire::Message::Request, table.Union());
     }
 
@@ -129,6 +139,11 @@
             message.work.shards.push_back({textOrEmpty(shard)});
         }
     }
+    if (from.regions() != nullptr) {
+        for (const auto *region : *from.regions()) {
+            message.work.homeRegions.push_back({textOrEmpty(region)});
+        }
+    }
     message.work.alone = from.alone();
     message.work.key = {from.key_caller(), from.key_content()};
     message.work.attempt = from.attempt();
--- a/libs/delegation/tests/test_delegation.cpp
+++ b/libs/delegation/tests/test_delegation.cpp
@@ -34,6 +34,7 @@
     request.work.key = {8, 9};
     request.work.attempt = 10;
     request.work.rank = 3;
+    request.work.homeRegions = {{"north"}};
     const delegate_request read = encodeAndDecode(request);
     BOOST_TEST(read.afterTime == request.afterTime);
     BOOST_TEST(read.work.shards[1].value == "b");
@@ -44,6 +45,7 @@
     BOOST_TEST((read.work.key == request.work.key));
     BOOST_TEST(read.work.attempt == request.work.attempt);
     BOOST_TEST(read.work.rank == request.work.rank);
+    BOOST_TEST((read.work.homeRegions == request.work.homeRegions));
 }
 
 BOOST_AUTO_TEST_CASE(progress_and_cancel_survive_encoding_and_decoding)
--- a/libs/gateway/include/gateway/delegated_work.h
+++ b/libs/gateway/include/gateway/delegated_work.h
@@ -47,6 +47,7 @@
     request_fingerprint key;
     attempt_tag attempt = 0; ///< the same on both VMs, so that a leaf crash reported by both counts once
     std::vector<service_name> shards;
+    std::vector<region_name> homeRegions; ///< regions whose leafs may be asked; empty: all
     std::size_t topRecords = 0;
     std::uint32_t rank = unknownRank; ///< priority of the route; 0 is the most urgent
     millis objective; ///< target latency of the route
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include <base/base.h>
 #include <leafs/leafs.h>
 #include <quarantine/quarantine.h>
+#include <regions/regions.h>
 #include <routing/routing.h>
 #include <zones/zones.h>
 
@@ -99,6 +100,7 @@
     void changeSettings(gateway_settings settings)
     {
         m_settings = std::move(settings);
+        m_regions = region_policy(m_settings.regions);
         m_requests.changeSettings(m_settings.quarantine);
     }
 
@@ -243,6 +245,7 @@
         bool full = false; ///< no leaf because all candidates have reached their connection limit
         bool overloaded = false; ///< no leaf because the candidates' queues exceed the remaining time
         const zone_name *drained = nullptr; ///< a drained zone that has some of the leafs
+        bool outsideRegions = false; ///< some of the leafs are outside the home regions of the route
 
         /** @return why no leaf was chosen, as a string constant for logs and callers. */
         [[nodiscard]] std::string_view reason() const
@@ -250,7 +253,10 @@
             if (overloaded) {
                 return "overloaded";
             }
-            return drained != nullptr ? "zone_emptied" : "no_leaf";
+            if (drained != nullptr) {
+                return "zone_emptied";
+            }
+            return outsideRegions ? "region_not_allowed" : "no_leaf";
         }
     };
 
@@ -266,7 +272,7 @@
     [[nodiscard]] bool mayAskCold(const leaf &candidate, millis now) const;
     void useColdSlot(leaf &asked, millis now) const;
     [[nodiscard]] bool admits(const zone_name &zone, millis now);
-    [[nodiscard]] shard_zones zonesOf(const shard_call &call, millis now);
+    [[nodiscard]] shard_zones zonesOf(const exchange &work, const shard_call &call, millis now);
     [[nodiscard]] unsigned connectionShare(const service_name &service) const;
     [[nodiscard]] static millis usefulUntil(const exchange &work, millis now);
     void sendCall(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
@@ -282,7 +288,7 @@
     void advanceExchange(exchange &work, millis now);
     void finishGatherIfDone(exchange &work, millis now);
     void advanceDue(const due &next, millis now);
-    static void recordDrainedZone(exchange &work, const choice &none);
+    static void recordSkippedLeafs(exchange &work, const choice &none);
     void addCalls(exchange &work, std::span<const service_name> shards);
     void fanOut(exchange &work, millis now);
     void beginCanary(exchange &work, millis now);
@@ -344,6 +350,7 @@
     void settle(exchange &work, millis now);
     double updateSlowness(leaf &of, const send &ended, const gateway_reply &reply, millis now);
     void updateLeafOnReply(leaf &from, const send &ended, const gateway_reply &reply, millis now);
+    void updateCold(leaf &from, millis remaining, millis now);
     void updateLeafOnFailure(leaf &from, send_failure failure, millis now);
     void reportIfChanged(leaf &about, millis now);
     [[nodiscard]] bool applyReport(const leaf_report &report);
@@ -363,6 +370,7 @@
     std::shared_ptr<const route_table> m_table;
     leaf_directory m_leafs;
     drained_zones m_zones;
+    region_policy m_regions;
     std::size_t m_fleetSize;
     std::uint64_t m_seed; ///< differs between VMs
     std::unordered_map<service_name, retry_budget> m_budgets;
--- a/libs/gateway/src/accepted_work.cpp
+++ b/libs/gateway/src/accepted_work.cpp
@@ -16,6 +16,7 @@
     route.timeout = asked.limitIn;
     route.maxAttempts = 1;
     route.shards = asked.shards;
+    route.homeRegions = asked.homeRegions;
     route.topRecords = asked.topRecords;
     route.minCoverage = 0;
     work->id = m_nextId++;
--- a/libs/gateway/src/delegation_plan.cpp
+++ b/libs/gateway/src/delegation_plan.cpp
@@ -25,11 +25,11 @@
     return avoided == m_unresponsiveUntil.end() || avoided->second <= now;
 }
 
-gateway_engine::shard_zones gateway_engine::zonesOf(const shard_call &call, millis now)
+gateway_engine::shard_zones gateway_engine::zonesOf(const exchange &work, const shard_call &call, millis now)
 {
     shard_zones zones;
     for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
-        if (one->isLeaving()) {
+        if (one->isLeaving() || !m_regions.allows(work.route->homeRegions, one->entry.zone)) {
             continue;
         }
         zones.all.insert(one->entry.zone);
@@ -106,7 +106,7 @@
         if (!call.isUnassigned() || call.waiting) {
             continue;
         }
-        const shard_zones zones = zonesOf(call, now);
+        const shard_zones zones = zonesOf(work, call, now);
         std::ranges::for_each(zones.all, [&](const zone_name &zone) { shardsIn[zone] += 1; });
         if (zones.usable.contains(m_settings.zone)) {
             byZone[m_settings.zone].push_back(at);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -93,10 +93,19 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(wanted));
 }
 
+std::string_view gateway_engine::exchange::causeOfTooFewShards() const
+{
+    if (!drainedZone.value.empty()) {
+        return "zone_emptied";
+    }
+    return leafsOutsideRegions ? "region_not_allowed" : "too_few_shards";
+}
+
 gateway_engine::gateway_engine(gateway_settings settings, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_random(seed)
     , m_leafs(m_settings.removalHold)
+    , m_regions(m_settings.regions)
     , m_fleetSize(initialFleetSize)
     , m_seed(seed)
     , m_requests(m_settings.quarantine, seed)
@@ -174,15 +183,19 @@
     } else if (chosen.to || chosen.full) {
         call.waiting = true; // for a connection, or for the canary of another attempt of the same request
     } else {
-        recordDrainedZone(work, chosen);
+        recordSkippedLeafs(work, chosen);
         answerUnserved(work, chosen.reason(), false, now);
     }
 }
 
-/** Keeps the drained zone for the log line of the request. */
-void gateway_engine::recordDrainedZone(exchange &work, const choice &none)
+/** Keeps the reason why leafs were skipped, for the log line of the request. */
+void gateway_engine::recordSkippedLeafs(exchange &work, const choice &none)
 {
-    if (!none.to && none.drained != nullptr) {
+    if (none.to) {
+        return;
+    }
+    work.leafsOutsideRegions = work.leafsOutsideRegions || none.outsideRegions;
+    if (none.drained != nullptr) {
         work.drainedZone = *none.drained;
     }
 }
@@ -197,14 +210,13 @@
         const choice one = chooseLeaf(work, call, false, now);
         call.waiting = !one.to && one.full;
         call.missing = !one.to && !one.full;
-        recordDrainedZone(work, one);
+        recordSkippedLeafs(work, one);
         work.missing += call.missing ? 1 : 0;
         overloaded = overloaded || (call.missing && one.overloaded);
     }
     // Refuses before any leaf works on a request that can't be answered.
     if (work.calls.size() - work.missing < work.neededParts()) {
-        const std::string_view otherwise = work.drainedZone.value.empty() ? "too_few_shards" : "zone_emptied";
-        answerUnserved(work, overloaded ? "shards_overloaded" : otherwise, false, now);
+        answerUnserved(work, overloaded ? "shards_overloaded" : work.causeOfTooFewShards(), false, now);
         return;
     }
     if (work.canaryLimit > 0) {
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -57,8 +57,10 @@
             continue;
         }
         for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
-            if (m_zones.isDrained(one->entry.zone)) {
-                continue; // operators undrain zones after minutes, so their leafs do not shorten the retry time
+            // Operators undrain zones after minutes, and change regions rarely: such leafs do not shorten the retry
+            // time.
+            if (m_zones.isDrained(one->entry.zone) || !m_regions.allows(work.route->homeRegions, one->entry.zone)) {
+                continue;
             }
             soonest = std::min(soonest, std::max(one->downUntil - now, millis()));
         }
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -105,7 +105,7 @@
             sendCall(work, at, chosen.to, now);
         } else if (!chosen.full) {
             call.waiting = false;
-            recordDrainedZone(work, chosen);
+            recordSkippedLeafs(work, chosen);
             failCall(work, at, chosen.reason(), now);
         }
     }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -113,6 +113,7 @@
     std::vector<shard_call> calls;
     std::size_t done = 0;
     std::size_t missing = 0;
+    bool leafsOutsideRegions = false; ///< leafs were skipped because they are outside the home regions of the route
     zone_name drainedZone; ///< see @ref answer_action::drainedZone
     millis firstReportDue = millis::never(); ///< latest time of the first report to the delegating VM
     bool firstReportSent = false; ///< a report was sent to the delegating VM
@@ -146,6 +147,9 @@
 
     [[nodiscard]] bool mayHaveRun() const;
 
+    /** @return why too few shards have a leaf, as a string constant for logs and callers. */
+    [[nodiscard]] std::string_view causeOfTooFewShards() const;
+
     /** @return how many parts a merged answer requires. */
     [[nodiscard]] std::size_t neededParts() const;
 };
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -163,6 +163,10 @@
     const unsigned share = connectionShare(call.service);
     const bool late = work.route->isGather() && now >= work.cutoff;
     for (const std::shared_ptr<leaf> &candidate : m_leafs.of(call.service)) {
+        if (!m_regions.allows(work.route->homeRegions, candidate->entry.zone)) {
+            best.outsideRegions = true;
+            continue;
+        }
         const bool tried = std::ranges::find(call.tried, candidate) != call.tried.end();
         if (tried || !mayAsk(*candidate, now)) {
             best.drained = m_zones.isDrained(candidate->entry.zone) ? &candidate->entry.zone : best.drained;
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -105,6 +105,17 @@
     return ratio;
 }
 
+/** Leafs also turn cold without a new entry in the store, for example after their cache was cleared. */
+void gateway_engine::updateCold(leaf &from, millis remaining, millis now)
+{
+    const bool wasCold = from.coldUntil > now;
+    from.setCold(remaining, now);
+    const bool isCold = from.coldUntil > now;
+    if (wasCold != isCold) {
+        logLeafHealth(isCold ? "leaf_cold" : "leaf_warm", "reply", from, remaining);
+    }
+}
+
 void gateway_engine::updateLeafOnReply(leaf &from, const send &ended, const gateway_reply &reply, millis now)
 {
     from.lastReplyAt = now;
@@ -124,6 +135,9 @@
     if (reply.wrongInstance) {
         return;
     }
+    if (reply.coldFor) {
+        updateCold(from, *reply.coldFor, now);
+    }
     // After the deadline, an unsuccessful answer shows neither failure nor refusal, only slowness if the request ran.
     const bool outOfTime = now >= ended.deadline && !reply.isSuccess();
     if (outOfTime && !reply.notRun) {
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -73,6 +73,7 @@
     action.work.route = work.route->name;
     action.work.key = work.key;
     action.work.attempt = work.evidence->attempt;
+    action.work.homeRegions = work.route->homeRegions;
     action.work.topRecords = work.route->topRecords;
     action.work.objective = work.route->objective;
     action.work.firstReportIn = work.latency->hedgeDelay();
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -212,6 +212,9 @@
     leaf_load load;
     millis loadAt = millis() - millis::never();
 
+    /** Records that the cache of the leaf stays cold for @p remaining, as stated by the leaf. */
+    void setCold(millis remaining, millis now);
+
     /** @return since when a request to the leaf has been overdue; never if the leaf is not stalled. */
     [[nodiscard]] millis stalledSince() const;
 
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -53,6 +53,11 @@
     return static_cast<zone_digest>(XXH3_64bits(zone.value.data(), zone.value.size()));
 }
 
+void leaf::setCold(millis remaining, millis now)
+{
+    coldUntil = now + std::min(remaining, maxColdTime);
+}
+
 millis leaf::stalledSince() const
 {
     millis since = millis::never();
@@ -127,7 +132,7 @@
 void leaf_directory::add(const leaf_entry &entry, millis now)
 {
     auto added = std::make_shared<leaf>(entry);
-    added->coldUntil = now + std::min(entry.coldFor, maxColdTime);
+    added->setCold(entry.coldFor, now);
     // The start of the drain is unknown here; the leaf may already have drained for its whole drain time.
     added->drainingSince = entry.draining ? millis() : millis::never();
     if (const auto before = m_removed.find(entry.id); before != m_removed.end()) {
@@ -158,7 +163,7 @@
     known.removeAt = millis::never();
     known.entry.slots = entry.slots;
     known.entry.sequence = entry.sequence;
-    known.coldUntil = now + std::min(entry.coldFor, maxColdTime);
+    known.setCold(entry.coldFor, now);
     return returned || readableAgain || drainsNow;
 }
 
