Placement: shards are divided by the expected finish of the VMs

Change: libs/placement divides a zone's shards into parts for its smallest VM and gives each part to the VM that is expected to finish first, by capacity, lag, earlier work and the cost of a message.

With equal VMs the division is as before; test_helpers passes unchanged.

--- a/libs/gateway/include/gateway/delegated_work.h
+++ b/libs/gateway/include/gateway/delegated_work.h
@@ -3,6 +3,7 @@
 /** @file Work that one VM delegates to another and the progress reports on it; a part of gateway.h. */
 
 #include <base/base.h>
+#include <placement/placement.h>
 #include <quarantine/quarantine.h>
 
 #include <cstddef>
@@ -24,15 +25,6 @@
 /** Rank of work from a VM whose version sends none. */
 inline constexpr std::uint32_t unknownRank = std::numeric_limits<std::uint32_t>::max();
 
-/** What a VM reports about itself to the VMs that delegate work to it. */
-struct vm_load {
-    double capacity = 0; ///< CPU capacity, in cores
-    millis lag; ///< how late its reactor handles events
-    std::uint32_t queuedBytes = 0; ///< written to its sockets and not yet sent
-
-    bool operator==(const vm_load &) const = default;
-};
-
 /** Identifies one piece of delegated work; unique within the VM that delegates it. */
 using delegation_id = std::uint64_t;
 
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -13,6 +13,7 @@
 
 #include <base/base.h>
 #include <leafs/leafs.h>
+#include <placement/placement.h>
 #include <quarantine/quarantine.h>
 #include <routing/routing.h>
 #include <zones/zones.h>
@@ -116,10 +117,23 @@
 
     /** Sets the reachable VMs, to which shards with leafs near them can be delegated.
      *  @param ownRank this VM's @ref helper_vm::rank. */
-    void setHelpers(std::vector<helper_vm> helpers, std::size_t ownRank)
+    void setHelpers(std::vector<helper_vm> helpers, std::size_t ownRank);
+
+    /** Records the load that a helper reported about itself. */
+    void onHelperLoad(const std::string &address, const vm_load &load, millis now)
+    {
+        m_vmLoads.onLoad(address, load, now);
+    }
+
+    [[nodiscard]] const placement::vm_loads &helperLoads() const
+    {
+        return m_vmLoads;
+    }
+
+    /** @return how the parts of all lookups were placed. */
+    [[nodiscard]] const placement::placed_parts &placed() const
     {
-        m_helpers = std::move(helpers);
-        m_ownRank = ownRank;
+        return m_placed;
     }
 
     /** Records the load of this VM, as measured by its reactor. */
@@ -182,6 +196,7 @@
     struct shard_call;
     struct exchange;
     struct attempt_evidence;
+    struct zone_vms;
 
     /** One request sent to a leaf; outlives its exchange until the leaf has answered or @ref closeAt has passed. */
     struct send {
@@ -204,6 +219,8 @@
         std::string helper;
         std::vector<std::size_t> calls; ///< indexes into the exchange's calls, in the order of the work's shards
         std::vector<bool> shardDone; ///< shards whose final report has been received, in the same order
+        millis delegatedAt;
+        millis firstReportIn; ///< @ref delegated_work::firstReportIn
         millis firstReportTimeout; ///< from delegating the work until the first report is overdue
         bool reportReceived = false;
         bool late = false; ///< the first report is overdue; requests to second leafs are allowed
@@ -302,10 +319,20 @@
     void logQuarantineState(exchange_id attempt, const request_fingerprint &key, millis now);
     void refuseQuarantined(const caller_request &request, const gateway_route &route, exchange_id id, millis now);
     [[nodiscard]] bool isResponsive(const std::string &helper, millis now) const;
-    [[nodiscard]] std::size_t partCount(const zone_name &zone, std::size_t shards) const;
+    [[nodiscard]] std::size_t partCount(const zone_name &zone, std::size_t shards, millis now) const;
     [[nodiscard]] std::string helperFor(const zone_name &zone, std::size_t part, std::size_t parts, millis now);
-    void planZone(
-        const zone_name &zone, std::span<const std::size_t> calls, std::size_t parts, helper_plan &plan, millis now);
+    void
+    planZone(exchange &work, const zone_name &zone, std::span<const std::size_t> calls, helper_plan &plan, millis now);
+    [[nodiscard]] zone_vms vmsOf(const zone_name &zone, bool withUnresponsive, millis now) const;
+    [[nodiscard]] std::size_t shardsAtOnceIn(const zone_name &zone, millis now) const;
+    [[nodiscard]] bool placeZone(exchange &work,
+                                 const zone_name &zone,
+                                 std::span<const std::vector<std::size_t>> groups,
+                                 helper_plan &plan,
+                                 millis now);
+    [[nodiscard]] std::string
+    secondHelperFor(exchange &work, const zone_name &zone, std::size_t part, std::size_t parts, millis now);
+    void recordReportDelay(const delegation &from, millis now);
     [[nodiscard]] helper_plan planHelpers(exchange &work, millis now);
     void delegateCalls(exchange &work, const std::string &helper, std::vector<std::size_t> calls, millis now);
     void delegate(exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now);
@@ -372,6 +399,8 @@
     std::unordered_map<send_id, send> m_sends;
     vm_load m_ownLoad;
     millis m_ownLoadAt = millis() - millis::never(); ///< when @ref m_ownLoad was measured
+    placement::vm_loads m_vmLoads;
+    placement::placed_parts m_placed;
     std::vector<helper_vm> m_helpers;
     std::size_t m_ownRank = 0;
     std::unordered_map<std::string, millis> m_unresponsiveUntil; ///< helpers that did not report in time
--- a/libs/gateway/include/gateway/gateway_actions.h
+++ b/libs/gateway/include/gateway/gateway_actions.h
@@ -106,6 +106,7 @@
     unsigned hedges = 0;
     unsigned retries = 0;
     unsigned delegatedSecondSends = 0; ///< hedges and retries that were delegated to other VMs
+    placement::placed_parts placed;
     millis elapsed;
     millis networkTime; ///< part of the caller's timeout reserved for the network and for sending the answer
 };
--- a/libs/gateway/src/delegation_plan.cpp
+++ b/libs/gateway/src/delegation_plan.cpp
@@ -47,13 +47,13 @@
  * dead ones, reset new ones for five seconds. Also, each VM queries its few leafs often enough to notice changes of
  * their health immediately.
  */
-std::size_t gateway_engine::partCount(const zone_name &zone, std::size_t shards) const
+std::size_t gateway_engine::partCount(const zone_name &zone, std::size_t shards, millis now) const
 {
     std::size_t vms = zone == m_settings.zone ? m_ownRank + 1 : 1;
     for (const helper_vm &helper : m_helpers) {
         vms = helper.zone == zone ? std::max<std::size_t>(vms, helper.rank + 1) : vms;
     }
-    return std::max<std::size_t>(1, std::min(partsFor(shards, m_settings.maxShardsPerVm), vms));
+    return std::max<std::size_t>(1, std::min(partsFor(shards, shardsAtOnceIn(zone, now)), vms));
 }
 
 /** @return the address of a VM to delegate the part to; empty if this VM queries it itself or no helper is usable. */
@@ -75,10 +75,14 @@
 
 /** Plans the delegation of the calls whose leafs are in @p zone, part by part; this VM sends the remaining calls. */
 void gateway_engine::planZone(
-    const zone_name &zone, std::span<const std::size_t> calls, std::size_t parts, helper_plan &plan, millis now)
+    exchange &work, const zone_name &zone, std::span<const std::size_t> calls, helper_plan &plan, millis now)
 {
+    const std::size_t parts = work.partsByZone[zone];
     std::vector<std::vector<std::size_t>> groups(parts);
     std::ranges::for_each(calls, [&](std::size_t at) { groups[at % parts].push_back(at); });
+    if (placeZone(work, zone, groups, plan, now)) {
+        return;
+    }
     for (std::size_t part = 0; part < parts; ++part) {
         std::string helper =
             groups[part].size() < minDelegatedShards ? std::string() : helperFor(zone, part, parts, now);
@@ -115,13 +119,13 @@
         }
     }
     for (const auto &[zone, shards] : shardsIn) {
-        work.partsByZone[zone] = partCount(zone, shards);
+        work.partsByZone[zone] = partCount(zone, shards, now);
     }
     // Starts with the zone that has the most calls, which needs fewer messages.
     while (!byZone.empty()) {
         const auto most = std::ranges::max_element(byZone, {}, [](const auto &one) { return one.second.size(); });
         const std::size_t planned = plan.size();
-        planZone(most->first, most->second, work.partsByZone[most->first], plan, now);
+        planZone(work, most->first, most->second, plan, now);
         byZone.erase(most);
         std::set<std::size_t> taken;
         for (std::size_t at = planned; at < plan.size(); ++at) {
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -87,6 +87,7 @@
     result.hedges = work.hedges;
     result.retries = work.retries;
     result.delegatedSecondSends = work.delegatedSecondSends;
+    result.placed = work.placed;
     result.elapsed = now - work.arrivedAt;
     result.networkTime = work.networkTime;
     work.ended = true;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -130,6 +130,7 @@
     unsigned hedges = 0;
     unsigned retries = 0;
     unsigned delegatedSecondSends = 0; ///< hedges and retries that were delegated to other VMs
+    placement::placed_parts placed;
     bool ended = false;
 
     [[nodiscard]] bool isDelegated() const
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -37,7 +37,8 @@
 {
     const auto parts = work.partsByZone.find(to->entry.zone);
     const bool apart = parts != work.partsByZone.end() && to->keptConnections == 0 && !work.isDelegated();
-    std::string helper = apart ? helperFor(to->entry.zone, at % parts->second, parts->second, now) : std::string();
+    std::string helper =
+        apart ? secondHelperFor(work, to->entry.zone, at % parts->second, parts->second, now) : std::string();
     if (helper.empty()) {
         sendCall(work, at, to, now);
         return;
@@ -91,6 +92,8 @@
     made.helper = helper;
     made.shardDone.resize(calls.size());
     made.calls = std::move(calls);
+    made.delegatedAt = now;
+    made.firstReportIn = action.work.firstReportIn;
     made.firstReportTimeout = action.work.firstReportIn * reportTimeoutFactor + hopMargin * 2;
     m_due.push({now + made.firstReportTimeout, due_kind::Delegation, action.id});
     work.delegations.push_back(action.id);
@@ -105,7 +108,9 @@
     if (found == m_delegations.end()) {
         return;
     }
-    found->second.reportReceived = true;
+    if (!std::exchange(found->second.reportReceived, true)) {
+        recordReportDelay(found->second, now);
+    }
     if (found->second.late) {
         m_unresponsiveUntil.erase(found->second.helper);
     }
@@ -280,6 +285,7 @@
     }
     delegation &late = found->second;
     late.late = true;
+    recordReportDelay(late, now);
     m_due.push({now + late.firstReportTimeout, due_kind::Delegation, id});
     m_unresponsiveUntil[late.helper] = now + avoidHelperFor;
     exchange &work = *m_exchanges.at(late.exchange);
--- a/programs/chivelockd/gateway/engine_settings.cpp
+++ b/programs/chivelockd/gateway/engine_settings.cpp
@@ -1,16 +1,13 @@
 #include "engine_settings.h"
 
+#include <placement/placement.h>
+
 #include <algorithm>
 
 namespace chivelock {
 
 namespace {
 
-// A leaf request costs about 60 microseconds of CPU time in total: one core processes a hundred in 6 ms, while leafs
-// take 4 to 15 ms to answer. Delegating work to helpers pays off from about eight requests on.
-constexpr double shardsPerCore = 100;
-constexpr std::size_t minShardsAtOnce = 8;
-
 // Time from the decision to answer until the last byte of the answer is sent. Part of it is CPU time: half a
 // millisecond of a core for the merged answer of about a hundred shards, queued behind whatever else the VM is doing.
 constexpr millis minAnswerMargin(3);
@@ -28,7 +25,7 @@
     settings.drainLimit = from.drainLimit;
     settings.callerRoundTrip = from.callerRoundTrip;
     settings.answerMargin = minAnswerMargin + answerCpuTime * (1 / from.cpuShare);
-    settings.maxShardsPerVm = std::max(minShardsAtOnce, static_cast<std::size_t>(from.cpuShare * shardsPerCore));
+    settings.maxShardsPerVm = placement::shardsAtOnce(from.cpuShare);
     settings.capacity = from.cpuShare;
     settings.regions = from.regions;
     settings.scheduling = from.scheduling;
--- a/programs/chivelockd/gateway/gateway_delegation.cpp
+++ b/programs/chivelockd/gateway/gateway_delegation.cpp
@@ -43,6 +43,7 @@
         m_delegatedExchanges.erase(delegator);
         m_pendingRequests.erase(found);
     }
+    action.progress.load = currentLoad(m_clock.now());
     m_helperLinks->sendProgress(delegator.first, {delegator.second, std::move(action.progress)});
 }
 
@@ -57,6 +58,32 @@
     flush();
 }
 
+void gateway_service::onHelperLoad(const std::string &address, const vm_load &load)
+{
+    m_engine.onHelperLoad(address, load, m_clock.now());
+}
+
+/** Tells a VM that may delegate work the capacity of this one before the first lookup. */
+void gateway_service::onDelegatorLinked(link_id from)
+{
+    delegate_progress loadOnly;
+    loadOnly.progress.last = true;
+    loadOnly.progress.load = currentLoad(m_clock.now());
+    m_helperLinks->sendProgress(from, loadOnly);
+}
+
+vm_load gateway_service::currentLoad(millis now) const
+{
+    return {m_settings.cpuShare, m_lag.lagAt(now), m_queuedBytes};
+}
+
+/** Measures the lag of the reactor and passes it to the engine. @param delay of an event, or time that a batch took. */
+void gateway_service::recordLag(millis delay, millis now)
+{
+    m_lag.record(delay, now);
+    m_engine.setOwnLoad(currentLoad(now), now);
+}
+
 void gateway_service::onProgress(delegation_id id, delegated_progress progress)
 {
     m_engine.onProgress(id, std::move(progress), m_clock.now());
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -203,6 +203,7 @@
 
 void gateway_service::flush()
 {
+    const millis began = m_clock.now();
     for (auto actions = m_engine.takeActions(); !actions.empty(); actions = m_engine.takeActions()) {
         for (gateway_action &action : actions) {
             std::visit([this](auto &one) { perform(std::move(one)); }, action);
@@ -212,6 +213,8 @@
         m_feed->publishRequestEvidence(evidence);
     }
     armDueTimer();
+    const millis ended = m_clock.now();
+    recordLag(ended - began, ended);
 }
 
 void gateway_service::perform(send_action action)
@@ -335,14 +338,17 @@
         return; // the timer fires early enough already
     }
     m_dueTimerExpiry = due;
-    const millis wait = std::max(due - m_clock.now(), millis());
+    const millis now = m_clock.now();
+    const millis wait = std::max(due - now, millis());
     m_dueTimer.expires_after(std::chrono::microseconds(wait.micros()));
-    m_dueTimer.async_wait([this](const error_code &timerError) {
+    m_dueTimer.async_wait([this, expiry = now + wait](const error_code &timerError) {
         if (timerError) {
             return;
         }
         m_dueTimerExpiry = millis::never();
-        m_engine.advance(m_clock.now());
+        const millis fired = m_clock.now();
+        recordLag(fired - expiry, fired);
+        m_engine.advance(fired);
         flush();
     });
 }
@@ -350,6 +356,9 @@
 void gateway_service::runHousekeeping()
 {
     const millis now = m_clock.now();
+    if (m_nextHousekeeping > millis()) {
+        recordLag(now - m_nextHousekeeping, now);
+    }
     if (m_nextHousekeeping > millis() && now - m_nextHousekeeping > minProcessPause) {
         handleProcessPause(now);
     }
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -73,6 +73,8 @@
     void onHelpersChanged(std::vector<helper_vm> helpers, std::size_t ownRank) override;
     void onHelperLost(const std::string &address) override;
     void onProgress(delegation_id id, delegated_progress progress) override;
+    void onHelperLoad(const std::string &address, const vm_load &load) override;
+    void onDelegatorLinked(link_id from) override;
     void onDelegatedRequest(link_id from, delegate_request request) override;
     void onDelegatedCancel(link_id from, const delegate_cancel &cancel) override;
     void onDelegatorLost(link_id from) override;
@@ -91,6 +93,8 @@
     void armDueTimer();
     void runHousekeeping();
     void handleProcessPause(millis now);
+    [[nodiscard]] vm_load currentLoad(millis now) const;
+    void recordLag(millis delay, millis now);
     void applyLeafEvents(const std::vector<store_item> &items);
     bool applyLeafEvent(const store_item &item, bool shouldLog);
     void applyOperatorKeys(const std::vector<store_item> &items);
@@ -115,6 +119,8 @@
     boost::asio::steady_timer m_housekeepingTimer;
     boost::asio::steady_timer m_stopTimer;
     millis m_dueTimerExpiry = millis::never();
+    placement::lag_meter m_lag; ///< of the reactor
+    std::uint32_t m_queuedBytes = 0; ///< in the sockets of peers and callers, as of the last housekeeping
     millis m_nextHousekeeping;
     millis m_nextTrafficLog;
     std::unordered_map<exchange_id, pending_request> m_pendingRequests;
--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -173,6 +173,11 @@
     }
 }
 
+void helper_links::onLinkAccepted(link_id link)
+{
+    m_listener.onDelegatorLinked(link);
+}
+
 void helper_links::notifyHelpersChanged()
 {
     std::vector<helper_vm> open;
@@ -193,6 +198,10 @@
     if (auto *request = std::get_if<delegate_request>(&*message)) {
         m_listener.onDelegatedRequest(link, std::move(*request));
     } else if (auto *progress = std::get_if<delegate_progress>(&*message)) {
+        const auto from = findByLink(link);
+        if (progress->progress.load && from != m_helpers.end()) {
+            m_listener.onHelperLoad(from->first, *progress->progress.load);
+        }
         m_listener.onProgress(progress->id, std::move(progress->progress));
     } else if (const auto *cancelled = std::get_if<delegate_cancel>(&*message)) {
         m_listener.onDelegatedCancel(link, *cancelled);
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -38,6 +38,12 @@
     virtual void onHelperLost(const std::string &address) = 0;
     virtual void onProgress(delegation_id id, delegated_progress progress) = 0;
 
+    /** A helper reported its load, alone or with progress. */
+    virtual void onHelperLoad(const std::string &address, const vm_load &load) = 0;
+
+    /** A VM that may delegate work has opened a link. */
+    virtual void onDelegatorLinked(link_id from) = 0;
+
     /** @param from link of the VM that delegates the work; progress is sent there. */
     virtual void onDelegatedRequest(link_id from, delegate_request request) = 0;
     virtual void onDelegatedCancel(link_id from, const delegate_cancel &cancel) = 0;
@@ -82,6 +88,7 @@
 
     void onLinkOpen(link_id link) override;
     void onLinkClosed(link_id link) override;
+    void onLinkAccepted(link_id link) override;
     bool onLinkFrame(link_id link, std::span<const std::uint8_t> payload) override;
 
     [[nodiscard]] std::map<std::string, helper>::iterator findByLink(link_id link);
--- a/programs/chivelockd/gateway/peer_mesh.cpp
+++ b/programs/chivelockd/gateway/peer_mesh.cpp
@@ -209,6 +209,7 @@
             const auto made = std::make_shared<link>(*this, id, std::move(socket));
             m_links.emplace(id, made);
             made->open();
+            m_listener.onLinkAccepted(id);
         }
         accept();
     });
--- a/programs/chivelockd/gateway/peer_mesh.h
+++ b/programs/chivelockd/gateway/peer_mesh.h
@@ -27,6 +27,11 @@
     /** A link that this process dialled is open. */
     virtual void onLinkOpen(link_id link) = 0;
 
+    /** A peer opened a link to this process. */
+    virtual void onLinkAccepted(link_id /*link*/)
+    {
+    }
+
     /** A link was lost or could not be established. Not called for links that this process closed. */
     virtual void onLinkClosed(link_id link) = 0;
 
