--- a/libs/gateway/src/placed_work.cpp
+++ b/libs/gateway/src/placed_work.cpp
@@ -129,9 +129,14 @@
 /** A report that comes later than agreed shows that the helper or the link to it is behind, whatever it reports. */
 void gateway_engine::recordReportDelay(const delegation &from, millis now)
 {
+    const millis before = m_vmLoads.lagOf(from.helper, now);
     const millis ownLag = placement::fadedLag(m_ownLoad.lag, now - m_ownLoadAt);
-    const millis expected = from.firstReportIn + reportMargin + ownLag;
-    m_vmLoads.onReportDelay(from.helper, now - from.delegatedAt - expected, now);
+    const millis elapsed = now - from.delegatedAt;
+    m_vmLoads.onReportDelay(from.helper, elapsed, from.firstReportIn + reportMargin + ownLag, now);
+    const millis lag = m_vmLoads.lagOf(from.helper, now);
+    if (before == millis() && lag > millis()) {
+        logEvent(*m_exchanges.at(from.exchange), "helper_behind", "late_report", nullptr, {from.helper}, lag, now);
+    }
 }
 
 } // namespace chivelock
--- a/libs/placement/include/placement/placement.h
+++ b/libs/placement/include/placement/placement.h
@@ -63,8 +63,11 @@
 public:
     void onLoad(const std::string &address, const vm_load &load, millis now);
 
-    /** @param excess by how much a report came later than expected. */
-    void onReportDelay(const std::string &address, millis excess, millis now);
+    /**
+     * @param elapsed from the delegation to its first report, or until now if there is none.
+     * @param expected latest time of a report from a helper without backlog.
+     */
+    void onReportDelay(const std::string &address, millis elapsed, millis expected, millis now);
 
     /** @param shards delegated to the helper, which it works on after its earlier ones. */
     void onDelegated(const std::string &address, std::size_t shards, double capacity, millis now);
@@ -88,6 +91,9 @@
     /** @return how many helpers have reported a load. */
     [[nodiscard]] std::size_t known() const;
 
+    /** @return how many helpers have a lag that counts. */
+    [[nodiscard]] std::size_t behind(millis now) const;
+
 private:
     struct known_vm {
         std::optional<vm_load> load;
--- a/libs/placement/src/vm_loads.cpp
+++ b/libs/placement/src/vm_loads.cpp
@@ -9,7 +9,8 @@
 
 constexpr millis lagHalfLife(100); // a VM that has caught up counts as such after some hundred milliseconds
 constexpr millis lagValidFor(1000); // a VM that gets no work reports nothing; it is tried again after this time
-constexpr millis negligibleLag(2); // a VM without backlog handles a batch of events in this time
+// A VM of an eighth of a core without backlog handles a batch of leaf requests in this time.
+constexpr millis negligibleLag(5);
 constexpr double minCapacity = 0.01; // cores; a report of nothing must not give an infinite time
 
 // Up to this many shards, a message to another VM takes longer than it saves.
@@ -53,11 +54,17 @@
     about.loadAt = now;
 }
 
-void vm_loads::onReportDelay(const std::string &address, millis excess, millis now)
+/** A report that is on time limits an earlier excess only to its own delay: most reports come long before the latest
+ *  time, so a helper that is somewhat behind is on time as well. */
+void vm_loads::onReportDelay(const std::string &address, millis elapsed, millis expected, millis now)
 {
     known_vm &about = m_vms[address];
-    about.excess = std::max(excess, millis());
-    about.excessAt = now;
+    const millis known = fadedLag(about.excess, now - about.excessAt);
+    const millis excess = elapsed > expected ? elapsed - expected : std::min(known, elapsed);
+    if (elapsed > expected || excess < known) {
+        about.excess = excess;
+        about.excessAt = now;
+    }
 }
 
 void vm_loads::onDelegated(const std::string &address, std::size_t shards, double capacity, millis now)
@@ -104,4 +111,10 @@
         std::ranges::count_if(m_vms, [](const auto &one) { return one.second.load.has_value(); }));
 }
 
+std::size_t vm_loads::behind(millis now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_vms, [&](const auto &one) { return lagOf(one.first, now) > millis(); }));
+}
+
 } // namespace chivelock::placement
--- a/programs/chivelockd/gateway/gateway_delegation.cpp
+++ b/programs/chivelockd/gateway/gateway_delegation.cpp
@@ -72,15 +72,25 @@
     m_helperLinks->sendProgress(from, loadOnly);
 }
 
+/** The bytes that wait for the network link delay a report as much as the reactor does. */
 vm_load gateway_service::currentLoad(millis now) const
 {
-    return {m_settings.cpuShare, m_lag.lagAt(now), m_queuedBytes};
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMegabitMs = 1000; // a megabit in a second is a thousand bits in a millisecond
+    const double linkRate = m_settings.linkMegabits * bitsPerMegabitMs;
+    const millis linkDelay = linkRate > 0 ? millis(m_queuedBytes * bitsPerByte / linkRate) : millis();
+    return {m_settings.cpuShare, std::max(m_lag.lagAt(now), linkDelay), m_queuedBytes};
 }
 
 /** Measures the lag of the reactor and passes it to the engine. @param delay of an event, or time that a batch took. */
 void gateway_service::recordLag(millis delay, millis now)
 {
+    constexpr millis queueSampleInterval(200); // a call into the kernel for each link, so not with each event
     m_lag.record(delay, now);
+    if (now >= m_nextQueueSample) {
+        m_nextQueueSample = now + queueSampleInterval;
+        m_queuedBytes = static_cast<std::uint32_t>(m_helperLinks->unsentBytes());
+    }
     m_engine.setOwnLoad(currentLoad(now), now);
 }
 
--- a/programs/chivelockd/gateway/gateway_metrics.cpp
+++ b/programs/chivelockd/gateway/gateway_metrics.cpp
@@ -21,8 +21,28 @@
               {"work_progress", m_traffic.bytesOf(peer_message_kind::WorkProgress)}});
 }
 
+/** Logs what this VM knows of its own load and that of its helpers, and how it placed the parts of lookups so far. */
+void gateway_service::logPlacement() const
+{
+    const millis now = m_clock.now();
+    const vm_load own = currentLoad(now);
+    const placement::placed_parts &placed = m_engine.placed();
+    logEvent(log_level::Info,
+             "placement",
+             {{"own_lag_ms", own.lag.ceiled()},
+              {"queued_bytes", std::uint64_t {own.queuedBytes}},
+              {"known_loads", std::uint64_t {m_engine.helperLoads().known()}},
+              {"behind", std::uint64_t {m_engine.helperLoads().behind(now)}},
+              {"parts", placed.all},
+              {"parts_large", placed.large},
+              {"parts_own", placed.own}});
+}
+
 std::string gateway_service::metricsPage() const
 {
+    const millis now = m_clock.now();
+    const vm_load own = currentLoad(now);
+    const placement::placed_parts &placed = m_engine.placed();
     const auto number = [](std::uint64_t value) { return static_cast<double>(value); };
     const std::uint64_t version = m_engine.config() == nullptr ? 0 : m_engine.config()->config().version;
     std::vector<metric_value> values = {
@@ -60,6 +80,16 @@
          "Shards of a request taken for another VM.",
          number(m_counts.delegationsAccepted),
          {}},
+        {"chivelock_own_lag_ms", "How late this process handles events.", own.lag.count(), {}},
+        {"chivelock_queued_bytes", "Sent to other VMs and not received yet.", number(own.queuedBytes), {}},
+        {"chivelock_helper_loads_known",
+         "Other VMs that reported their load.",
+         number(m_engine.helperLoads().known()),
+         {}},
+        {"chivelock_helpers_behind", "Other VMs with a backlog.", number(m_engine.helperLoads().behind(now)), {}},
+        {"chivelock_parts_placed_total", "Parts of lookups placed by load.", number(placed.all), {}},
+        {"chivelock_parts_placed_large_total", "Of these, parts on large VMs.", number(placed.large), {}},
+        {"chivelock_parts_placed_own_total", "Of these, parts on this VM.", number(placed.own), {}},
         {"chivelock_store_calls_total", "Calls to the store.", number(m_feed->storeCalls()), {}},
         {"chivelock_callers", "Open connections of callers.", number(m_callers->sessions()), {}},
         {"chivelock_exchanges", "Requests under way.", number(m_engine.openExchanges()), {}},
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -275,6 +275,10 @@
               {"hedges", std::uint64_t {action.hedges}},
               {"retries", std::uint64_t {action.retries}},
               {"second_handed", std::uint64_t {action.delegatedSecondSends}},
+              {"parts_placed", action.placed.all},
+              {"parts_large", action.placed.large},
+              {"parts_own", action.placed.own},
+              {"own_lag_ms", m_lag.lagAt(m_clock.now()).ceiled()},
               {"elapsed_ms", action.elapsed.ceiled()},
               {"ways_us", action.networkTime.micros()},
               {"retry_after_ms", action.retryAfter.ceiled()}});
@@ -367,6 +371,7 @@
     if (now >= m_nextTrafficLog) {
         m_nextTrafficLog = now + trafficLogInterval;
         logPeerTraffic();
+        logPlacement();
     }
     m_nextHousekeeping = now + housekeepingInterval;
     m_housekeepingTimer.expires_after(std::chrono::milliseconds(housekeepingInterval.ceiled()));
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -102,6 +102,7 @@
     void applyConfig(const store_item &item);
     void continueStop();
     void logPeerTraffic();
+    void logPlacement() const;
     [[nodiscard]] bool answerReadinessProbe() override;
     [[nodiscard]] std::string metricsPage() const override;
 
@@ -120,7 +121,8 @@
     boost::asio::steady_timer m_stopTimer;
     millis m_dueTimerExpiry = millis::never();
     placement::lag_meter m_lag; ///< of the reactor
-    std::uint32_t m_queuedBytes = 0; ///< in the sockets of peers and callers, as of the last housekeeping
+    std::uint32_t m_queuedBytes = 0; ///< in the links to other VMs, as of the last sample
+    millis m_nextQueueSample;
     millis m_nextHousekeeping;
     millis m_nextTrafficLog;
     std::unordered_map<exchange_id, pending_request> m_pendingRequests;
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -76,6 +76,12 @@
     void cancel(const std::string &address, const delegate_cancel &message);
     void sendProgress(link_id delegator, const delegate_progress &progress);
 
+    /** @return see @ref peer_mesh::unsentBytes. */
+    [[nodiscard]] std::size_t unsentBytes() const
+    {
+        return m_mesh.unsentBytes();
+    }
+
 private:
     struct helper {
         zone_name zone;
--- a/programs/chivelockd/gateway/peer_mesh.cpp
+++ b/programs/chivelockd/gateway/peer_mesh.cpp
@@ -8,7 +8,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <algorithm>
 #include <array>
+#include <numeric>
 #include <vector>
 
 namespace chivelock {
@@ -21,6 +26,7 @@
 
 constexpr std::size_t readBytes = 16384;
 constexpr std::size_t maxUnsentBytes = 4U << 20U; // a peer that does not read must not exhaust this process's memory
+constexpr std::size_t maxCountedBytes = 16384; // of one link: a peer that reads nothing says nothing about this VM
 constexpr millis connectLimit(300); // some round trips within a region
 constexpr link_id firstIncoming = link_id {1} << 40U; // apart from the ids of links that this process dials
 
@@ -86,6 +92,15 @@
         write();
     }
 
+    [[nodiscard]] std::size_t unsentBytes()
+    {
+        int inKernel = 0; // sent and not acknowledged, or not sent yet
+        if (!m_open || ioctl(m_socket.native_handle(), SIOCOUTQ, &inKernel) != 0) {
+            inKernel = 0;
+        }
+        return m_queued.size() + static_cast<std::size_t>(inKernel);
+    }
+
     [[nodiscard]] const std::string &peer() const
     {
         return m_peer;
@@ -246,6 +261,13 @@
     return found == m_links.end() ? std::string() : found->second->peer();
 }
 
+std::size_t peer_mesh::unsentBytes() const
+{
+    return std::accumulate(m_links.begin(), m_links.end(), std::size_t {0}, [](std::size_t sum, const auto &one) {
+        return sum + std::min(one.second->unsentBytes(), maxCountedBytes);
+    });
+}
+
 void peer_mesh::stopListening()
 {
     error_code ignored; // nothing depends on the result
--- a/programs/chivelockd/gateway/peer_mesh.h
+++ b/programs/chivelockd/gateway/peer_mesh.h
@@ -58,6 +58,9 @@
     /** @return the IP address of the other end; empty if the link does not exist any more. */
     [[nodiscard]] std::string peerOf(link_id link) const;
 
+    /** @return the bytes of all links that the peers have not received yet. */
+    [[nodiscard]] std::size_t unsentBytes() const;
+
     /** Accepts no new links; existing links stay open. */
     void stopListening();
 
