--- a/programs/chivelockd/gateway/gateway_delegation.cpp
+++ b/programs/chivelockd/gateway/gateway_delegation.cpp
@@ -43,6 +43,7 @@
         m_delegatedExchanges.erase(delegator);
         m_pendingRequests.erase(found);
     }
+    action.progress.load = currentLoad(m_clock.now());
     m_helperLinks->sendProgress(delegator.first, {delegator.second, std::move(action.progress)});
 }
 
@@ -57,6 +58,42 @@
     flush();
 }
 
+void gateway_service::onHelperLoad(const std::string &address, const vm_load &load)
+{
+    m_engine.onHelperLoad(address, load, m_clock.now());
+}
+
+/** Tells a VM that may delegate work the capacity of this one before the first lookup. */
+void gateway_service::onDelegatorLinked(link_id from)
+{
+    delegate_progress loadOnly;
+    loadOnly.progress.last = true;
+    loadOnly.progress.load = currentLoad(m_clock.now());
+    m_helperLinks->sendProgress(from, loadOnly);
+}
+
+/** The bytes that wait for the network link delay a report as much as the reactor does. */
+vm_load gateway_service::currentLoad(millis now) const
+{
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMegabitMs = 1000; // a megabit in a second is a thousand bits in a millisecond
+    const double linkRate = m_settings.linkMegabits * bitsPerMegabitMs;
+    const millis linkDelay = linkRate > 0 ? millis(m_queuedBytes * bitsPerByte / linkRate) : millis();
+    return {m_settings.cpuShare, std::max(m_lag.lagAt(now), linkDelay), m_queuedBytes};
+}
+
+/** Measures the lag of the reactor and passes it to the engine. @param delay of an event, or time that a batch took. */
+void gateway_service::recordLag(millis delay, millis now)
+{
+    constexpr millis queueSampleInterval(200); // a call into the kernel for each link, so not with each event
+    m_lag.record(delay, now);
+    if (now >= m_nextQueueSample) {
+        m_nextQueueSample = now + queueSampleInterval;
+        m_queuedBytes = static_cast<std::uint32_t>(m_helperLinks->unsentBytes());
+    }
+    m_engine.setOwnLoad(currentLoad(now), now);
+}
+
 void gateway_service::onProgress(delegation_id id, delegated_progress progress)
 {
     m_engine.onProgress(id, std::move(progress), m_clock.now());
--- a/programs/chivelockd/gateway/peer_mesh.h
+++ b/programs/chivelockd/gateway/peer_mesh.h
@@ -27,6 +27,11 @@
     /** A link that this process dialled is open. */
     virtual void onLinkOpen(link_id link) = 0;
 
+    /** A peer opened a link to this process. */
+    virtual void onLinkAccepted(link_id /*link*/)
+    {
+    }
+
     /** A link was lost or could not be established. Not called for links that this process closed. */
     virtual void onLinkClosed(link_id link) = 0;
 
@@ -53,6 +58,9 @@
     /** @return the IP address of the other end; empty if the link does not exist any more. */
     [[nodiscard]] std::string peerOf(link_id link) const;
 
+    /** @return the bytes of all links that the peers have not received yet. */
+    [[nodiscard]] std::size_t unsentBytes() const;
+
     /** Accepts no new links; existing links stay open. */
     void stopListening();
 
