Hedges are timed by the learnt response times of the route

Leafs pause during 4 in 100 of their time, so the 0.98 quantile of the response times lies among the pauses and hedges were always sent at the upper bound of 0.45 of the objective. For a quick look-up that is 18 of 27 ms, too late for the second answer.

The new library hedging keeps a decaying distribution of the response times of each route and sends a hedge once a second answer is clearly more likely in time than the first one, within a share of the requests that follows from the budget and the urgency of the route. The first report of delegated work uses the same decision. Answers after the deadline and given-up requests now count as response times, since pauses were not seen without them.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "sent_requests.h"
 
 #include <base/base.h>
+#include <hedging/hedging.h>
 #include <leafs/leafs.h>
 #include <quarantine/quarantine.h>
 #include <routing/routing.h>
@@ -204,11 +205,22 @@
         std::string helper;
         std::vector<std::size_t> calls; ///< indexes into the exchange's calls, in the order of the work's shards
         std::vector<bool> shardDone; ///< shards whose final report has been received, in the same order
+        millis startedAt;
+        millis firstReportIn; ///< see @ref delegated_work::firstReportIn
         millis firstReportTimeout; ///< from delegating the work until the first report is overdue
         bool reportReceived = false;
         bool late = false; ///< the first report is overdue; requests to second leafs are allowed
     };
 
+    /** When hedges of a route are sent at present. */
+    struct hedge_state {
+        millis delay;
+        std::string_view cause; ///< a string constant
+        millis loggedDelay;
+        std::string_view loggedCause;
+        millis loggedAt = millis() - millis::never();
+    };
+
     /** Calls of one exchange to delegate to one VM. */
     struct helper_group {
         std::string helper;
@@ -269,6 +281,14 @@
     [[nodiscard]] shard_zones zonesOf(const shard_call &call, millis now);
     [[nodiscard]] unsigned connectionShare(const service_name &service) const;
     [[nodiscard]] static millis usefulUntil(const exchange &work, millis now);
+    [[nodiscard]] double urgencyOf(unsigned rank) const;
+    [[nodiscard]] std::optional<hedge_decision> decideHedge(const exchange &work, millis timeLeft, millis hop) const;
+    [[nodiscard]] static millis timeLeftInTime(const exchange &work, millis now);
+    void updateHedgeDelay(exchange &work, millis now);
+    void recordHedgeDelay(const exchange &work, millis now);
+    [[nodiscard]] millis firstReportDelay(const exchange &work, millis cutoffIn) const;
+    [[nodiscard]] millis pendingReportDue(const exchange &work, const delegated_work &asked, millis now) const;
+    void learnHelperHop(const delegation &from, const delegated_progress &progress, millis now);
     void sendCall(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
     bool trySpendBudget(const service_name &service, double reserve, millis now);
     retry_budget &budgetOf(const service_name &service);
@@ -367,6 +387,8 @@
     std::uint64_t m_seed; ///< differs between VMs
     std::unordered_map<service_name, retry_budget> m_budgets;
     std::unordered_map<std::string, route_latency> m_routeLatencies;
+    std::map<std::string, hedge_state> m_hedgeStates; ///< by route
+    quantile_tracker m_helperHop {0.5, millis(3)}; ///< time of the messages to a helper and back
     std::unordered_map<std::string, std::vector<double>> m_shareCredits; ///< by route, for smooth weighted round-robin
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<send_id, send> m_sends;
--- a/libs/gateway/include/gateway/gateway_actions.h
+++ b/libs/gateway/include/gateway/gateway_actions.h
@@ -120,6 +120,7 @@
     std::string service;
     millis age; ///< time since the request arrived
     millis input; ///< the duration that led to the decision: time without an answer, or the leaf's response time
+    std::string route {}; ///< of a decision for all requests of a route
 };
 
 /** A leaf that a request was sent to. */
--- a/libs/gateway/src/accepted_work.cpp
+++ b/libs/gateway/src/accepted_work.cpp
@@ -31,6 +31,7 @@
     work->arrivedAt = now;
     work->cutoff = now + asked.cutoffIn;
     work->firstReportDue = now + asked.firstReportIn;
+    work->pendingReportDue = pendingReportDue(*work, asked, now);
     work->limit = now + asked.limitIn;
     work->reportSeparately = asked.alone;
     addCalls(*work, route.shards);
@@ -104,7 +105,7 @@
 /** Reports the changes since the previous report. An empty report is sent only as the first or the last one. */
 void gateway_engine::reportProgress(exchange &work, bool last, millis now)
 {
-    const bool pendingDue = !work.pendingReported && now >= work.firstReportDue;
+    const bool pendingDue = !work.pendingReported && now >= work.pendingReportDue;
     work.pendingReported = work.pendingReported || pendingDue;
     delegated_progress report;
     report.last = last;
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -266,7 +266,7 @@
 void gateway_engine::sendCall(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
     shard_call &call = work.calls[at];
-    const millis hedgeDelay = work.latency->hedgeDelay();
+    updateHedgeDelay(work, now);
     send one;
     one.id = m_nextId++;
     one.exchange = work.id;
@@ -282,7 +282,7 @@
     one.queue = leafQueuePerSlot(*to, *work.latency, now);
     useColdSlot(*to, now);
     updateMixedWork(*to, work.latency->typical.estimate());
-    to->open.push_back({one.id, now, now + hedgeDelay});
+    to->open.push_back({one.id, now, now + std::min(work.hedgeDelay, work.latency->hedgeDelay())});
     call.tried.push_back(to);
     call.lastAsked = to->entry.id;
     recordAskedLeaf(work, *to, now);
@@ -291,7 +291,7 @@
     call.sends += 1;
     call.waiting = false;
     const bool mayHedge = work.route->idempotent && !work.isDelegated();
-    call.nextHedge = mayHedge ? now + hedgeDelay : millis::never();
+    call.nextHedge = mayHedge ? now + work.hedgeDelay : millis::never();
     work.sends += 1;
     m_due.push({one.closeAt, due_kind::Send, one.id});
     m_actions.emplace_back(send_action {
@@ -376,6 +376,9 @@
         return;
     }
     updateLeafOnFailure(*ended->to, failure, now);
+    if (failure == send_failure::TimedOut) {
+        ended->latency->times.add(now - ended->sentAt);
+    }
     // A leaving leaf closes its connections and stops as instructed; that is no crash.
     const bool leafCrashed = failure == send_failure::LeafCrashed && !ended->to->isLeaving();
     exchange *owner = ownerOf(*ended);
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -82,7 +82,7 @@
             continue;
         }
         work.hedges += 1;
-        logEvent(work, "hedge", "silent", chosen.to.get(), call.service, work.latency->hedgeDelay(), now);
+        logEvent(work, "hedge", work.hedgeCause, chosen.to.get(), call.service, work.hedgeDelay, now);
         sendSecond(work, at, chosen.to, now);
     }
 }
--- a/libs/gateway/src/engine_schedule.cpp
+++ b/libs/gateway/src/engine_schedule.cpp
@@ -12,7 +12,9 @@
         answerUnserved(work, "time", true, now);
         return;
     }
-    if (work.isDelegated() && (now >= work.cutoff || (!work.pendingReported && now >= work.firstReportDue))) {
+    const bool firstDue = !work.firstReportSent && now >= work.firstReportDue;
+    const bool pendingDue = !work.pendingReported && now >= work.pendingReportDue;
+    if (work.isDelegated() && (now >= work.cutoff || firstDue || pendingDue)) {
         reportProgress(work, false, now);
     }
     sendWaiting(work, now);
@@ -72,9 +74,12 @@
     if (work.cutoff > now) {
         next = std::min(next, work.cutoff);
     }
-    if (!work.pendingReported && work.firstReportDue > now) {
+    if (!work.firstReportSent && work.firstReportDue > now) {
         next = std::min(next, work.firstReportDue);
     }
+    if (!work.pendingReported && work.pendingReportDue > now) {
+        next = std::min(next, work.pendingReportDue);
+    }
     for (const shard_call &call : work.calls) {
         if (call.done || call.missing || call.held) {
             continue;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -104,6 +104,9 @@
     const gateway_route *route = nullptr;
     std::optional<gateway_route> ownRoute; ///< built from delegated work; the delegating VM has the configured one
     route_latency *latency = nullptr;
+    millis hedgeDelay; ///< time without an answer after which a hedge is sent
+    std::string_view hedgeCause; ///< why then; a string constant
+    millis hedgeDecidedAt = millis::never();
     millis arrivedAt;
     millis networkTime; ///< part of the caller's timeout spent before and after this VM's processing
     millis limit; ///< latest time of the final answer
@@ -115,6 +118,7 @@
     std::size_t missing = 0;
     zone_name drainedZone; ///< see @ref answer_action::drainedZone
     millis firstReportDue = millis::never(); ///< latest time of the first report to the delegating VM
+    millis pendingReportDue = millis::never(); ///< when the silent shards are reported to the delegating VM
     bool firstReportSent = false; ///< a report was sent to the delegating VM
     bool pendingReported = false; ///< the pending shards were reported to the delegating VM
     std::vector<delegation_id> delegations;
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -128,6 +128,7 @@
     const bool outOfTime = now >= ended.deadline && !reply.isSuccess();
     if (outOfTime && !reply.notRun) {
         updateSlowness(from, ended, reply, now);
+        ended.latency->times.add(now - ended.sentAt); // without the late answers, a pause would not be seen
         reportIfChanged(from, now);
     }
     if (outOfTime) {
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -66,6 +66,7 @@
 void gateway_engine::delegate(
     exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now)
 {
+    updateHedgeDelay(work, now);
     delegate_action action;
     action.id = m_nextId++;
     action.exchange = work.id;
@@ -75,8 +76,8 @@
     action.work.attempt = work.evidence->attempt;
     action.work.topRecords = work.route->topRecords;
     action.work.objective = work.route->objective;
-    action.work.firstReportIn = work.latency->hedgeDelay();
     action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
+    action.work.firstReportIn = firstReportDelay(work, action.work.cutoffIn);
     action.work.limitIn = std::max(work.limit - now - hopMargin, hopMargin);
     action.work.alone = second;
     for (const std::size_t at : calls) {
@@ -91,7 +92,9 @@
     made.helper = helper;
     made.shardDone.resize(calls.size());
     made.calls = std::move(calls);
-    made.firstReportTimeout = action.work.firstReportIn * reportTimeoutFactor + hopMargin * 2;
+    made.startedAt = now;
+    made.firstReportIn = action.work.firstReportIn;
+    made.firstReportTimeout = made.firstReportIn * reportTimeoutFactor + hopMargin * 2;
     m_due.push({now + made.firstReportTimeout, due_kind::Delegation, action.id});
     work.delegations.push_back(action.id);
     work.sends += 1;
@@ -105,6 +108,7 @@
     if (found == m_delegations.end()) {
         return;
     }
+    learnHelperHop(found->second, progress, now);
     found->second.reportReceived = true;
     if (found->second.late) {
         m_unresponsiveUntil.erase(found->second.helper);
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -7,6 +7,7 @@
  */
 
 #include <base/base.h>
+#include <hedging/hedging.h>
 
 #include <cstdint>
 #include <deque>
@@ -71,11 +72,13 @@
     /** @param took time from the send to the answer. @param worked the part of it outside the leaf's queue. */
     void add(millis took, millis worked);
 
-    /** @return time without an answer after which a hedge is sent to a second leaf. */
+    /** @return time without an answer after which a hedge is sent to a second leaf, as long as @ref times has too few
+     *  samples. */
     [[nodiscard]] millis hedgeDelay() const;
 
     quantile_tracker typical; ///< median time without the leaf's queue
     quantile_tracker slow; ///< high quantile of the time with the leaf's queue
+    response_times times; ///< time from the send to the answer
     millis objective;
 };
 
--- a/libs/leafs/src/latency_estimates.cpp
+++ b/libs/leafs/src/latency_estimates.cpp
@@ -37,6 +37,7 @@
 {
     typical.add(worked);
     slow.add(took);
+    times.add(took);
 }
 
 millis route_latency::hedgeDelay() const
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -284,6 +284,7 @@
              {{"id", action.requestId},
               {"key", action.key.isKnown() ? toString(action.key) : std::string()},
               {"cause", std::string(action.cause)},
+              {"route", action.route},
               {"service", action.service},
               {"leaf", action.leafId},
               {"age_ms", action.age.ceiled()},
