--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -174,6 +174,24 @@
 
     [[nodiscard]] std::vector<gateway_action> takeActions();
 
+    /** When hedges of a route are sent at present. */
+    struct hedge_state {
+        millis delay; ///< time without an answer
+        std::string_view cause; ///< a string constant
+        millis loggedDelay;
+        std::string_view loggedCause;
+        millis loggedAt = millis() - millis::never();
+    };
+
+    /** @return the hedge delays of the routes for which requests were sent, by route. */
+    [[nodiscard]] const std::map<std::string, hedge_state> &hedgeStates() const
+    {
+        return m_hedgeStates;
+    }
+
+    /** @return the number of leafs that are known to pause from reports of helpers. */
+    [[nodiscard]] std::size_t pausedLeafs(millis now) const;
+
     [[nodiscard]] std::size_t openExchanges() const
     {
         return m_exchanges.size();
@@ -193,6 +211,7 @@
         std::shared_ptr<attempt_evidence> evidence;
         route_latency *latency = nullptr;
         millis sentAt;
+        millis expectedBy; ///< see @ref leaf::open_send
         millis deadline; ///< time after which the leaf may stop working on it
         millis closeAt; ///< the send is cancelled then
         double queue = 0; ///< @ref leafQueuePerSlot at the time of the send
@@ -205,6 +224,7 @@
         std::string helper;
         std::vector<std::size_t> calls; ///< indexes into the exchange's calls, in the order of the work's shards
         std::vector<bool> shardDone; ///< shards whose final report has been received, in the same order
+        std::vector<std::shared_ptr<leaf>> silentLeafs; ///< of the shards that were reported as pending
         millis startedAt;
         millis firstReportIn; ///< see @ref delegated_work::firstReportIn
         millis firstReportTimeout; ///< from delegating the work until the first report is overdue
@@ -212,15 +232,6 @@
         bool late = false; ///< the first report is overdue; requests to second leafs are allowed
     };
 
-    /** When hedges of a route are sent at present. */
-    struct hedge_state {
-        millis delay;
-        std::string_view cause; ///< a string constant
-        millis loggedDelay;
-        std::string_view loggedCause;
-        millis loggedAt = millis() - millis::never();
-    };
-
     /** Calls of one exchange to delegate to one VM. */
     struct helper_group {
         std::string helper;
@@ -278,10 +289,18 @@
     [[nodiscard]] bool mayAskCold(const leaf &candidate, millis now) const;
     void useColdSlot(leaf &asked, millis now) const;
     [[nodiscard]] bool admits(const zone_name &zone, millis now);
-    [[nodiscard]] shard_zones zonesOf(const shard_call &call, millis now);
+    [[nodiscard]] shard_zones zonesOf(const exchange &work, const shard_call &call, millis now);
     [[nodiscard]] unsigned connectionShare(const service_name &service) const;
     [[nodiscard]] static millis usefulUntil(const exchange &work, millis now);
     [[nodiscard]] double urgencyOf(unsigned rank) const;
+    [[nodiscard]] static bool isAvoided(const exchange &work, const leaf &candidate, millis now);
+    void rememberPause(delegation_id id, const pending_shard &pending, millis now);
+    static void endPause(const delegation &from, std::uint32_t shard);
+    void learnPauseLength(const send &ended, millis now);
+    void
+    listAvoidedLeafs(const exchange &work, const shard_call &call, std::vector<std::string> &triedLeafs, millis now);
+    void sendFirst(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
+    bool sendApart(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
     [[nodiscard]] std::optional<hedge_decision> decideHedge(const exchange &work, millis timeLeft, millis hop) const;
     [[nodiscard]] static millis timeLeftInTime(const exchange &work, millis now);
     void updateHedgeDelay(exchange &work, millis now);
@@ -388,6 +407,8 @@
     std::unordered_map<service_name, retry_budget> m_budgets;
     std::unordered_map<std::string, route_latency> m_routeLatencies;
     std::map<std::string, hedge_state> m_hedgeStates; ///< by route
+    std::vector<std::shared_ptr<leaf>> m_pausedLeafs; ///< some may answer again already
+    quantile_tracker m_pauseLength {0.8, millis(80)}; ///< time of a pause after it was noticed
     quantile_tracker m_helperHop {0.5, millis(3)}; ///< time of the messages to a helper and back
     std::unordered_map<std::string, std::vector<double>> m_shareCredits; ///< by route, for smooth weighted round-robin
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges;
--- a/libs/gateway/src/delegation_plan.cpp
+++ b/libs/gateway/src/delegation_plan.cpp
@@ -25,18 +25,22 @@
     return avoided == m_unresponsiveUntil.end() || avoided->second <= now;
 }
 
-gateway_engine::shard_zones gateway_engine::zonesOf(const shard_call &call, millis now)
+gateway_engine::shard_zones gateway_engine::zonesOf(const exchange &work, const shard_call &call, millis now)
 {
     shard_zones zones;
+    std::set<zone_name> paused;
     for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
         if (one->isLeaving()) {
             continue;
         }
         zones.all.insert(one->entry.zone);
         if (mayAsk(*one, now) && one->stalledSince() > now && admits(one->entry.zone, now)) {
-            zones.usable.insert(one->entry.zone);
+            (isAvoided(work, *one, now) ? paused : zones.usable).insert(one->entry.zone);
         }
     }
+    if (zones.usable.empty()) {
+        zones.usable = std::move(paused);
+    }
     return zones;
 }
 
@@ -106,7 +110,7 @@
         if (!call.isUnassigned() || call.waiting) {
             continue;
         }
-        const shard_zones zones = zonesOf(call, now);
+        const shard_zones zones = zonesOf(work, call, now);
         std::ranges::for_each(zones.all, [&](const zone_name &zone) { shardsIn[zone] += 1; });
         if (zones.usable.contains(m_settings.zone)) {
             byZone[m_settings.zone].push_back(at);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -222,6 +222,7 @@
         delegateCalls(work, group.helper, std::move(group.calls), now);
     }
     sendUnassigned(work, now);
+    delegateSecondSends(work, now);
 }
 
 void gateway_engine::addCalls(exchange &work, std::span<const service_name> shards)
@@ -245,7 +246,7 @@
         }
         const choice chosen = chooseLeaf(work, call, false, now);
         if (chosen.to) {
-            sendCall(work, at, chosen.to, now);
+            sendFirst(work, at, chosen.to, now);
         } else {
             call.waiting = true;
         }
@@ -282,7 +283,8 @@
     one.queue = leafQueuePerSlot(*to, *work.latency, now);
     useColdSlot(*to, now);
     updateMixedWork(*to, work.latency->typical.estimate());
-    to->open.push_back({one.id, now, now + std::min(work.hedgeDelay, work.latency->hedgeDelay())});
+    one.expectedBy = now + std::min(work.hedgeDelay, work.latency->hedgeDelay());
+    to->open.push_back({one.id, now, one.expectedBy});
     call.tried.push_back(to);
     call.lastAsked = to->entry.id;
     recordAskedLeaf(work, *to, now);
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -23,6 +23,12 @@
 /** Slowness above which a leaf is logged as slow, whether measured here or reported by another VM. */
 inline constexpr double slowLogThreshold = 2;
 
+inline constexpr double otherZoneShare = 0.3; ///< of the objective, see expectedCost
+inline constexpr double stallShare = 0.5; ///< of the objective: expected additional cost of a stalled leaf
+
+/** @return the cost in milliseconds of waiting for the rest of a pause; at most that of a stalled leaf. */
+[[nodiscard]] double pauseCost(const leaf &candidate, const route_latency &latency, millis now);
+
 /** @return @p value after exponential decay over @p age. */
 [[nodiscard]] inline double decayed(double value, millis age, millis halfLife)
 {
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -14,11 +14,9 @@
 constexpr millis newConnectionCost(3); // a round trip, and some milliseconds of a slot of the leaf
 constexpr double loadFreshnessFactor = 2; // a reported load is outdated after this many request times
 constexpr millis minLoadFreshness(30);
-constexpr double otherZoneShare = 0.3; // of the objective, see expectedCost
 constexpr millis otherZoneDelay(1); // round trip
 constexpr double coldShare = 0.6; // of the typical time: how much slower a leaf is after its start
 constexpr double tieBreakShare = 0.1; // random share, so that VMs with equal data do not all choose the same leaf
-constexpr double stallShare = 0.5; // of the objective: expected additional cost of a stalled leaf
 constexpr double leavingShare = 4; // of the objective: asked only if no other leaf of the service can be
 constexpr millis drainMargin(800); // for a request to reach the leaf: a new connection, and a leaf slow to read
 
@@ -26,7 +24,7 @@
 millis expectedTime(const leaf &candidate, const route_latency &latency, millis now)
 {
     return timeWithQueue(leafQueuePerSlot(candidate, latency, now), candidate, latency)
-        * currentSlowness(candidate, now);
+        * currentSlowness(candidate, now) * candidate.speed.factor();
 }
 
 /** @return requests per second that the leaf can handle from the whole fleet while it is cold; 0 for no limit. */
@@ -71,6 +69,8 @@
     }
     if (candidate.stalledSince() < now) {
         cost += objective * stallShare;
+    } else {
+        cost += pauseCost(candidate, latency, now);
     }
     if (candidate.peerSawUnreachableAt > candidate.lastReplyAt) {
         cost += objective * stallShare * decayed(1, now - candidate.peerSawUnreachableAt, failingHalfLife);
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -98,7 +98,10 @@
     const millis took = now - ended.sentAt;
     const double ratio = took.count() / timeWithQueue(queueAtArrival(ended.queue, reply), of, *ended.latency).count();
     const bool wasSlow = of.slowness >= slowLogThreshold;
-    updateMeasuredSlowness(of, ratio, ended.sentAt, now);
+    updateMeasuredSlowness(of, ratio / of.speed.factor(), ended.sentAt, now);
+    if (m_settings.scheduling.hedging) {
+        of.speed.add(ratio);
+    }
     if (wasSlow != (of.slowness >= slowLogThreshold)) {
         logLeafHealth(wasSlow ? "leaf_as_usual" : "leaf_slow", "reply_time", of, took);
     }
@@ -108,6 +111,8 @@
 void gateway_engine::updateLeafOnReply(leaf &from, const send &ended, const gateway_reply &reply, millis now)
 {
     from.lastReplyAt = now;
+    from.pausedUntil = millis();
+    learnPauseLength(ended, now);
     if (from.downUntil > millis()) {
         logLeafHealth("leaf_answers_again", "reply", from, now - ended.sentAt);
     }
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -34,13 +34,19 @@
  * leaf.
  */
 void gateway_engine::sendSecond(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
+{
+    work.delegatedSecondSends += sendApart(work, at, to, now) ? 1 : 0;
+}
+
+/** @return whether the send was delegated; otherwise this VM sends it. */
+bool gateway_engine::sendApart(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
     const auto parts = work.partsByZone.find(to->entry.zone);
     const bool apart = parts != work.partsByZone.end() && to->keptConnections == 0 && !work.isDelegated();
     std::string helper = apart ? helperFor(to->entry.zone, at % parts->second, parts->second, now) : std::string();
     if (helper.empty()) {
         sendCall(work, at, to, now);
-        return;
+        return false;
     }
     shard_call &call = work.calls[at];
     call.openDelegations += 1;
@@ -48,8 +54,8 @@
     call.sends += 1;
     call.waiting = false;
     call.nextHedge = millis::never();
-    work.delegatedSecondSends += 1;
     work.secondSends[std::move(helper)].push_back(at);
+    return true;
 }
 
 /** Delegates the second sends of this step, in one message for each VM. */
@@ -86,6 +92,7 @@
         for (const std::shared_ptr<leaf> &one : call.tried) {
             action.work.triedLeafs.push_back(one->entry.id);
         }
+        listAvoidedLeafs(work, call, action.work.triedLeafs, now);
     }
     delegation made;
     made.exchange = work.id;
@@ -131,6 +138,7 @@
     }
     for (const pending_shard &pending : progress.pending) {
         if (pending.shard < from.calls.size() && !from.shardDone[pending.shard]) {
+            rememberPause(id, pending, now);
             onPendingShard(work, from.calls[pending.shard], pending, now);
         }
     }
@@ -155,6 +163,7 @@
     for (delegated_part &part : progress.parts) {
         shard_call &call = work.calls[from.calls[part.shard]];
         call.openDelegations -= markShardDone(from, part.shard) ? 1 : 0;
+        endPause(from, part.shard);
         if (alone && call.done) {
             return;
         }
--- a/programs/chivelockd/gateway/gateway_metrics.cpp
+++ b/programs/chivelockd/gateway/gateway_metrics.cpp
@@ -64,7 +64,17 @@
         {"chivelock_callers", "Open connections of callers.", number(m_callers->sessions()), {}},
         {"chivelock_exchanges", "Requests under way.", number(m_engine.openExchanges()), {}},
         {"chivelock_config_version", "Configuration in force.", number(version), {}},
+        {"chivelock_paused_leafs",
+         "Leafs that helpers reported as silent a short time ago.",
+         number(m_engine.pausedLeafs(m_clock.now())),
+         {}},
     };
+    for (const auto &[route, state] : m_engine.hedgeStates()) {
+        values.push_back({"chivelock_hedge_delay_milliseconds",
+                          "Time without an answer after which a second leaf is asked, by route.",
+                          state.delay.count(),
+                          route});
+    }
     m_traffic.write(values);
     return m_latencies.write(values);
 }
