--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -101,7 +101,9 @@
     made.calls = std::move(calls);
     made.startedAt = now;
     made.firstReportIn = action.work.firstReportIn;
-    made.firstReportTimeout = made.firstReportIn * reportTimeoutFactor + hopMargin * 2;
+    // A small VM may be some milliseconds late. With the learnt delay, all its shards would be hedged for that.
+    made.firstReportTimeout =
+        std::max(made.firstReportIn, work.latency->hedgeDelay()) * reportTimeoutFactor + hopMargin * 2;
     m_due.push({now + made.firstReportTimeout, due_kind::Delegation, action.id});
     work.delegations.push_back(action.id);
     work.sends += 1;
