--- a/libs/gateway/src/delegation_plan.cpp
+++ b/libs/gateway/src/delegation_plan.cpp
@@ -28,15 +28,19 @@
 gateway_engine::shard_zones gateway_engine::zonesOf(const exchange &work, const shard_call &call, millis now)
 {
     shard_zones zones;
+    std::set<zone_name> paused;
     for (const std::shared_ptr<leaf> &one : m_leafs.of(call.service)) {
         if (one->isLeaving() || !m_regions.allows(work.route->homeRegions, one->entry.zone)) {
             continue;
         }
         zones.all.insert(one->entry.zone);
         if (mayAsk(*one, now) && one->stalledSince() > now && admits(one->entry.zone, now)) {
-            zones.usable.insert(one->entry.zone);
+            (isAvoided(work, *one, now) ? paused : zones.usable).insert(one->entry.zone);
         }
     }
+    if (zones.usable.empty()) {
+        zones.usable = std::move(paused);
+    }
     return zones;
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -23,6 +23,12 @@
 /** Slowness above which a leaf is logged as slow, whether measured here or reported by another VM. */
 inline constexpr double slowLogThreshold = 2;
 
+inline constexpr double otherZoneShare = 0.3; ///< of the objective, see expectedCost
+inline constexpr double stallShare = 0.5; ///< of the objective: expected additional cost of a stalled leaf
+
+/** @return the cost in milliseconds of waiting for the rest of a pause; at most that of a stalled leaf. */
+[[nodiscard]] double pauseCost(const leaf &candidate, const route_latency &latency, millis now);
+
 /** @return @p value after exponential decay over @p age. */
 [[nodiscard]] inline double decayed(double value, millis age, millis halfLife)
 {
@@ -104,6 +110,9 @@
     const gateway_route *route = nullptr;
     std::optional<gateway_route> ownRoute; ///< built from delegated work; the delegating VM has the configured one
     route_latency *latency = nullptr;
+    millis hedgeDelay; ///< time without an answer after which a hedge is sent
+    std::string_view hedgeCause; ///< why then; a string constant
+    millis hedgeDecidedAt = millis::never();
     millis arrivedAt;
     millis networkTime; ///< part of the caller's timeout spent before and after this VM's processing
     millis limit; ///< latest time of the final answer
@@ -116,6 +125,7 @@
     bool leafsOutsideRegions = false; ///< leafs were skipped because they are outside the home regions of the route
     zone_name drainedZone; ///< see @ref answer_action::drainedZone
     millis firstReportDue = millis::never(); ///< latest time of the first report to the delegating VM
+    millis pendingReportDue = millis::never(); ///< when the silent shards are reported to the delegating VM
     bool firstReportSent = false; ///< a report was sent to the delegating VM
     bool pendingReported = false; ///< the pending shards were reported to the delegating VM
     std::vector<delegation_id> delegations;
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -98,7 +98,10 @@
     const millis took = now - ended.sentAt;
     const double ratio = took.count() / timeWithQueue(queueAtArrival(ended.queue, reply), of, *ended.latency).count();
     const bool wasSlow = of.slowness >= slowLogThreshold;
-    updateMeasuredSlowness(of, ratio, ended.sentAt, now);
+    updateMeasuredSlowness(of, ratio / of.speed.factor(), ended.sentAt, now);
+    if (m_settings.scheduling.hedging) {
+        of.speed.add(ratio);
+    }
     if (wasSlow != (of.slowness >= slowLogThreshold)) {
         logLeafHealth(wasSlow ? "leaf_as_usual" : "leaf_slow", "reply_time", of, took);
     }
@@ -119,6 +122,8 @@
 void gateway_engine::updateLeafOnReply(leaf &from, const send &ended, const gateway_reply &reply, millis now)
 {
     from.lastReplyAt = now;
+    from.pausedUntil = millis();
+    learnPauseLength(ended, now);
     if (from.downUntil > millis()) {
         logLeafHealth("leaf_answers_again", "reply", from, now - ended.sentAt);
     }
@@ -142,6 +147,7 @@
     const bool outOfTime = now >= ended.deadline && !reply.isSuccess();
     if (outOfTime && !reply.notRun) {
         updateSlowness(from, ended, reply, now);
+        ended.latency->times.add(now - ended.sentAt); // without the late answers, a pause would not be seen
         reportIfChanged(from, now);
     }
     if (outOfTime) {
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -34,6 +34,12 @@
  * leaf.
  */
 void gateway_engine::sendSecond(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
+{
+    work.delegatedSecondSends += sendApart(work, at, to, now) ? 1 : 0;
+}
+
+/** @return whether the send was delegated; otherwise this VM sends it. */
+bool gateway_engine::sendApart(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
     const auto parts = work.partsByZone.find(to->entry.zone);
     const bool apart = parts != work.partsByZone.end() && to->keptConnections == 0 && !work.isDelegated();
@@ -41,7 +47,7 @@
         apart ? secondHelperFor(work, to->entry.zone, at % parts->second, parts->second, now) : std::string();
     if (helper.empty()) {
         sendCall(work, at, to, now);
-        return;
+        return false;
     }
     shard_call &call = work.calls[at];
     call.openDelegations += 1;
@@ -49,8 +55,8 @@
     call.sends += 1;
     call.waiting = false;
     call.nextHedge = millis::never();
-    work.delegatedSecondSends += 1;
     work.secondSends[std::move(helper)].push_back(at);
+    return true;
 }
 
 /** Delegates the second sends of this step, in one message for each VM. */
@@ -67,6 +73,7 @@
 void gateway_engine::delegate(
     exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now)
 {
+    updateHedgeDelay(work, now);
     delegate_action action;
     action.id = m_nextId++;
     action.exchange = work.id;
@@ -77,8 +84,8 @@
     action.work.homeRegions = work.route->homeRegions;
     action.work.topRecords = work.route->topRecords;
     action.work.objective = work.route->objective;
-    action.work.firstReportIn = work.latency->hedgeDelay();
     action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
+    action.work.firstReportIn = firstReportDelay(work, action.work.cutoffIn);
     action.work.limitIn = std::max(work.limit - now - hopMargin, hopMargin);
     action.work.alone = second;
     for (const std::size_t at : calls) {
@@ -87,6 +94,7 @@
         for (const std::shared_ptr<leaf> &one : call.tried) {
             action.work.triedLeafs.push_back(one->entry.id);
         }
+        listAvoidedLeafs(work, call, action.work.triedLeafs, now);
     }
     delegation made;
     made.exchange = work.id;
@@ -95,7 +103,9 @@
     made.calls = std::move(calls);
     made.delegatedAt = now;
     made.firstReportIn = action.work.firstReportIn;
-    made.firstReportTimeout = action.work.firstReportIn * reportTimeoutFactor + hopMargin * 2;
+    // A small VM may be some milliseconds late. With the learnt delay, all its shards would be hedged for that.
+    made.reportExpectedIn = std::max(made.firstReportIn, work.latency->hedgeDelay());
+    made.firstReportTimeout = made.reportExpectedIn * reportTimeoutFactor + hopMargin * 2;
     m_due.push({now + made.firstReportTimeout, due_kind::Delegation, action.id});
     work.delegations.push_back(action.id);
     work.sends += 1;
@@ -109,6 +119,7 @@
     if (found == m_delegations.end()) {
         return;
     }
+    learnHelperHop(found->second, progress, now);
     if (!std::exchange(found->second.reportReceived, true)) {
         recordReportDelay(found->second, now);
     }
@@ -133,6 +144,7 @@
     }
     for (const pending_shard &pending : progress.pending) {
         if (pending.shard < from.calls.size() && !from.shardDone[pending.shard]) {
+            rememberPause(id, pending, now);
             onPendingShard(work, from.calls[pending.shard], pending, now);
         }
     }
@@ -157,6 +169,7 @@
     for (delegated_part &part : progress.parts) {
         shard_call &call = work.calls[from.calls[part.shard]];
         call.openDelegations -= markShardDone(from, part.shard) ? 1 : 0;
+        endPause(from, part.shard);
         if (alone && call.done) {
             return;
         }
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -7,6 +7,7 @@
  */
 
 #include <base/base.h>
+#include <hedging/hedging.h>
 
 #include <cstdint>
 #include <deque>
@@ -71,11 +72,13 @@
     /** @param took time from the send to the answer. @param worked the part of it outside the leaf's queue. */
     void add(millis took, millis worked);
 
-    /** @return time without an answer after which a hedge is sent to a second leaf. */
+    /** @return time without an answer after which a hedge is sent to a second leaf, as long as @ref times has too few
+     *  samples. */
     [[nodiscard]] millis hedgeDelay() const;
 
     quantile_tracker typical; ///< median time without the leaf's queue
     quantile_tracker slow; ///< high quantile of the time with the leaf's queue
+    response_times times; ///< time from the send to the answer
     millis objective;
 };
 
@@ -191,8 +194,10 @@
     millis restartSeenAt = millis() - millis::never(); ///< reports from before then concern the previous incarnation
     std::vector<open_send> open;
     millis lastReplyAt = millis() - millis::never();
-    double slowness = 1; ///< its processing time relative to the typical time of the route
+    double slowness = 1; ///< its processing time relative to the typical time of the route and its usual speed
     millis slownessAt; ///< when the slowness was last measured
+    leaf_speed speed; ///< its usual processing time relative to the typical one; the slowness is relative to this
+    millis pausedUntil = millis() - millis::never(); ///< it is assumed not to answer before
     double fleetSlowness = 1; ///< slowness as last reported to or by the other VMs
     millis fleetSlownessAt; ///< time of that value; it decays in all VMs alike
     bool reportedUnreachable = false; ///< reachability as last reported by this VM
