Library for memory and connections under pressure

Nothing accounts the memory of callers and leafs that read slowly, and a new connection is dropped once the fixed number of connections exists. libs/backpressure derives limits from memory and descriptors, counts bytes by account, and chooses the connection that is closed first.

--- /dev/null
+++ b/libs/backpressure/src/connection_table.cpp
@@ -0,0 +1,204 @@
+#include <backpressure/backpressure.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace chivelock {
+
+namespace {
+
+// Many round trips. A shorter silence says nothing about the caller, and its next request may be on its way.
+constexpr millis settledAfter(500);
+
+constexpr std::size_t shortShareDivisor = 8; // connections are short once less than this part of the limit is free
+constexpr std::size_t leastShareOfAddress = 8; // connections that any client address may open
+constexpr std::size_t refusalDivisor = 15; // connections that are refused at a time, as a part of the limit
+constexpr std::size_t leastRefusals = 16;
+
+constexpr double idleBytes = 1024; // weight of a connection that holds nothing
+
+bool isUnfinished(connection_use use)
+{
+    return use == connection_use::Answering || use == connection_use::Receiving || use == connection_use::Closing;
+}
+
+std::size_t maxRefusals(std::size_t limit)
+{
+    return std::max(leastRefusals, limit / refusalDivisor);
+}
+
+} // namespace
+
+std::string_view toString(closing_cause cause)
+{
+    switch (cause) {
+    case closing_cause::NotReading:
+        return "not_reading";
+    case closing_cause::Idle:
+        return "idle";
+    case closing_cause::AccountFull:
+        return "connection_memory";
+    case closing_cause::MemoryFull:
+        return "memory";
+    }
+    return "unknown";
+}
+
+void connection_table::setLimits(std::size_t connections, const byte_limits &bytes)
+{
+    m_limit = connections;
+    m_ledger.setLimits(bytes);
+}
+
+std::size_t connection_table::shareOfAddress() const
+{
+    return std::max(leastShareOfAddress, m_limit / std::max<std::size_t>(1, m_keptByAddress.size()));
+}
+
+std::size_t connection_table::keptFrom(const std::string &address) const
+{
+    const auto found = m_keptByAddress.find(address);
+    return found == m_keptByAddress.end() ? 0 : found->second;
+}
+
+/** How much a connection is in the way: the time without progress times the bytes that it holds. */
+double connection_table::weightOf(connection_id id, const connection &one, millis now) const
+{
+    return (now - one.progressAt).count() * (idleBytes + static_cast<double>(m_ledger.heldBy(id)));
+}
+
+connection_closing
+connection_table::closingOf(connection_id id, const connection &one, closing_cause cause, millis now) const
+{
+    return {id, cause, m_ledger.heldBy(id), now - one.progressAt};
+}
+
+/** Chooses among settled connections: unfinished ones first, then those of addresses above their share. */
+template<typename predicate>
+std::optional<connection_closing> connection_table::firstForNew(predicate isCandidate, millis now) const
+{
+    const std::size_t share = shareOfAddress();
+    std::optional<connection_closing> best;
+    std::tuple<bool, bool, double> bestOrder;
+    for (const auto &[id, one] : m_connections) {
+        if (one.refused || one.use == connection_use::Serving || now - one.progressAt < settledAfter
+            || !isCandidate(one)) {
+            continue;
+        }
+        const bool unfinished = isUnfinished(one.use);
+        const std::tuple order(unfinished, keptFrom(one.address) > share, weightOf(id, one, now));
+        if (!best || order > bestOrder) {
+            bestOrder = order;
+            best = closingOf(id, one, unfinished ? closing_cause::NotReading : closing_cause::Idle, now);
+        }
+    }
+    return best;
+}
+
+std::optional<connection_closing> connection_table::firstRefused(millis now) const
+{
+    const auto mayClose = [now](const auto &entry) {
+        return entry.second.refused && now - entry.second.progressAt >= settledAfter;
+    };
+    const auto found = std::ranges::find_if(m_connections, mayClose);
+    return found == m_connections.end()
+        ? std::nullopt
+        : std::optional(closingOf(found->first, found->second, closing_cause::NotReading, now));
+}
+
+admission connection_table::admit(std::string_view address, millis now) const
+{
+    const std::string from(address);
+    const bool isShort = kept() + m_limit / shortShareDivisor >= m_limit;
+    const bool isOverShare = isShort && keptFrom(from) >= shareOfAddress();
+    if (kept() < m_limit && !isOverShare) {
+        return {true, std::nullopt};
+    }
+    const auto isCandidate = [&](const connection &one) { return !isOverShare || one.address == from; };
+    if (const auto first = firstForNew(isCandidate, now)) {
+        return {true, first};
+    }
+    return {false, m_refused < maxRefusals(m_limit) ? std::nullopt : firstRefused(now)};
+}
+
+bool connection_table::isSaturated(millis now) const
+{
+    const auto isAny = [](const connection &) { return true; };
+    return kept() >= m_limit && m_refused >= maxRefusals(m_limit) && !firstRefused(now) && !firstForNew(isAny, now);
+}
+
+void connection_table::open(connection_id id, std::string address, bool refused, millis now)
+{
+    m_refused += refused ? 1 : 0;
+    if (!refused) {
+        m_keptByAddress[address] += 1;
+    }
+    m_connections[id] = {std::move(address), connection_use::Idle, now, refused};
+}
+
+void connection_table::keep(connection_id id)
+{
+    const auto found = m_connections.find(id);
+    if (found != m_connections.end() && found->second.refused) {
+        found->second.refused = false;
+        m_refused -= 1;
+        m_keptByAddress[found->second.address] += 1;
+    }
+}
+
+void connection_table::close(connection_id id)
+{
+    const auto found = m_connections.find(id);
+    if (found == m_connections.end()) {
+        return;
+    }
+    if (found->second.refused) {
+        m_refused -= 1;
+    } else if (const auto kept = m_keptByAddress.find(found->second.address); --kept->second == 0) {
+        m_keptByAddress.erase(kept);
+    }
+    m_connections.erase(found);
+    m_ledger.close(id);
+}
+
+void connection_table::update(connection_id id, connection_use use, std::size_t bytes, bool progressed, millis now)
+{
+    const auto found = m_connections.find(id);
+    if (found == m_connections.end()) {
+        return;
+    }
+    found->second.use = use;
+    found->second.progressAt = progressed ? now : found->second.progressAt;
+    if (m_ledger.heldBy(id) != bytes) {
+        m_ledger.close(id);
+        m_ledger.add(id, bytes);
+    }
+}
+
+std::optional<connection_closing> connection_table::nextOverLimit(millis now) const
+{
+    std::optional<connection_closing> best;
+    std::tuple<bool, double> bestOrder;
+    for (const auto &[id, one] : m_connections) {
+        const bool settled = now - one.progressAt >= settledAfter;
+        const bool isOver = settled && m_ledger.isAccountOverLimit(id);
+        const bool isCandidate = one.use != connection_use::Serving && m_ledger.heldBy(id) > 0;
+        if (!isCandidate || (!isOver && !m_ledger.isOverLimit())) {
+            continue;
+        }
+        const std::tuple order(settled, weightOf(id, one, now));
+        if (!best || order > bestOrder) {
+            bestOrder = order;
+            best = closingOf(id, one, isOver ? closing_cause::AccountFull : closing_cause::MemoryFull, now);
+        }
+    }
+    return best;
+}
+
+bool connection_table::isRefused(connection_id id) const
+{
+    const auto found = m_connections.find(id);
+    return found != m_connections.end() && found->second.refused;
+}
+
+} // namespace chivelock
