Callers and leafs are accounted, and connections give way under pressure

A new connection was dropped once 1,000 existed, whatever the others did, and the memory of callers and leafs that don't read was unbounded. caller_server now counts what it holds for each caller, replaces connections that don't read or are idle, and answers a request that it can't keep with 503 and Retry-After. leaf_pool bounds the request bytes under way to a leaf.

--- a/libs/backpressure/include/backpressure/backpressure.h
+++ b/libs/backpressure/include/backpressure/backpressure.h
@@ -178,14 +178,17 @@
     /** @param refused whether the connection is only kept until its refusal has been read. */
     void open(connection_id id, std::string address, bool refused, millis now);
 
-    /** Turns a refused connection into a kept one. */
-    void keep(connection_id id);
+    /** Turns a refused connection into a kept one, or the other way round. */
+    void setRefused(connection_id id, bool refused);
 
     void close(connection_id id);
 
     /** @param progressed whether the caller has read or sent something since the last call. */
     void update(connection_id id, connection_use use, std::size_t bytes, bool progressed, millis now);
 
+    /** @return the kept connection that a new one replaces first, if any. */
+    [[nodiscard]] std::optional<connection_closing> firstToReplace(millis now) const;
+
     /** @return the connection to close next for its memory, if any. */
     [[nodiscard]] std::optional<connection_closing> nextOverLimit(millis now) const;
 
@@ -219,6 +222,7 @@
         bool refused = false;
     };
 
+    void countOut(const std::string &address);
     [[nodiscard]] std::size_t shareOfAddress() const;
     [[nodiscard]] std::size_t keptFrom(const std::string &address) const;
     [[nodiscard]] double weightOf(connection_id id, const connection &one, millis now) const;
--- a/libs/backpressure/src/connection_table.cpp
+++ b/libs/backpressure/src/connection_table.cpp
@@ -121,10 +121,17 @@
     return {false, m_refused < maxRefusals(m_limit) ? std::nullopt : firstRefused(now)};
 }
 
+std::optional<connection_closing> connection_table::firstToReplace(millis now) const
+{
+    const auto isAny = [](const connection &) {
+        return true;
+    };
+    return firstForNew(isAny, now);
+}
+
 bool connection_table::isSaturated(millis now) const
 {
-    const auto isAny = [](const connection &) { return true; };
-    return kept() >= m_limit && m_refused >= maxRefusals(m_limit) && !firstRefused(now) && !firstForNew(isAny, now);
+    return kept() >= m_limit && m_refused >= maxRefusals(m_limit) && !firstRefused(now) && !firstToReplace(now);
 }
 
 void connection_table::open(connection_id id, std::string address, bool refused, millis now)
@@ -136,16 +143,29 @@
     m_connections[id] = {std::move(address), connection_use::Idle, now, refused};
 }
 
-void connection_table::keep(connection_id id)
+void connection_table::setRefused(connection_id id, bool refused)
 {
     const auto found = m_connections.find(id);
-    if (found != m_connections.end() && found->second.refused) {
-        found->second.refused = false;
+    if (found == m_connections.end() || found->second.refused == refused) {
+        return;
+    }
+    found->second.refused = refused;
+    if (refused) {
+        m_refused += 1;
+        countOut(found->second.address);
+    } else {
         m_refused -= 1;
         m_keptByAddress[found->second.address] += 1;
     }
 }
 
+void connection_table::countOut(const std::string &address)
+{
+    if (const auto kept = m_keptByAddress.find(address); --kept->second == 0) {
+        m_keptByAddress.erase(kept);
+    }
+}
+
 void connection_table::close(connection_id id)
 {
     const auto found = m_connections.find(id);
@@ -154,8 +174,8 @@
     }
     if (found->second.refused) {
         m_refused -= 1;
-    } else if (const auto kept = m_keptByAddress.find(found->second.address); --kept->second == 0) {
-        m_keptByAddress.erase(kept);
+    } else {
+        countOut(found->second.address);
     }
     m_connections.erase(found);
     m_ledger.close(id);
--- a/libs/backpressure/tests/test_backpressure.cpp
+++ b/libs/backpressure/tests/test_backpressure.cpp
@@ -244,7 +244,7 @@
     BOOST_TEST(table.isRefused(2));
     table.close(1);
     BOOST_TEST(table.admit("10.0.0.1", millis(100)).keep);
-    table.keep(2);
+    table.setRefused(2, false);
     BOOST_TEST(!table.isRefused(2));
     BOOST_TEST(table.kept() == 1U);
     table.close(2);
@@ -259,7 +259,7 @@
     table.use(1, connection_use::Answering, 2 * kilobyte, millis());
     table.close(1);
     table.update(1, connection_use::Answering, 4 * kilobyte, true, millis(100));
-    table.keep(1);
+    table.setRefused(1, false);
     table.close(1);
     BOOST_TEST(table.bytesHeld() == 0U);
     BOOST_TEST(table.kept() == 0U);
--- a/libs/gateway/include/gateway/gateway_actions.h
+++ b/libs/gateway/include/gateway/gateway_actions.h
@@ -50,6 +50,7 @@
 /** Why a send got no answer. */
 enum class send_failure : std::uint8_t {
     NotSent, ///< no byte reached the leaf: the request has not run
+    HeldBack, ///< not sent, because of the request bytes under way to the leaf; says nothing about its health
     Broken, ///< the connection closed or sent malformed data: the request may have run
     LeafCrashed, ///< the connection closed without an answer and the leaf refuses new ones: the request may have run
     TimedOut ///< no answer by the deadline: the request may have run
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -52,6 +52,8 @@
     switch (failure) {
     case send_failure::NotSent:
         return "not_sent";
+    case send_failure::HeldBack:
+        return "leaf_holds_too_much";
     case send_failure::Broken:
         return "connection_broken";
     case send_failure::LeafCrashed:
@@ -375,7 +377,10 @@
     if (!ended) {
         return;
     }
-    updateLeafOnFailure(*ended->to, failure, now);
+    const bool neverSent = failure == send_failure::NotSent || failure == send_failure::HeldBack;
+    if (failure != send_failure::HeldBack) {
+        updateLeafOnFailure(*ended->to, failure, now);
+    }
     // A leaving leaf closes its connections and stops as instructed; that is no crash.
     const bool leafCrashed = failure == send_failure::LeafCrashed && !ended->to->isLeaving();
     exchange *owner = ownerOf(*ended);
@@ -386,8 +391,8 @@
     exchange &work = *owner;
     shard_call &call = work.calls[ended->call];
     call.open -= 1;
-    call.mayHaveRun -= failure == send_failure::NotSent ? 1 : 0;
-    call.reachedLeaf = call.reachedLeaf || failure != send_failure::NotSent;
+    call.mayHaveRun -= neverSent ? 1 : 0;
+    call.reachedLeaf = call.reachedLeaf || !neverSent;
     call.leafCrashed = call.leafCrashed || leafCrashed;
     if (leafCrashed) {
         recordLeafCrash(work, ended->to->entry.id);
--- a/libs/settings/src/gateway_settings.cpp
+++ b/libs/settings/src/gateway_settings.cpp
@@ -145,7 +145,9 @@
         readIfPresent(limits, "drain_ms", settings.drainLimit);
         settings.grace = millisFromSeconds(limits.at("grace_s"));
         readIfPresent(limits, "leaf_heartbeat_ms", settings.leafHeartbeat);
-        readIfPresent(limits, "connections", settings.maxConnections);
+        if (limits.contains("connections")) {
+            settings.maxConnections = limits.at("connections").get<std::size_t>();
+        }
         readIfPresent(limits, "caller_round_trip_ms", settings.callerRoundTrip);
         if (limits.contains("quarantine_s")) {
             settings.quarantineHold = millisFromSeconds(limits.at("quarantine_s"));
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -1,16 +1,11 @@
 #include "caller_server.h"
 
 #include "addresses.h"
+#include "caller_session.h"
 
-#include <boost/asio/write.hpp>
-
-#include <array>
 #include <utility>
 #include <vector>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 namespace chivelock {
 
 namespace asio = boost::asio;
@@ -19,263 +14,27 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 16384; // holds a complete typical request; a long body takes few reads
-constexpr std::size_t maxPipelinedBytes = 65536; // buffered pipelined requests; the rest stays in the kernel
 constexpr millis sweepInterval(250); // idle connections are closed at most this late, never early
-constexpr millis lingerLimit(1000); // for the caller to read the last answer before the connection is closed
-constexpr millis writeLimit(10000); // a caller that takes longer to read its answer counts as disconnected
+constexpr millis acceptPause(20); // until the next attempt to accept; new connections wait in the backlog meanwhile
+constexpr std::size_t maxClosedForOne = 8; // connections that may turn out to have made progress when one is closed
 
-void removeBody(std::string &answer)
-{
-    constexpr std::string_view headEnd = "\r\n\r\n";
-    answer.resize(answer.find(headEnd) + headEnd.size());
-}
+// Retry-After of refusals. Each refused caller gets another step, so that they do not return at the same time.
+constexpr millis retryBase(100);
+constexpr millis retryStep(25);
+constexpr std::uint64_t retrySteps = 8;
 
 } // namespace
 
-/** One connection of a caller. */
-class caller_server::session : public std::enable_shared_from_this<session>
-{
-public:
-    session(caller_server &server, session_id id, tcp::socket socket)
-        : m_server(server)
-        , m_id(id)
-        , m_socket(std::move(socket))
-        , m_phaseStart(boot_clock().now())
-    {
-    }
-
-    void start()
-    {
-        error_code ignored; // without this option answers are only slower
-        m_socket.set_option(tcp::no_delay(true), ignored);
-        m_socket.non_blocking(true, ignored);
-        read();
-    }
-
-    void reply(std::string bytes, bool close)
-    {
-        if (m_phase != phase::Busy) {
-            return;
-        }
-        m_phase = phase::Writing;
-        m_phaseStart = boot_clock().now();
-        if (m_toHead) {
-            removeBody(bytes); // its caller would take a body for the start of the next answer
-        }
-        m_output = std::move(bytes.insert(0, std::exchange(m_unsentInterim, {})));
-        asio::async_write(
-            m_socket, asio::buffer(m_output), [self = shared_from_this(), close](const error_code &error, std::size_t) {
-                self->onWritten(error, close);
-            });
-    }
-
-    [[nodiscard]] std::optional<millis> roundTrip()
-    {
-        tcp_info info {};
-        socklen_t size = sizeof info;
-        if (getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_rtt == 0) {
-            return std::nullopt;
-        }
-        return millis::fromMicros(info.tcpi_rtt);
-    }
-
-    [[nodiscard]] std::uint64_t requests() const
-    {
-        return m_requests;
-    }
-
-    [[nodiscard]] std::string peerAddress() const
-    {
-        error_code error;
-        const tcp::endpoint peer = m_socket.remote_endpoint(error);
-        return error ? std::string() : peer.address().to_string();
-    }
-
-    void closeIfIdle()
-    {
-        if (m_phase == phase::Waiting && m_input.empty() && !m_reader.begun()) {
-            closeAndRemove();
-        }
-    }
-
-    void closeIfOverdue(millis now, const caller_limits &limits)
-    {
-        const bool hasPartialRequest = m_phase == phase::Waiting && (m_reader.begun() || !m_input.empty());
-        const bool idle = m_phase == phase::Waiting && !hasPartialRequest;
-        const millis age = now - m_phaseStart;
-        if (hasPartialRequest && age > limits.headTimeout) {
-            rejectInput(read_state::NeedMore);
-        } else if ((idle && age > limits.idleTimeout) || (m_phase == phase::Lingering && age > lingerLimit)
-                   || (m_phase == phase::Writing && age > writeLimit)) {
-            closeAndRemove();
-        }
-    }
-
-    void closeConnection()
-    {
-        m_phase = phase::Closed;
-        error_code ignored; // the socket is closed even if an error is reported
-        m_socket.close(ignored);
-    }
-
-private:
-    enum class phase : std::uint8_t {
-        Waiting, ///< for a request or the rest of one, or idle
-        Busy, ///< a request is being served
-        Writing,
-        Lingering, ///< the last answer was sent; waits for the caller to close
-        Closed
-    };
-
-    void read()
-    {
-        if (m_readPending || m_input.size() >= maxPipelinedBytes) {
-            return;
-        }
-        m_readPending = true;
-        m_socket.async_read_some(asio::buffer(m_readBuffer),
-                                 [self = shared_from_this()](const error_code &error, std::size_t count) {
-                                     self->m_readPending = false;
-                                     self->onRead(error, count);
-                                 });
-    }
-
-    void onRead(const error_code &error, std::size_t count)
-    {
-        // Bytes that arrived before the close may be delivered after it. A request among them would be sent to leafs
-        // but never answered, although the close tells its caller that the request was not read.
-        if (m_phase == phase::Closed) {
-            return;
-        }
-        if (error) {
-            onPeerClosed();
-            return;
-        }
-        if (m_phase != phase::Lingering) {
-            const bool first = m_phase == phase::Waiting && m_input.empty() && !m_reader.begun();
-            m_phaseStart = first ? boot_clock().now() : m_phaseStart;
-            m_input.append(m_readBuffer.data(), count);
-        }
-        if (m_phase == phase::Waiting) {
-            parse();
-        }
-        read();
-    }
-
-    void parse()
-    {
-        m_reader.setLimits(m_server.m_limits.headBytes, m_server.m_limits.bodyBytes);
-        read_state state = m_reader.feed(m_input);
-        if (state == read_state::HeadComplete) {
-            sendContinue();
-            state = m_reader.feed(m_input);
-        }
-        if (state == read_state::NeedMore || state == read_state::HeadComplete) {
-            return;
-        }
-        if (state != read_state::Complete) {
-            rejectInput(state);
-            return;
-        }
-        m_phase = phase::Busy;
-        m_requests += 1;
-        http_request request = m_reader.take();
-        m_keepAlive = request.keepAlive;
-        m_toHead = request.method == "HEAD";
-        m_server.m_listener.onRequest(m_id, std::move(request));
-    }
-
-    /**
-     * Sends as much of the interim response as the socket has room for; the rest precedes the answer. Waiting for a
-     * caller that does not read would delay all others.
-     */
-    void sendContinue()
-    {
-        if (!m_reader.expectsContinue()) {
-            return;
-        }
-        static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        error_code ignored; // a broken connection is detected by the next read
-        const std::size_t sent = m_socket.send(asio::buffer(interim), 0, ignored);
-        m_unsentInterim = interim.substr(sent);
-    }
-
-    void rejectInput(read_state state)
-    {
-        m_phase = phase::Busy;
-        m_toHead = false;
-        reply(m_server.m_writeReadError(state), true);
-    }
-
-    void onWritten(const error_code &error, bool close)
-    {
-        if (error) {
-            closeAndRemove();
-        }
-        if (m_phase == phase::Closed) {
-            return;
-        }
-        m_phaseStart = boot_clock().now();
-        if (close || !m_keepAlive) {
-            linger();
-            return;
-        }
-        m_phase = phase::Waiting;
-        if (!m_input.empty()) {
-            parse();
-        }
-        read();
-    }
-
-    /** Shuts down the sending side only: closing with unread input would reset the connection and lose the answer. */
-    void linger()
-    {
-        m_phase = phase::Lingering;
-        m_input.clear();
-        error_code ignored; // the peer may have closed the connection
-        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-        read();
-    }
-
-    void onPeerClosed()
-    {
-        const bool unanswered = m_phase == phase::Busy;
-        closeAndRemove();
-        if (unanswered) {
-            m_server.m_listener.onCallerLeft(m_id);
-        }
-    }
-
-    void closeAndRemove()
-    {
-        closeConnection();
-        m_server.m_sessions.erase(m_id);
-    }
-
-    caller_server &m_server;
-    session_id m_id;
-    tcp::socket m_socket;
-    request_reader m_reader;
-    std::array<char, readBytes> m_readBuffer {};
-    std::string m_input;
-    std::string m_output;
-    std::string_view m_unsentInterim; ///< of an interim response, for lack of room in the socket
-    phase m_phase = phase::Waiting;
-    std::uint64_t m_requests = 0; ///< read completely
-    bool m_readPending = false;
-    bool m_keepAlive = true;
-    bool m_toHead = false; ///< the current request is a HEAD request
-    millis m_phaseStart; ///< start of the phase, or arrival of the request's first byte
-};
-
-caller_server::caller_server(asio::io_context &reactor, request_listener &listener, read_error_writer writeReadError)
+caller_server::caller_server(asio::io_context &reactor, request_listener &listener, const server_answers &answers)
     : m_reactor(reactor)
     , m_listener(listener)
-    , m_writeReadError(writeReadError)
+    , m_answers(answers)
     , m_acceptor(reactor)
     , m_sweepTimer(reactor)
+    , m_acceptTimer(reactor)
 {
+    constexpr std::size_t fixedConnections = 1000;
+    m_table.setLimits(fixedConnections, {});
 }
 
 caller_server::~caller_server()
@@ -295,10 +54,15 @@
     return error;
 }
 
-void caller_server::setLimits(const caller_limits &limits, std::size_t maxSessions)
+void caller_server::setLimits(const caller_limits &limits)
 {
     m_limits = limits;
-    m_maxSessions = maxSessions;
+}
+
+void caller_server::setPressureLimits(std::size_t maxConnections, const byte_limits &bytes)
+{
+    m_table.setLimits(maxConnections, bytes);
+    m_limitsMemory = bytes.all > 0;
 }
 
 std::optional<millis> caller_server::roundTripTo(session_id id) const
@@ -321,20 +85,134 @@
 
 void caller_server::accept()
 {
+    if (m_table.isSaturated(boot_clock().now())) {
+        acceptLater();
+        return;
+    }
     m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
         if (!m_acceptor.is_open()) {
             return;
         }
-        if (!error && m_sessions.size() < m_maxSessions) {
-            const session_id id = m_nextId++;
-            const auto made = std::make_shared<session>(*this, id, std::move(socket));
-            m_sessions.emplace(id, made);
-            made->start();
+        if (error == asio::error::no_descriptors || error == asio::error::no_memory) {
+            if (const auto first = m_table.firstToReplace(boot_clock().now())) {
+                (void)closeForPressure(*first);
+            }
+            acceptLater();
+            return;
+        }
+        if (!error) {
+            open(std::move(socket));
         }
         accept();
     });
 }
 
+void caller_server::acceptLater()
+{
+    m_acceptTimer.expires_after(std::chrono::milliseconds(acceptPause.ceiled()));
+    m_acceptTimer.async_wait([this](const error_code &error) {
+        if (!error && m_acceptor.is_open()) {
+            accept();
+        }
+    });
+}
+
+void caller_server::open(tcp::socket socket)
+{
+    const std::string address = addressOfPeer(socket);
+    const bool refused = !makeRoom(address);
+    const session_id id = m_nextId++;
+    const auto made = std::make_shared<session>(*this, id, std::move(socket));
+    m_sessions.emplace(id, made);
+    m_table.open(id, address, refused, boot_clock().now());
+    if (m_limitsMemory) {
+        made->limitSendBuffer();
+    }
+    made->start();
+}
+
+/** @return whether a further connection from this client address can be kept. */
+bool caller_server::makeRoom(std::string_view address)
+{
+    for (std::size_t attempt = 0; attempt < maxClosedForOne; ++attempt) {
+        const admission decided = m_table.admit(address, boot_clock().now());
+        if (!decided.closeFirst) {
+            return decided.keep;
+        }
+        if (closeForPressure(*decided.closeFirst)) {
+            return decided.keep;
+        }
+    }
+    return false;
+}
+
+/** @return false if the connection has made progress that the table did not know; it stays open then. */
+bool caller_server::closeForPressure(const connection_closing &closing)
+{
+    const std::shared_ptr<session> one = m_sessions.at(closing.id);
+    if (one->sampleProgress()) {
+        return false;
+    }
+    const bool wasRefused = m_table.isRefused(closing.id);
+    const bool forMemory = closing.cause == closing_cause::AccountFull || closing.cause == closing_cause::MemoryFull;
+    m_counts.closedForMemory += forMemory ? 1 : 0;
+    m_counts.closedIdle += closing.cause == closing_cause::Idle ? 1 : 0;
+    m_counts.closedUnread += closing.cause == closing_cause::NotReading && !wasRefused ? 1 : 0;
+    logEvent(log_level::Info,
+             "caller_closed",
+             {{"cause", std::string(toString(closing.cause))},
+              {"caller", one->peerAddress()},
+              {"bytes", std::uint64_t {closing.bytes}},
+              {"silent_ms", closing.silence.ceiled()},
+              {"callers", std::uint64_t {m_table.kept()}},
+              {"limit", std::uint64_t {m_table.limit()}}});
+    one->closeForPressure();
+    return true;
+}
+
+/** @return whether the request that arrived on this connection may be served. */
+bool caller_server::mayServe(session_id id, std::string_view address)
+{
+    if (m_table.isMemoryFull()) {
+        enforceMemoryLimit(id);
+    }
+    if (m_table.isMemoryFull()) {
+        return false;
+    }
+    if (m_table.isRefused(id)) {
+        m_table.setRefused(id, !makeRoom(address));
+    }
+    return !m_table.isRefused(id);
+}
+
+std::string caller_server::writeRefusal(std::string_view cause, std::string_view address)
+{
+    const millis retryAfter = retryBase + retryStep * static_cast<double>(m_counts.refused % retrySteps);
+    m_counts.refused += 1;
+    logEvent(log_level::Info,
+             "caller_refused",
+             {{"cause", std::string(cause)},
+              {"caller", std::string(address)},
+              {"callers", std::uint64_t {m_table.kept()}},
+              {"limit", std::uint64_t {m_table.limit()}},
+              {"bytes", std::uint64_t {m_table.bytesHeld()}},
+              {"retry_after_ms", retryAfter.ceiled()}});
+    return m_answers.refusal(cause, retryAfter);
+}
+
+/** @param except a connection that is being processed and stays open. */
+void caller_server::enforceMemoryLimit(session_id except)
+{
+    constexpr std::size_t maxClosings =
+        64; // each takes a pass over all connections; the rest follows at the next sweep
+    for (std::size_t closed = 0; closed < maxClosings; ++closed) {
+        const auto next = m_table.nextOverLimit(boot_clock().now());
+        if (!next || next->id == except || !closeForPressure(*next)) {
+            return;
+        }
+    }
+}
+
 void caller_server::sweep()
 {
     m_sweepTimer.expires_after(std::chrono::milliseconds(sweepInterval.ceiled()));
@@ -349,7 +227,9 @@
         }
         for (const auto &one : all) {
             one->closeIfOverdue(now, m_limits);
+            one->sampleUnread();
         }
+        enforceMemoryLimit(noSession);
         sweep();
     });
 }
--- a/programs/chivelockd/gateway/caller_server.h
+++ b/programs/chivelockd/gateway/caller_server.h
@@ -6,6 +6,7 @@
  * work for a caller that has disconnected can be stopped.
  */
 
+#include <backpressure/backpressure.h>
 #include <gateway/gateway.h>
 #include <http1/http1.h>
 
@@ -13,6 +14,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,11 +43,28 @@
 /** Formats the error response to input that is not a valid request. */
 using read_error_writer = std::string (*)(read_state fault);
 
+/** Formats the answer to a request that is not read because of its connection: it has not run and never will. */
+using refusal_writer = std::string (*)(std::string_view cause, millis retryAfter);
+
+/** Formats the answers that the server gives by itself. */
+struct server_answers {
+    read_error_writer readError = nullptr;
+    refusal_writer refusal = nullptr;
+};
+
+/** Decisions under pressure since the start. */
+struct caller_pressure_counts {
+    std::uint64_t closedUnread = 0; ///< closed for a new connection; the caller left an answer unread
+    std::uint64_t closedIdle = 0; ///< closed for a new connection; no request was in progress
+    std::uint64_t closedForMemory = 0;
+    std::uint64_t refused = 0; ///< requests that were refused for lack of connections or memory
+};
+
 /** HTTP server for one listening address. */
 class caller_server
 {
 public:
-    caller_server(boost::asio::io_context &reactor, request_listener &listener, read_error_writer writeReadError);
+    caller_server(boost::asio::io_context &reactor, request_listener &listener, const server_answers &answers);
     caller_server(const caller_server &) = delete;
     caller_server &operator=(const caller_server &) = delete;
     ~caller_server();
@@ -53,7 +72,10 @@
     /** @return the error if the address cannot be used. */
     [[nodiscard]] boost::system::error_code listen(const std::string &address, std::uint16_t port);
 
-    void setLimits(const caller_limits &limits, std::size_t maxSessions);
+    void setLimits(const caller_limits &limits);
+
+    /** Limits for all connections together. */
+    void setPressureLimits(std::size_t maxConnections, const byte_limits &bytes);
 
     /** Sends @p bytes as the answer to the session's request. @param close whether the connection closes then. */
     void reply(session_id session, std::string bytes, bool close);
@@ -78,19 +100,49 @@
         return m_sessions.size();
     }
 
+    /** @return the bytes held for callers, including those that the kernel has not delivered yet. */
+    [[nodiscard]] std::size_t bytesHeld() const
+    {
+        return m_table.bytesHeld();
+    }
+
+    [[nodiscard]] std::size_t maxConnections() const
+    {
+        return m_table.limit();
+    }
+
+    [[nodiscard]] const caller_pressure_counts &pressureCounts() const
+    {
+        return m_counts;
+    }
+
 private:
     class session;
+    static constexpr session_id noSession = 0;
+    static constexpr std::size_t maxReadBytes = 16384; // holds a complete typical request; a long body takes few reads
 
     void accept();
+    void acceptLater();
+    void open(boost::asio::ip::tcp::socket socket);
+    [[nodiscard]] bool makeRoom(std::string_view address);
+    [[nodiscard]] bool closeForPressure(const connection_closing &closing);
+    [[nodiscard]] bool mayServe(session_id id, std::string_view address);
+    [[nodiscard]] std::string writeRefusal(std::string_view cause, std::string_view address);
     void sweep();
+    void enforceMemoryLimit(session_id except);
 
     boost::asio::io_context &m_reactor;
     request_listener &m_listener;
-    read_error_writer m_writeReadError;
+    server_answers m_answers;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
+    boost::asio::steady_timer m_acceptTimer;
     caller_limits m_limits;
-    std::size_t m_maxSessions = 1000;
+    connection_table m_table;
+    caller_pressure_counts m_counts;
+    bool m_limitsMemory = false; ///< the memory of the VM is known
+    /** Shared by all connections: a buffer for each would take up 16 KB even while the connection is idle. */
+    std::array<char, maxReadBytes> m_readBuffer {};
     session_id m_nextId = 1;
     std::unordered_map<session_id, std::shared_ptr<session>> m_sessions;
 };
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -24,6 +24,7 @@
 // Coarse enough to cost nothing, fine enough to show the traffic of a single incident.
 constexpr millis trafficLogInterval(10000);
 
+constexpr std::size_t fixedConnections = 1000; // of callers, if neither the settings nor the descriptors give a limit
 constexpr millis minProcessPause(300); // a busy VM never delays a timer this much
 constexpr millis longProcessPause(1000); // leafs may have closed idle connections meanwhile
 
@@ -86,8 +87,9 @@
 tl::expected<void, kernel_error> gateway_service::open()
 {
     m_pool = std::make_unique<leaf_pool>(m_reactor, *this);
-    m_callers = std::make_unique<caller_server>(m_reactor, *this, writeReadErrorAnswer);
-    m_callers->setLimits({}, m_settings.maxConnections);
+    m_callers =
+        std::make_unique<caller_server>(m_reactor, *this, server_answers {writeReadErrorAnswer, writeRefusalAnswer});
+    applyPressureLimits();
     m_pages = std::make_unique<status_pages>(m_reactor, *this);
     m_feed = std::make_unique<store_feed>(m_reactor, m_settings, m_traffic, *this);
     helper_settings helperLinkSettings {m_settings.peers.address, m_settings.helperPort, m_settings.zone};
@@ -354,6 +356,8 @@
         handleProcessPause(now);
     }
     m_engine.advance(now);
+    applyPressureLimits();
+    m_pool->closeUnread(now);
     flush();
     if (now >= m_nextTrafficLog) {
         m_nextTrafficLog = now + trafficLogInterval;
@@ -368,6 +372,16 @@
     });
 }
 
+/** Derives the limits anew, since the connections to leafs come and go. */
+void gateway_service::applyPressureLimits()
+{
+    const vm_resources vm {m_settings.memoryMegabytes, m_settings.maxDescriptors};
+    pressure_limits limits = limitsFor(vm, fixedConnections, m_pool->connections());
+    limits.callerConnections = std::min(limits.callerConnections, m_settings.maxConnections.value_or(SIZE_MAX));
+    m_callers->setPressureLimits(limits.callerConnections, limits.callers);
+    m_pool->setLimits(limits.leafs);
+}
+
 void gateway_service::handleProcessPause(millis now)
 {
     const millis gap = now - m_nextHousekeeping;
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -91,6 +91,7 @@
     void armDueTimer();
     void runHousekeeping();
     void handleProcessPause(millis now);
+    void applyPressureLimits();
     void applyLeafEvents(const std::vector<store_item> &items);
     bool applyLeafEvent(const store_item &item, bool shouldLog);
     void applyOperatorKeys(const std::vector<store_item> &items);
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -201,7 +201,7 @@
     const caller_limits limits = config->limits;
     const bool isInForce = m_engine.applyConfig(*std::move(config));
     if (isInForce) {
-        m_callers->setLimits(limits, m_settings.maxConnections);
+        m_callers->setLimits(limits);
     }
     logEvent(log_level::Info,
              isInForce ? "config_in_force" : "config_not_newer",
--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace chivelock {
 
@@ -48,11 +49,12 @@
         , m_socket(pool.m_reactor)
         , m_connectTimer(pool.m_reactor)
     {
+        m_pool.m_open += 1;
     }
 
     void open(leaf_message message)
     {
-        m_message = std::move(message);
+        hold(std::move(message));
         m_openedAt = boot_clock().now();
         const auto endpoint = parseEndpoint(m_message.to->entry.address);
         error_code error;
@@ -75,14 +77,17 @@
     void reuse(leaf_message message)
     {
         m_previousId = m_requestCount > 0 ? m_message.requestId : std::string();
-        m_message = std::move(message);
+        hold(std::move(message));
         write(millis());
     }
 
     /** Closes the connection without notifying the listener. */
     void close()
     {
-        m_closed = true;
+        if (!std::exchange(m_closed, true)) {
+            m_pool.m_open -= 1;
+            release();
+        }
         m_connectTimer.cancel();
         error_code ignored; // the socket is closed even if an error is reported
         m_socket.close(ignored);
@@ -102,6 +107,19 @@
         return isFresh && (!message.once || (idle < nonIdempotentIdleLimit && isOpenWithoutInput()));
     }
 
+    /** Whether the leaf has not read the request completely, although it may stop working on it. */
+    [[nodiscard]] bool isUnread(millis now) const
+    {
+        return m_busy && !m_written && !m_confirming && now >= m_writeEnd;
+    }
+
+    /** Gives up a request that the leaf does not read. It may have read a part, so it counts as sent. */
+    void giveUpUnread()
+    {
+        m_pool.m_counts.closedUnread += 1;
+        fail(send_failure::Broken);
+    }
+
     [[nodiscard]] bool hasCarried(std::string_view requestId) const
     {
         return m_carried.contains(requestId);
@@ -114,6 +132,22 @@
     }
 
 private:
+    void hold(leaf_message message)
+    {
+        m_message = std::move(message);
+        m_heldBytes = m_message.text->bytes();
+        m_pool.m_underWay.add(&peer(), m_heldBytes);
+    }
+
+    /** Ends the accounting of the current request. */
+    void release()
+    {
+        if (const std::size_t held = std::exchange(m_heldBytes, 0); held > 0) {
+            m_pool.m_underWay.remove(&peer(), held);
+        }
+        m_output = std::string(); // frees the memory: the connection may stay idle
+    }
+
     /** Whether the leaf has neither closed the connection nor sent anything, as far as the kernel knows now. */
     [[nodiscard]] bool isOpenWithoutInput()
     {
@@ -144,6 +178,7 @@
         m_written = false;
         m_strayCount = 0;
         m_reader.expect(m_message.toHead, maxAnswerBodyBytes);
+        m_writeEnd = boot_clock().now() + m_message.remaining - spent;
         m_output = platform::completeLeafRequest(*m_message.text, m_message.remaining - spent, m_message.to->entry.id);
         m_pool.m_counts.sent += 1;
         m_requestCount += 1;
@@ -266,6 +301,7 @@
 
     void keepIdle()
     {
+        release();
         m_busy = false;
         m_idleSince = boot_clock().now();
         m_pool.m_idle[&peer()].push_back(shared_from_this());
@@ -372,6 +408,8 @@
     std::array<char, readBytes> m_readBuffer {};
     std::string m_input;
     std::string m_output;
+    std::size_t m_heldBytes = 0; ///< of the current request, accounted to the leaf
+    millis m_writeEnd; ///< until when the leaf must have read the request
     millis m_openedAt;
     millis m_idleSince;
     millis m_idleLimit = defaultIdleLimit;
@@ -402,6 +440,10 @@
 void leaf_pool::send(leaf_message message)
 {
     const send_id id = message.id;
+    if (!m_underWay.hasRoom(message.to.get(), message.text->bytes())) {
+        holdBack(message);
+        return;
+    }
     if (const auto kept = takeIdle(message)) {
         m_busy.emplace(id, kept);
         kept->reuse(std::move(message));
@@ -413,6 +455,24 @@
     made->open(std::move(message));
 }
 
+/** Reports the failure later, as the engine expects it after its own step. */
+void leaf_pool::holdBack(const leaf_message &message)
+{
+    m_counts.heldBack += 1;
+    asio::post(m_reactor, [this, id = message.id] { m_listener.onLeafFailure(id, send_failure::HeldBack); });
+}
+
+void leaf_pool::closeUnread(millis now)
+{
+    connection_list unread;
+    for (const auto &[id, one] : m_busy) {
+        if (one->isUnread(now)) {
+            unread.push_back(one); // its failure removes it from the map
+        }
+    }
+    std::ranges::for_each(unread, [](const auto &one) { one->giveUpUnread(); });
+}
+
 std::shared_ptr<leaf_pool::connection> leaf_pool::takeIdle(const leaf_message &message)
 {
     const auto idle = m_idle.find(message.to.get());
@@ -427,7 +487,7 @@
 }
 
 /** Takes the most recently used connection that has not carried the request. */
-std::shared_ptr<leaf_pool::connection> leaf_pool::takeWithoutRequest(connections &idle, const leaf_message &message)
+std::shared_ptr<leaf_pool::connection> leaf_pool::takeWithoutRequest(connection_list &idle, const leaf_message &message)
 {
     const auto found = std::ranges::find_if(idle.rbegin(), idle.rend(), [&](const std::shared_ptr<connection> &one) {
         return !one->hasCarried(message.requestId);
@@ -465,7 +525,7 @@
     if (idle == m_idle.end()) {
         return;
     }
-    const connections closing = std::move(idle->second);
+    const connection_list closing = std::move(idle->second);
     m_idle.erase(idle);
     std::ranges::for_each(closing, [](const auto &one) { one->closeIdle(); });
 }
--- a/programs/chivelockd/gateway/leaf_pool.h
+++ b/programs/chivelockd/gateway/leaf_pool.h
@@ -6,6 +6,7 @@
  * cancelled.
  */
 
+#include <backpressure/backpressure.h>
 #include <gateway/gateway.h>
 #include <platform/platform.h>
 
@@ -71,6 +72,8 @@
     std::uint64_t opened = 0;
     std::uint64_t sent = 0;
     std::uint64_t strayAnswers = 0; ///< answers to another request than the current one
+    std::uint64_t heldBack = 0; ///< requests beyond what a leaf may hold
+    std::uint64_t closedUnread = 0; ///< connections closed because the leaf did not read the request
 };
 
 class leaf_pool
@@ -81,8 +84,18 @@
     leaf_pool &operator=(const leaf_pool &) = delete;
     ~leaf_pool();
 
+    /** Limits on the request bytes under way to each leaf, and to all of them. */
+    void setLimits(const byte_limits &limits)
+    {
+        m_underWay.setLimits(limits);
+    }
+
     void send(leaf_message message);
 
+    /** Closes the connections whose leafs have not read the request by the time at which they may stop working on it.
+     */
+    void closeUnread(millis now);
+
     /** Closes the connection of a send that is in progress, so that the leaf stops working on it. */
     void cancel(send_id id);
 
@@ -94,21 +107,35 @@
         return m_counts;
     }
 
+    [[nodiscard]] std::size_t bytesUnderWay() const
+    {
+        return m_underWay.total();
+    }
+
+    /** @return the number of open connections. */
+    [[nodiscard]] std::size_t connections() const
+    {
+        return m_open;
+    }
+
 private:
     class connection;
-    using connections = std::vector<std::shared_ptr<connection>>;
+    using connection_list = std::vector<std::shared_ptr<connection>>;
 
     [[nodiscard]] std::shared_ptr<connection> takeIdle(const leaf_message &message);
-    [[nodiscard]] std::shared_ptr<connection> takeWithoutRequest(connections &idle, const leaf_message &message);
+    [[nodiscard]] std::shared_ptr<connection> takeWithoutRequest(connection_list &idle, const leaf_message &message);
     void closeIdleOf(const leaf &target);
+    void holdBack(const leaf_message &message);
 
     boost::asio::io_context &m_reactor;
     send_listener &m_listener;
     leaf_pool_counts m_counts;
+    byte_ledger<const leaf *> m_underWay; ///< request bytes of sends without an outcome
+    std::size_t m_open = 0;
     /** Idle connections, the most recently used one last. The key is the leaf object, not the leaf's id: a leaf that
      *  restarts under the same id serves new connections only, and requests on connections to its previous process
      * would be lost. The connections keep the leaf of their entry alive. */
-    std::unordered_map<const leaf *, connections> m_idle;
+    std::unordered_map<const leaf *, connection_list> m_idle;
     std::unordered_map<send_id, std::shared_ptr<connection>> m_busy;
 };
 
--- a/programs/chivelockd/gateway/status_pages.cpp
+++ b/programs/chivelockd/gateway/status_pages.cpp
@@ -49,6 +49,12 @@
     }
 }
 
+std::string writeRefusalAnswer(std::string_view cause, millis retryAfter)
+{
+    constexpr unsigned unavailable = 503;
+    return platform::writeOwnAnswer(unavailable, cause, retryAfter, true);
+}
+
 void status_pages::page::onRequest(session_id session, http_request request)
 {
     server->reply(session, answer(request), false);
@@ -60,8 +66,8 @@
 }
 
 status_pages::status_pages(boost::asio::io_context &reactor, status_source &source)
-    : m_readinessServer(reactor, m_readinessPage, writeReadErrorAnswer)
-    , m_metricsServer(reactor, m_metricsPage, writeReadErrorAnswer)
+    : m_readinessServer(reactor, m_readinessPage, {writeReadErrorAnswer, writeRefusalAnswer})
+    , m_metricsServer(reactor, m_metricsPage, {writeReadErrorAnswer, writeRefusalAnswer})
 {
     m_readinessPage.server = &m_readinessServer;
     m_readinessPage.answer = [&source](const http_request &request) { return readinessAnswer(source, request); };
--- a/programs/chivelockd/gateway/status_pages.h
+++ b/programs/chivelockd/gateway/status_pages.h
@@ -26,6 +26,9 @@
 /** @return the error response to input that is not a valid request. */
 [[nodiscard]] std::string writeReadErrorAnswer(read_state fault);
 
+/** @return the 503 to a request that was not read for lack of connections or memory, so that it never runs. */
+[[nodiscard]] std::string writeRefusalAnswer(std::string_view cause, millis retryAfter);
+
 class status_pages
 {
 public:
--- a/programs/chivelockd/tests/test_caller_server.cpp
+++ b/programs/chivelockd/tests/test_caller_server.cpp
@@ -54,12 +54,18 @@
     return {};
 }
 
+std::string refusal(std::string_view cause, millis retryAfter)
+{
+    (void)retryAfter;
+    return "HTTP/1.1 503 " + std::string(cause) + "\r\n\r\n";
+}
+
 /** A server on a reactor thread of its own. */
 class running_server
 {
 public:
     running_server()
-        : m_server(m_reactor, m_listener, noReadError)
+        : m_server(m_reactor, m_listener, {noReadError, refusal})
         , m_port(freePort(m_reactor))
     {
         m_listener.server = &m_server;
