--- a/libs/backpressure/include/backpressure/backpressure.h
+++ b/libs/backpressure/include/backpressure/backpressure.h
@@ -189,8 +189,8 @@
     /** @return the kept connection that a new one replaces first, if any. */
     [[nodiscard]] std::optional<connection_closing> firstToReplace(millis now) const;
 
-    /** @return the connection to close next for its memory, if any. */
-    [[nodiscard]] std::optional<connection_closing> nextOverLimit(millis now) const;
+    /** @return the connection to close next for its memory, if any. @param except is not chosen. */
+    [[nodiscard]] std::optional<connection_closing> nextOverLimit(millis now, connection_id except = 0) const;
 
     [[nodiscard]] bool isRefused(connection_id id) const;
 
--- a/libs/backpressure/src/connection_table.cpp
+++ b/libs/backpressure/src/connection_table.cpp
@@ -123,9 +123,7 @@
 
 std::optional<connection_closing> connection_table::firstToReplace(millis now) const
 {
-    const auto isAny = [](const connection &) {
-        return true;
-    };
+    const auto isAny = [](const connection &) { return true; };
     return firstForNew(isAny, now);
 }
 
@@ -195,14 +193,14 @@
     }
 }
 
-std::optional<connection_closing> connection_table::nextOverLimit(millis now) const
+std::optional<connection_closing> connection_table::nextOverLimit(millis now, connection_id except) const
 {
     std::optional<connection_closing> best;
     std::tuple<bool, double> bestOrder;
     for (const auto &[id, one] : m_connections) {
         const bool settled = now - one.progressAt >= settledAfter;
         const bool isOver = settled && m_ledger.isAccountOverLimit(id);
-        const bool isCandidate = one.use != connection_use::Serving && m_ledger.heldBy(id) > 0;
+        const bool isCandidate = id != except && one.use != connection_use::Serving && m_ledger.heldBy(id) > 0;
         if (!isCandidate || (!isOver && !m_ledger.isOverLimit())) {
             continue;
         }
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -205,11 +205,12 @@
 {
     constexpr std::size_t maxClosings =
         64; // each takes a pass over all connections; the rest follows at the next sweep
-    for (std::size_t closed = 0; closed < maxClosings; ++closed) {
-        const auto next = m_table.nextOverLimit(boot_clock().now());
-        if (!next || next->id == except || !closeForPressure(*next)) {
+    for (std::size_t attempt = 0; attempt < maxClosings; ++attempt) {
+        const auto next = m_table.nextOverLimit(boot_clock().now(), except);
+        if (!next) {
             return;
         }
+        (void)closeForPressure(*next); // one that has made progress is now behind the others
     }
 }
 
