--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -227,8 +227,8 @@
             all.push_back(one); // closing a session removes it from the map
         }
         for (const auto &one : all) {
-            one->closeIfOverdue(now, m_limits);
             one->sampleUnread();
+            one->closeIfOverdue(now, m_limits);
         }
         enforceMemoryLimit(noSession);
         sweep();
--- a/programs/chivelockd/gateway/caller_session.h
+++ b/programs/chivelockd/gateway/caller_session.h
@@ -105,11 +105,12 @@
     {
         const std::size_t unread = m_unread ? bytesInKernel() : 0;
         const std::size_t received = m_written - std::min(m_written, unread);
-        const bool hasRead = received > m_received;
+        const bool hasProgressed = progressed || received > m_received;
+        m_progressAt = hasProgressed ? boot_clock().now() : m_progressAt;
         m_received = received;
         m_unread = unread > 0 || m_phase == phase::Writing;
         const std::size_t bytes = m_heldInput + m_output.size() + unread;
-        m_server.m_table.update(m_id, use(), bytes, progressed || hasRead, boot_clock().now());
+        m_server.m_table.update(m_id, use(), bytes, hasProgressed, boot_clock().now());
     }
 
     /** Updates the table. @return whether the caller has read or sent something since the last call. */
@@ -158,12 +159,14 @@
         const bool receiving = m_phase == phase::Waiting && hasPartialRequest();
         const bool idle = m_phase == phase::Waiting && !receiving;
         const millis age = now - m_phaseStart;
+        // The ledger bounds what callers that read slowly hold. Without it their time is bounded.
+        const millis writeAge = now - (m_server.m_limitsMemory ? m_progressAt : m_phaseStart);
         if (idle && age > refusalWait && m_server.m_table.isRefused(m_id)) {
             refuse("connections_full");
         } else if (receiving && age > limits.headTimeout) {
             rejectInput(read_state::NeedMore);
         } else if ((idle && age > limits.idleTimeout) || (m_phase == phase::Lingering && age > lingerLimit)
-                   || (m_phase == phase::Writing && age > writeLimit)) {
+                   || (m_phase == phase::Writing && writeAge > writeLimit)) {
             closeAndRemove();
         }
     }
@@ -177,7 +180,8 @@
 
 private:
     static constexpr std::size_t maxPipelinedBytes = 65536; // buffered pipelined requests; the rest stays in the kernel
-    static constexpr millis lingerLimit {1000}; // for the caller to read the last answer before the connection is closed
+    static constexpr millis lingerLimit {
+        1000}; // for the caller to read the last answer before the connection is closed
     static constexpr millis refusalWait {1000}; // for the request of a connection that can't be kept
     // Of the kernel for each caller, if the memory of the VM is known. It covers some 100 Mbit/s at a round trip of 10
     // ms.
@@ -406,6 +410,7 @@
     std::size_t m_writtenBefore = 0; ///< on this connection, before the current answer
     std::size_t m_written = 0; ///< on this connection
     std::size_t m_received = 0; ///< of the written bytes, those that the caller's host has acknowledged
+    millis m_progressAt; ///< last time that the caller sent or received something
     bool m_unread = false; ///< the caller may not have received all that was written
     std::string_view m_unsentInterim; ///< of an interim response, for lack of room in the socket
     phase m_phase = phase::Waiting;
