--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -95,6 +95,7 @@
     void handleProcessPause(millis now);
     [[nodiscard]] vm_load currentLoad(millis now) const;
     void recordLag(millis delay, millis now);
+    void applyPressureLimits();
     void applyLeafEvents(const std::vector<store_item> &items);
     bool applyLeafEvent(const store_item &item, bool shouldLog);
     void applyOperatorKeys(const std::vector<store_item> &items);
