Gateway engine: calls wait in order of urgency

A place at a leaf went to the waiting call that polled first, and any route could spend the whole retry budget. With routes of several ranks, a freed place now goes to the most urgent, oldest call of all exchanges, less urgent routes leave a share of the budget, and the rank goes with delegated work. The time that a request was queued counts against its deadline.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -13,6 +13,7 @@
 
 #include <base/base.h>
 #include <leafs/leafs.h>
+#include <priority/priority.h>
 #include <quarantine/quarantine.h>
 #include <routing/routing.h>
 #include <zones/zones.h>
@@ -42,6 +43,7 @@
     std::optional<millis> roundTrip {}; ///< measured round trip to the caller, if known
     request_fingerprint key {}; ///< equal for all attempts of the same request
     bool newConnection = false; ///< first request on its connection: the caller also waited for the handshake
+    millis waited {}; ///< time since the request was read; counts against its deadline
 };
 
 /** Decisions under load that operators can switch off. Each takes effect only where the data call for it. */
@@ -111,6 +113,28 @@
     /** Accepts a request. Its answer is emitted as an action, possibly by this call. */
     exchange_id arrive(const caller_request &request, millis now);
 
+    /** Whether routes of several ranks exist and the settings let the more urgent ones go first. */
+    [[nodiscard]] bool hasPriorities() const
+    {
+        return m_settings.scheduling.priorities && !m_scale.isUniform();
+    }
+
+    /** @return as @ref priority_scale::urgencyOf, in the configuration in force. */
+    [[nodiscard]] double urgencyOf(std::uint32_t rank) const
+    {
+        return hasPriorities() ? m_scale.urgencyOf(rank) : 1;
+    }
+
+    /** Counts of decisions by urgency since the start. */
+    struct priority_counts {
+        std::uint64_t placesGivenFirst = 0; ///< places at leafs given to a call although an older one waited
+        std::uint64_t budgetLeft = 0; ///< extra sends not made, because the rest of the budget is left to more urgent routes
+    };
+    [[nodiscard]] const priority_counts &priorityCounts() const
+    {
+        return m_priorityCounts;
+    }
+
     /** Accepts work that another VM delegates; its results are emitted as @ref progress_action. */
     exchange_id acceptDelegatedWork(std::string requestId, const delegated_work &work, millis now);
 
@@ -209,6 +233,12 @@
         bool late = false; ///< the first report is overdue; requests to second leafs are allowed
     };
 
+    /** Calls that wait for a leaf of one service. */
+    struct waiting_calls {
+        std::set<waiting_position> calls;
+        millis servedAt; ///< when the free places were last offered to all of them
+    };
+
     /** Calls of one exchange to delegate to one VM. */
     struct helper_group {
         std::string helper;
@@ -279,6 +309,17 @@
     void acceptPart(exchange &work, std::size_t call, gateway_reply reply, millis now);
     void sendDueHedges(exchange &work, millis now);
     void sendWaiting(exchange &work, millis now);
+    void sendWaitingCall(exchange &work, std::size_t call, millis now);
+    void rankRoutes();
+    [[nodiscard]] bool spendExtra(const exchange &work, const service_name &service, double reserve, millis now);
+    [[nodiscard]] bool hasFreePlace(const service_name &service, millis now) const;
+    void enlistWaiting(const exchange &work, std::size_t call);
+    void withdrawWaiting(const exchange &work);
+    [[nodiscard]] std::vector<waiting_position> callsToServe(const service_name &service, millis now);
+    void serveWaiting(const service_name &service, const exchange *current, millis now);
+    void pollWaiting(exchange &work, std::size_t call, millis now);
+    void serveCall(const waiting_position &next, const exchange *current, millis now);
+    void onPlaceFreed(const leaf &at, millis now);
     void advanceExchange(exchange &work, millis now);
     void finishGatherIfDone(exchange &work, millis now);
     void advanceDue(const due &next, millis now);
@@ -383,6 +424,10 @@
     std::priority_queue<due, std::vector<due>, std::greater<>> m_due;
     std::uint64_t m_nextId = 1;
     std::vector<gateway_action> m_actions;
+    priority_scale m_scale;
+    std::unordered_map<service_name, double> m_highestUrgency; ///< of the routes that use the service
+    std::unordered_map<service_name, waiting_calls> m_waitingCalls; ///< only if routes have priorities
+    priority_counts m_priorityCounts;
 };
 
 /** Size of a record; a shorter remainder at the end of a part is ignored. */
--- a/libs/gateway/src/accepted_work.cpp
+++ b/libs/gateway/src/accepted_work.cpp
@@ -16,6 +16,7 @@
     route.timeout = asked.limitIn;
     route.maxAttempts = 1;
     route.shards = asked.shards;
+    route.rank = asked.rank;
     route.topRecords = asked.topRecords;
     route.minCoverage = 0;
     work->id = m_nextId++;
@@ -28,7 +29,9 @@
     work->table = m_table;
     work->route = &*work->ownRoute;
     work->latency = &latencyOf(route);
+    work->urgency = urgencyOf(asked.rank);
     work->arrivedAt = now;
+    work->begunAt = now;
     work->cutoff = now + asked.cutoffIn;
     work->firstReportDue = now + asked.firstReportIn;
     work->limit = now + asked.limitIn;
@@ -37,7 +40,8 @@
     excludeTriedLeafs(*work, asked.triedLeafs);
     const bool quarantined = m_requests.quarantineStateOf(asked.key, now) == quarantine_state::Quarantined;
     // Without a table this VM has just started and knows no leafs; the delegating VM may not know of a quarantine yet.
-    if (!m_table || quarantined) {
+    const bool expired = asked.limitIn <= millis(); // it was queued here until its time limit
+    if (!m_table || quarantined || expired) {
         return refuseDelegated(*work, now);
     }
     const exchange_id id = work->id;
--- a/libs/gateway/src/canary_requests.cpp
+++ b/libs/gateway/src/canary_requests.cpp
@@ -89,7 +89,7 @@
     const bool mayRunCanary = state == quarantine_state::Clear || isCanaryAttempt(work);
     std::size_t asked = work.evidence->crashedLeafs.size();
     std::ranges::for_each(work.calls, [&](const shard_call &call) { asked += call.open + call.openDelegations; });
-    const bool early = now - work.arrivedAt < work.route->objective * secondCanaryShare;
+    const bool early = now - work.begunAt < work.route->objective * secondCanaryShare;
     return mayRunCanary && asked < (early ? 1 : work.canaryLimit);
 }
 
@@ -107,7 +107,7 @@
     }
     constexpr std::size_t fewShards = 2; // so few that all of their leafs may be paused
     const bool noShardAnswered = work.route->isGather() && work.calls.size() > fewShards && !work.evidence->survived;
-    const double allowedHedges = (now - work.arrivedAt).count() / work.latency->hedgeDelay().count();
+    const double allowedHedges = (now - work.begunAt).count() / work.latency->hedgeDelay().count();
     return !noShardAnswered || call.helperLate || work.hedges < allowedHedges;
 }
 
@@ -226,7 +226,7 @@
         return;
     }
     work.evidence->survived = true;
-    const bool hedgesWaited = now - work.arrivedAt >= work.latency->hedgeDelay();
+    const bool hedgesWaited = now - work.begunAt >= work.latency->hedgeDelay();
     for (shard_call &call : work.calls) {
         const bool hedgePending = call.nextHedge < millis::never();
         call.nextHedge = hedgesWaited && hedgePending ? std::min(call.nextHedge, now) : call.nextHedge;
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -112,6 +112,7 @@
         return false;
     }
     m_table = std::make_shared<const route_table>(std::move(config));
+    rankRoutes();
     return true;
 }
 
@@ -138,14 +139,20 @@
     work->table = m_table;
     work->route = route;
     work->latency = &latencyOf(*route);
-    work->arrivedAt = now;
+    work->urgency = urgencyOf(route->rank);
+    work->arrivedAt = now - request.waited;
+    work->begunAt = now;
     work->networkTime = estimateNetworkTime(request);
     const millis callerTimeout =
         request.callerTimeout ? timeoutAfterNetwork(*request.callerTimeout, work->networkTime) : route->timeout;
-    work->limit = now + std::min(callerTimeout, route->timeout);
+    work->limit = work->arrivedAt + std::min(callerTimeout, route->timeout);
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
     beginCanary(kept, now);
-    begin(kept, now);
+    if (now < kept.limit) {
+        begin(kept, now);
+    } else {
+        answerUnserved(kept, "queued_too_long", false, now);
+    }
     if (kept.ended) {
         erase(id);
     }
@@ -190,7 +197,7 @@
 void gateway_engine::beginGather(exchange &work, millis now)
 {
     const millis inTime = std::max(work.route->objective - work.networkTime, work.route->objective * minObjectiveShare);
-    work.cutoff = now + inTime;
+    work.cutoff = work.arrivedAt + inTime;
     addCalls(work, work.route->shards);
     bool overloaded = false;
     for (shard_call &call : work.calls) {
@@ -334,6 +341,7 @@
         return;
     }
     updateLeafOnReply(*ended->to, *ended, reply, now);
+    onPlaceFreed(*ended->to, now);
     constexpr unsigned gatewayTimeout = 504; // with more time the request might still have crashed the leaf
     const bool survived = !reply.notRun && !reply.wrongInstance && reply.status != gatewayTimeout;
     exchange *owner = ownerOf(*ended);
@@ -376,6 +384,7 @@
         return;
     }
     updateLeafOnFailure(*ended->to, failure, now);
+    onPlaceFreed(*ended->to, now);
     // A leaving leaf closes its connections and stops as instructed; that is no crash.
     const bool leafCrashed = failure == send_failure::LeafCrashed && !ended->to->isLeaving();
     exchange *owner = ownerOf(*ended);
@@ -455,6 +464,7 @@
     cancelDelegations(ended, false);
     endCanary(ended);
     logAskedLeafs(ended);
+    withdrawWaiting(ended);
     m_exchanges.erase(id);
 }
 
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -174,6 +174,7 @@
     cancelDelegations(*found->second, true);
     logEvent(*found->second, "caller_left", "closed", nullptr, {}, now - found->second->arrivedAt, now);
     logAskedLeafs(*found->second);
+    withdrawWaiting(*found->second);
     m_exchanges.erase(found);
 }
 
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -29,7 +29,7 @@
         call.waiting = true; // already late: uses only capacity not needed by requests that can still be in time
         return;
     }
-    if (!chosen.to || !trySpendBudget(call.service, 0, now)) {
+    if (!chosen.to || !spendExtra(work, call.service, 0, now)) {
         failCall(work, at, chosen.to ? "retry_budget" : cause, now);
         return;
     }
@@ -77,7 +77,7 @@
             continue;
         }
         const choice chosen = mayHedge(work, call, now) ? chooseLeaf(work, call, true, now) : choice();
-        if (!chosen.to || !trySpendBudget(call.service, hedgeReserve, now)) {
+        if (!chosen.to || !spendExtra(work, call.service, hedgeReserve, now)) {
             call.nextHedge = now + hedgePollInterval;
             continue;
         }
@@ -90,25 +90,34 @@
 void gateway_engine::sendWaiting(exchange &work, millis now)
 {
     for (std::size_t at = 0; at < work.calls.size() && !work.ended; ++at) {
-        shard_call &call = work.calls[at];
-        if (!call.waiting || call.done || call.missing || !maySendMore(work, now)) {
-            continue;
-        }
-        const choice chosen = chooseLeaf(work, call, false, now);
-        const bool again = call.sends > 0;
-        if (chosen.to && again && !trySpendBudget(call.service, 0, now)) {
-            call.waiting = false;
-            failCall(work, at, "retry_budget", now);
-        } else if (chosen.to && again) {
-            resend(work, at, "free_slot", chosen.to, now);
-        } else if (chosen.to) {
-            sendCall(work, at, chosen.to, now);
-        } else if (!chosen.full) {
-            call.waiting = false;
-            recordDrainedZone(work, chosen);
-            failCall(work, at, chosen.reason(), now);
+        if (!hasPriorities()) {
+            sendWaitingCall(work, at, now);
+        } else if (work.calls[at].waiting) {
+            pollWaiting(work, at, now);
         }
     }
 }
 
+void gateway_engine::sendWaitingCall(exchange &work, std::size_t at, millis now)
+{
+    shard_call &call = work.calls[at];
+    if (work.ended || !call.waiting || call.done || call.missing || !maySendMore(work, now)) {
+        return;
+    }
+    const choice chosen = chooseLeaf(work, call, false, now);
+    const bool again = call.sends > 0;
+    if (chosen.to && again && !spendExtra(work, call.service, 0, now)) {
+        call.waiting = false;
+        failCall(work, at, "retry_budget", now);
+    } else if (chosen.to && again) {
+        resend(work, at, "free_slot", chosen.to, now);
+    } else if (chosen.to) {
+        sendCall(work, at, chosen.to, now);
+    } else if (!chosen.full) {
+        call.waiting = false;
+        recordDrainedZone(work, chosen);
+        failCall(work, at, chosen.reason(), now);
+    }
+}
+
 } // namespace chivelock
--- a/libs/gateway/src/engine_schedule.cpp
+++ b/libs/gateway/src/engine_schedule.cpp
@@ -75,10 +75,14 @@
     if (!work.pendingReported && work.firstReportDue > now) {
         next = std::min(next, work.firstReportDue);
     }
-    for (const shard_call &call : work.calls) {
+    for (std::size_t at = 0; at < work.calls.size(); ++at) {
+        const shard_call &call = work.calls[at];
         if (call.done || call.missing || call.held) {
             continue;
         }
+        if (call.waiting) {
+            enlistWaiting(work, at);
+        }
         next = std::min(next, call.waiting ? now + waitingPollInterval : call.nextHedge);
     }
     if (work.canaryLimit > 0) {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -104,7 +104,9 @@
     const gateway_route *route = nullptr;
     std::optional<gateway_route> ownRoute; ///< built from delegated work; the delegating VM has the configured one
     route_latency *latency = nullptr;
-    millis arrivedAt;
+    double urgency = 1; ///< see @ref priority_scale; as when the request began
+    millis arrivedAt; ///< when it was read
+    millis begunAt; ///< when its processing began
     millis networkTime; ///< part of the caller's timeout spent before and after this VM's processing
     millis limit; ///< latest time of the final answer
     millis cutoff = millis::never(); ///< from then on a partial answer is given
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -74,6 +74,7 @@
     action.work.key = work.key;
     action.work.attempt = work.evidence->attempt;
     action.work.topRecords = work.route->topRecords;
+    action.work.rank = work.route->rank;
     action.work.objective = work.route->objective;
     action.work.firstReportIn = work.latency->hedgeDelay();
     action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
