Gateway: work that was read waits in a queue ordered by urgency

With routes of several ranks, the requests of callers and the work of other VMs now wait in the run queue, and the reactor begins one item between two polls of its sockets. The wait counts against the deadline and is logged as queued_us; callers that leave are removed from the queue.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -128,7 +128,8 @@
     /** Counts of decisions by urgency since the start. */
     struct priority_counts {
         std::uint64_t placesGivenFirst = 0; ///< places at leafs given to a call although an older one waited
-        std::uint64_t budgetLeft = 0; ///< extra sends not made, because the rest of the budget is left to more urgent routes
+        std::uint64_t budgetLeft =
+            0; ///< extra sends not made, because the rest of the budget is left to more urgent routes
     };
     [[nodiscard]] const priority_counts &priorityCounts() const
     {
--- a/programs/chivelockd/gateway/gateway_delegation.cpp
+++ b/programs/chivelockd/gateway/gateway_delegation.cpp
@@ -65,26 +65,22 @@
 
 void gateway_service::onDelegatedRequest(link_id from, delegate_request request)
 {
-    const millis now = m_clock.now();
-    if (m_delegatedExchanges.contains({from, request.id})) {
+    const delegation_key delegator(from, request.id);
+    if (m_delegatedExchanges.contains(delegator) || isQueued(delegator)) {
         logEvent(
             log_level::Warning, "work_asked_twice", {{"id", request.requestId}, {"outcome", std::string("ignored")}});
         return;
     }
     m_counts.delegationsAccepted += 1;
-    const exchange_id id = m_engine.acceptDelegatedWork(request.requestId, request.work, now);
-    pending_request &added = m_pendingRequests[id];
-    added.delegator = delegation_key(from, request.id);
-    added.requestId = std::move(request.requestId);
-    added.toHead = request.toHead;
-    added.text = std::make_shared<platform::leaf_request_text>(
-        platform::leaf_request_text {std::move(request.beforeTime), std::move(request.afterTime)});
-    m_delegatedExchanges[*added.delegator] = id;
-    flush();
+    const queue_terms terms = termsOf(request.work.rank, request.work.objective);
+    enqueue(queued_delegation {delegator, std::move(request)}, terms);
 }
 
 void gateway_service::onDelegatedCancel(link_id from, const delegate_cancel &cancel)
 {
+    if (dropQueued(delegation_key(from, cancel.id))) {
+        return;
+    }
     const auto found = m_delegatedExchanges.find({from, cancel.id});
     if (found == m_delegatedExchanges.end()) {
         return;
@@ -105,6 +101,10 @@
 
 void gateway_service::onDelegatorLost(link_id from)
 {
+    m_runQueue.removeIf([from](const queued_work &one) {
+        const auto *work = std::get_if<queued_delegation>(&one);
+        return work != nullptr && work->delegator.first == from;
+    });
     std::vector<delegation_id> lost;
     for (const auto &[work, exchange] : m_delegatedExchanges) {
         if (work.first == from) {
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -27,14 +27,6 @@
 constexpr millis minProcessPause(300); // a busy VM never delays a timer this much
 constexpr millis longProcessPause(1000); // leafs may have closed idle connections meanwhile
 
-/** @return the header values by which an HTTP client identifies itself. */
-std::string credentialsFrom(const http_headers &headers)
-{
-    std::string credentials(findHeader(headers, "Authorization"));
-    credentials.push_back('\n'); // separator: never occurs in a header value
-    return credentials.append(findHeader(headers, "Cookie"));
-}
-
 } // namespace
 
 gateway_service::gateway_service(gateway_daemon_settings settings)
@@ -124,7 +116,6 @@
 
 void gateway_service::onRequest(session_id session, http_request request)
 {
-    const millis now = m_clock.now();
     m_counts.requests += 1;
     platform::caller_marks marks = platform::readCallerMarks(request.headers);
     if (marks.requestId.empty()) {
@@ -133,27 +124,20 @@
             session, platform::writeOwnAnswer(badRequest, "no_request_id", std::nullopt, m_stopping), m_stopping);
         return;
     }
-    caller_request engineRequest;
-    engineRequest.id = marks.requestId;
-    engineRequest.host = findHeader(request.headers, "Host");
-    engineRequest.target = request.target;
-    engineRequest.callerTimeout = marks.patience;
-    engineRequest.roundTrip = m_callers->roundTripTo(session);
-    engineRequest.newConnection = m_callers->isFirstRequest(session);
-    const std::string caller = credentialsFrom(request.headers);
-    engineRequest.key = fingerprintOf({caller, engineRequest.host, request.method, request.target, request.body});
-    const exchange_id id = m_engine.arrive(engineRequest, now);
-    pending_request &added = m_pendingRequests[id];
-    added.session = session;
-    added.requestId = std::move(marks.requestId);
-    added.toHead = request.method == "HEAD";
-    added.text = std::make_shared<platform::leaf_request_text>(platform::writeLeafRequest(request));
-    m_exchangeBySession[session] = id;
-    flush();
+    const route_table *table = m_engine.config();
+    const gateway_route *route =
+        table == nullptr ? nullptr : table->find(findHeader(request.headers, "Host"), request.target);
+    // A request without a route is answered at once, which costs no more than to queue it.
+    const queue_terms terms = route == nullptr ? termsOf(0, millis()) : termsOf(route->rank, route->objective);
+    enqueue(queued_request {session, std::move(request), std::move(marks)}, terms);
 }
 
 void gateway_service::onCallerLeft(session_id session)
 {
+    if (dropQueued(session)) {
+        m_counts.disconnectedCallers += 1;
+        return;
+    }
     const auto found = m_exchangeBySession.find(session);
     if (found == m_exchangeBySession.end()) {
         return;
@@ -244,6 +228,7 @@
         return;
     }
     const session_id session = found->second.session;
+    const millis queuedFor = found->second.queuedFor;
     m_pendingRequests.erase(found);
     m_exchangeBySession.erase(session);
     m_callers->reply(session, platform::writeCallerAnswer(action, m_stopping), m_stopping);
@@ -273,6 +258,7 @@
               {"retries", std::uint64_t {action.retries}},
               {"second_handed", std::uint64_t {action.delegatedSecondSends}},
               {"elapsed_ms", action.elapsed.ceiled()},
+              {"queued_us", queuedFor.micros()},
               {"ways_us", action.networkTime.micros()},
               {"retry_after_ms", action.retryAfter.ceiled()}});
 }
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -10,12 +10,14 @@
 #include "helper_links.h"
 #include "leaf_pool.h"
 #include "peer_traffic.h"
+#include "queued_work.h"
 #include "status_pages.h"
 #include "store_feed.h"
 
 #include <gateway/gateway.h>
 #include <kernel/kernel.h>
 #include <metrics/metrics.h>
+#include <priority/priority.h>
 #include <settings/settings.h>
 
 #include <map>
@@ -77,6 +79,16 @@
     void onDelegatedCancel(link_id from, const delegate_cancel &cancel) override;
     void onDelegatorLost(link_id from) override;
 
+    void enqueue(queued_work work, const queue_terms &terms);
+    void postBeginning();
+    void beginNext();
+    void begin(queued_request queued, millis waited);
+    void begin(queued_delegation queued, millis waited);
+    [[nodiscard]] queue_terms termsOf(std::uint32_t rank, millis objective) const;
+    [[nodiscard]] bool dropQueued(session_id session);
+    [[nodiscard]] bool dropQueued(const delegation_key &delegator);
+    [[nodiscard]] bool isQueued(const delegation_key &delegator) const;
+
     [[nodiscard]] tl::expected<void, kernel_error> open();
     void flush();
     void perform(send_action action);
@@ -120,6 +132,8 @@
     std::unordered_map<exchange_id, pending_request> m_pendingRequests;
     std::unordered_map<session_id, exchange_id> m_exchangeBySession;
     std::map<delegation_key, exchange_id> m_delegatedExchanges; ///< for work that other VMs delegated
+    run_queue<queued_work> m_runQueue; ///< used only if routes have priorities
+    bool m_beginningPosted = false; ///< the reactor will begin the next item of the queue
     bool m_leafsReceived = false;
     bool m_stopping = false;
     bool m_closing = false;
@@ -141,6 +155,7 @@
         std::uint64_t processPauses = 0;
         std::uint64_t delegationsSent = 0;
         std::uint64_t delegationsAccepted = 0;
+        millis queueTime; ///< sum over all work that was queued
     } m_counts;
     std::thread m_thread;
 };
--- a/programs/chivelockd/gateway/gateway_stop.cpp
+++ b/programs/chivelockd/gateway/gateway_stop.cpp
@@ -78,7 +78,8 @@
         logPeerTraffic();
         logEvent(log_level::Info,
                  "stopped",
-                 {{"spent_ms", spent.ceiled()}, {"unanswered", std::uint64_t {m_pendingRequests.size()}}});
+                 {{"spent_ms", spent.ceiled()},
+                  {"unanswered", std::uint64_t {m_pendingRequests.size() + m_runQueue.size()}}});
         const std::uint64_t one = 1;
         (void)!write(m_finishedFd, &one, sizeof one);
         return;
--- a/programs/chivelockd/gateway/pending_request.h
+++ b/programs/chivelockd/gateway/pending_request.h
@@ -13,6 +13,7 @@
     std::string requestId;
     std::shared_ptr<const platform::leaf_request_text> text;
     bool toHead = false;
+    millis queuedFor {}; ///< time between the read and the beginning of its processing
 };
 
 } // namespace chivelock
