--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -113,7 +113,9 @@
     millis hedgeDelay; ///< time without an answer after which a hedge is sent
     std::string_view hedgeCause; ///< why then; a string constant
     millis hedgeDecidedAt = millis::never();
-    millis arrivedAt;
+    double urgency = 1; ///< see @ref priority_scale; as when the request began
+    millis arrivedAt; ///< when it was read
+    millis begunAt; ///< when its processing began
     millis networkTime; ///< part of the caller's timeout spent before and after this VM's processing
     millis limit; ///< latest time of the final answer
     millis cutoff = millis::never(); ///< from then on a partial answer is given
--- a/libs/gateway/src/hedge_delays.cpp
+++ b/libs/gateway/src/hedge_delays.cpp
@@ -14,20 +14,6 @@
 
 } // namespace
 
-/** @return from 0 for the routes with the lowest priority to 1; 1 if all routes have the same one. */
-double gateway_engine::urgencyOf(unsigned rank) const
-{
-    std::set<unsigned> ranks;
-    if (m_table) {
-        std::ranges::for_each(m_table->config().routes, [&](const gateway_route &one) { ranks.insert(one.rank); });
-    }
-    if (ranks.size() < 2) {
-        return 1;
-    }
-    const auto lessUrgent = static_cast<double>(std::distance(ranks.upper_bound(rank), ranks.end()));
-    return lessUrgent / static_cast<double>(ranks.size() - 1);
-}
-
 /**
  * @param timeLeft until the second answer must be here. @param hop additional time of the second leaf.
  * @return nothing if the usual delay applies: the operator switched this off, or there are too few samples.
@@ -37,7 +23,7 @@
     if (!m_settings.scheduling.hedging) {
         return std::nullopt;
     }
-    const double share = hedgeShare(m_settings.retryRatio, urgencyOf(work.route->rank));
+    const double share = hedgeShare(m_settings.retryRatio, work.urgency);
     return hedge_timing(work.latency->times).decide({timeLeft, hop, share});
 }
 
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -83,6 +83,7 @@
     action.work.attempt = work.evidence->attempt;
     action.work.homeRegions = work.route->homeRegions;
     action.work.topRecords = work.route->topRecords;
+    action.work.rank = work.route->rank;
     action.work.objective = work.route->objective;
     action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
     action.work.firstReportIn = firstReportDelay(work, action.work.cutoffIn);
