The slowness of a leaf returns to its usual speed

The slowness was made relative to the usual speed that each VM learns, but VMs report it to each other. A VM that had learnt a slow leaf's speed reported too low a slowness, and test_leaf_reports failed: another VM sent the leaf a request. The slowness is relative to the typical time of the route again, and decays towards the usual speed of the leaf instead of 1. The part of a response time that the leaf explains by its host is no usual speed.

test_leaf_reports passes; the slower leaf still gets 10 instead of 85 of 200 requests in test_uneven_leafs.

--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -35,10 +35,12 @@
     return value * std::exp2(-std::max(age.count(), 0.0) / halfLife.count());
 }
 
-/** @return the leaf's response time relative to the typical one, decayed since the last measurement. */
+/** @return the leaf's response time relative to the typical one. Since the last measurement it approaches the leaf's
+ *  usual speed. */
 [[nodiscard]] inline double currentSlowness(const leaf &candidate, millis now)
 {
-    return 1 + decayed(candidate.slowness - 1, now - candidate.slownessAt, slownessHalfLife);
+    const double usual = candidate.speed.factor();
+    return usual + decayed(candidate.slowness - usual, now - candidate.slownessAt, slownessHalfLife);
 }
 
 /** @return the wait in the leaf's queue in units of one request's service time, with @p requestsAtLeaf at the leaf. */
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -24,7 +24,7 @@
 millis expectedTime(const leaf &candidate, const route_latency &latency, millis now)
 {
     return timeWithQueue(leafQueuePerSlot(candidate, latency, now), candidate, latency)
-        * currentSlowness(candidate, now) * candidate.speed.factor();
+        * currentSlowness(candidate, now);
 }
 
 /** @return requests per second that the leaf can handle from the whole fleet while it is cold; 0 for no limit. */
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -46,7 +46,7 @@
 void updateMeasuredSlowness(leaf &from, double ratio, millis sentAt, millis now)
 {
     if (from.loadAt == now && explainsResponseTime(from.load, ratio)) {
-        from.slowness = std::clamp(*from.load.hostSlowdown, minSlowness, maxSlowness);
+        from.slowness = std::clamp(*from.load.hostSlowdown * from.speed.factor(), minSlowness, maxSlowness);
         from.slownessAt = now;
         return;
     }
@@ -98,9 +98,10 @@
     const millis took = now - ended.sentAt;
     const double ratio = took.count() / timeWithQueue(queueAtArrival(ended.queue, reply), of, *ended.latency).count();
     const bool wasSlow = of.slowness >= slowLogThreshold;
-    updateMeasuredSlowness(of, ratio / of.speed.factor(), ended.sentAt, now);
+    updateMeasuredSlowness(of, ratio, ended.sentAt, now);
     if (m_settings.scheduling.hedging) {
-        of.speed.add(ratio);
+        const bool hostIsSlow = of.loadAt == now && explainsResponseTime(of.load, ratio);
+        of.speed.add(hostIsSlow ? ratio / std::max(1.0, *of.load.hostSlowdown) : ratio);
     }
     if (wasSlow != (of.slowness >= slowLogThreshold)) {
         logLeafHealth(wasSlow ? "leaf_as_usual" : "leaf_slow", "reply_time", of, took);
--- a/libs/hedging/include/hedging/hedging.h
+++ b/libs/hedging/include/hedging/hedging.h
@@ -113,7 +113,10 @@
     void add(double ratio);
 
     /** @return factor of the typical response time, from 0.5 to 4; 1 without enough answers. */
-    [[nodiscard]] double factor() const;
+    [[nodiscard]] double factor() const
+    {
+        return m_factor;
+    }
 
     /** Forgets the leaf's speed, since another incarnation of it may run on another machine. */
     void reset()
@@ -124,6 +127,7 @@
 private:
     double m_log = 0; ///< logarithm of the ratio
     double m_samples = 0;
+    double m_factor = 1;
 };
 
 } // namespace chivelock
--- a/libs/hedging/src/leaf_speed.cpp
+++ b/libs/hedging/src/leaf_speed.cpp
@@ -22,11 +22,7 @@
     const double value = std::log(std::clamp(ratio, minRatio, maxRatio));
     m_samples += 1;
     m_log += (value - m_log) * std::max(newestShare, 1 / m_samples);
-}
-
-double leaf_speed::factor() const
-{
-    return m_samples < minSamples ? 1 : std::clamp(std::exp(m_log), minFactor, maxFactor);
+    m_factor = m_samples < minSamples ? 1 : std::clamp(std::exp(m_log), minFactor, maxFactor);
 }
 
 } // namespace chivelock
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -194,9 +194,9 @@
     millis restartSeenAt = millis() - millis::never(); ///< reports from before then concern the previous incarnation
     std::vector<open_send> open;
     millis lastReplyAt = millis() - millis::never();
-    double slowness = 1; ///< its processing time relative to the typical time of the route and its usual speed
+    double slowness = 1; ///< its processing time relative to the typical time of the route
     millis slownessAt; ///< when the slowness was last measured
-    leaf_speed speed; ///< its usual processing time relative to the typical one; the slowness is relative to this
+    leaf_speed speed; ///< its usual processing time relative to the typical one, to which the slowness returns
     millis pausedUntil = millis() - millis::never(); ///< it is assumed not to answer before
     double fleetSlowness = 1; ///< slowness as last reported to or by the other VMs
     millis fleetSlownessAt; ///< time of that value; it decays in all VMs alike
