--- a/libs/gateway/tests/test_uneven_leafs.cpp
+++ b/libs/gateway/tests/test_uneven_leafs.cpp
@@ -339,3 +339,38 @@
     BOOST_REQUIRE_EQUAL(world.sends.size(), 1U);
     BOOST_CHECK_EQUAL(world.sends.front().to->entry.id, world.silentLeaf);
 }
+
+// Guards against a slow VM that reports most of its leafs as silent because a faster VM set the time of the report.
+BOOST_AUTO_TEST_CASE(a_slow_helper_reports_silence_later_than_asked)
+{
+    gateway_world helper(settingsWith(true));
+    helper.addLeaf(gateway_world::shardName(0), {.processingTime = millis(20)});
+    helper.publish({quickRoute(1)});
+    for (unsigned at = 0; at < 100; ++at) {
+        helper.submit("/all/" + std::to_string(at));
+        helper.runFor(millis(60));
+    }
+    delegated_work work;
+    work.route = "all";
+    work.shards = {{gateway_world::shardName(0)}};
+    work.objective = quickObjective;
+    work.firstReportIn = millis(8);
+    work.cutoffIn = millis(25);
+    work.limitIn = millis(500);
+    helper.engine.acceptDelegatedWork("q", work, helper.now);
+    const auto pendingAfter = [&](millis time) {
+        helper.engine.advance(helper.now + time);
+        std::size_t pending = 0;
+        std::size_t reports = 0;
+        for (const gateway_action &action : helper.engine.takeActions()) {
+            if (const auto *report = std::get_if<progress_action>(&action)) {
+                pending += report->progress.pending.size();
+                reports += 1;
+            }
+        }
+        BOOST_CHECK_EQUAL(reports, 1U);
+        return pending;
+    };
+    BOOST_CHECK_EQUAL(pendingAfter(work.firstReportIn), 0U);
+    BOOST_CHECK_EQUAL(pendingAfter(work.cutoffIn), 1U);
+}
