--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -21,6 +21,7 @@
     millis processingTime {10};
     bool neverAnswers = false; ///< accepts requests and never answers them
     bool refusesConnections = false;
+    bool holdsTooMuch = false; ///< requests to the leaf are held back
     bool refusesRequests = false; ///< answers that it did not run the request
     bool dropsConnection = false; ///< runs the request, then closes the connection without an answer
     bool crashesOnRequest = false; ///< crashes a fixed delay after it starts a request
@@ -273,6 +274,10 @@
             scheduleIn(millis(0.2), [this, send] { engine.onSendFailed(send, send_failure::NotSent, now); });
             return;
         }
+        if (behaviour.holdsTooMuch) {
+            scheduleIn(millis(), [this, send] { engine.onSendFailed(send, send_failure::HeldBack, now); });
+            return;
+        }
         arrivals.push_back({id, sent.exchange, now});
         std::vector<millis> &slots = m_slotEnds[id];
         std::erase_if(slots, [this](millis end) { return end <= now; });
--- a/libs/gateway/tests/test_load.cpp
+++ b/libs/gateway/tests/test_load.cpp
@@ -300,3 +300,27 @@
     }
     BOOST_TEST(world.arrivalsAt(world.localLeaf) - before < 30U);
 }
+
+// Guards against a leaf that is taken for unreachable because enough request bytes are under way to it.
+BOOST_AUTO_TEST_CASE(a_request_beyond_what_a_leaf_may_hold_goes_to_another_one_and_the_leaf_stays_in_use)
+{
+    gateway_world world;
+    world.publish({gateway_world::singleRoute(false)});
+    const std::string full = world.addLeaf("single", {.holdsTooMuch = true});
+    const exchange_id alone = world.submit("/one/x");
+    world.runFor(millis(1600));
+    BOOST_CHECK(world.answerOf(alone).answer.outcome == exchange_outcome::Refused);
+    world.addLeaf("single");
+    for (int at = 0; at < 10; ++at) {
+        const exchange_id id = world.submit("/one/x");
+        world.runFor(millis(300));
+        BOOST_CHECK(world.answerOf(id).answer.outcome == exchange_outcome::Relayed);
+    }
+    BOOST_TEST(world.runs.size() == 10U);
+    world.behaviours.at(full).holdsTooMuch = false;
+    for (int at = 0; at < 10; ++at) {
+        world.submit("/one/x");
+    }
+    world.runFor(millis(300));
+    BOOST_TEST(std::ranges::count(world.runs, full, &gateway_world::leaf_arrival::leafId) > 0);
+}
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -79,7 +79,8 @@
     millis storeWatchTimeout {
         900}; ///< how long the store holds a watch open; limits how long a lost answer goes unnoticed
     millis grace {6000}; ///< from SIGTERM to SIGKILL
-    std::optional<std::size_t> maxConnections; ///< concurrent connections from callers; absent: derived from the resources
+    std::optional<std::size_t>
+        maxConnections; ///< concurrent connections from callers; absent: derived from the resources
     std::uint32_t logLinesPerSecond = 500;
     log_level log = log_level::Info;
     double retryRatio = 0.2; ///< extra sends per request that the whole fleet may make to a service
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -32,6 +32,8 @@
 KNOWN_AFTER_S = 0.5  # after the third leaf that a request crashed: time for a few messages between VMs
 UNDISTURBED_S = 4.0  # a VM without faults for this long must keep the strict bounds on drains and queries of death
 ZONE_DRAIN_S = 5.0  # from the store's update until no request may reach leafs of a drained zone
+SLOW_CALLERS = 80
+SMALL_VM = {"memory_mb": 32, "max_fds": 2000, "limits": {"connections": 16}}  # fewer than callers that connect
 MOST_LATER_SENDS = 3  # of a request that has crashed three leafs, over all VMs
 
 
@@ -78,10 +80,12 @@
     least_answered = 0.3  # share of all requests
     ends_after_s = (0.03, 0.05, 0.08, 0.16)  # until a crash; the last exceeds a shard request's time limit
 
-    def __init__(self, program, seed, seconds, folder, zones=False, leaving=False, stutter=False):
+    def __init__(self, program, seed, seconds, folder, zones=False, leaving=False, stutter=False,
+                 slow=False):
         self.random = random.Random(seed)
         # Zone faults draw from a separate generator, so that they leave the other faults of a seed unchanged.
         self.with_stutter, self.stutter_random = stutter, random.Random(f"{seed}/stutter")
+        self.with_slow, self.slow_random = slow, random.Random(f"{seed}/slow")
         self.with_zones, self.zone_random = zones, random.Random(f"{seed}/zones")
         self.vm_calm_since = {}  # request id -> last start or resume of its VM
         self.with_leaving, self.leaving_random = leaving, random.Random(f"{seed}/leaving")
@@ -146,7 +150,8 @@
             await proxy.start(f"127.0.2.{at + 1}", store_port)
             self.proxies.append(proxy)
             limits = {"drain_ms": DRAIN_S * 1000, "grace_s": GRACE_S, "apply_ms": APPLY_S * 1000}
-            self.vms.append(Gateway(self.program, self.folder, at, self.port, store_port, seeds, limits))
+            more = SMALL_VM if self.with_slow else None
+            self.vms.append(Gateway(self.program, self.folder, at, self.port, store_port, seeds, limits, more))
             await self.vms[-1].start()
         await asyncio.sleep(1.5)
 
@@ -418,6 +423,41 @@
         self.shards = fresh
         self.publish(fresh)
 
+    # ---- callers and leafs that read slowly or not at all
+
+    async def slow_leafs(self):
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.slow_random.uniform(0.3, 1.0))
+            leaf = self.slow_random.choice(self.leafs)
+            if leaf.mode == "ok":
+                leaf.mode = self.slow_random.choice(["unread", "read_slowly"])
+                self.injected.append(leaf.mode)
+                await asyncio.sleep(self.slow_random.uniform(0.3, 1.5))
+                leaf.mode = "ok"
+
+    async def slow_caller(self, number):
+        """Sends requests on one connection and reads few answers or none."""
+        source = random.Random(f"{self.seed}/slow/{number}")
+        while self.running:
+            vm = self.vms[source.randrange(VMS)]
+            try:
+                reader, writer = await asyncio.open_connection(vm.ip, vm.port, limit=1024)
+                writer.transport.pause_reading()
+                for at in range(source.randrange(1, 30)):
+                    if writer.transport.is_closing():
+                        break
+                    body = b"b" * source.choice([0, 0, 3000])
+                    writer.write(f"POST /one/slow HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: slow{self.seed}-{number}-{at}\r\n"
+                                 f"Deadline-Ms: 800\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                    await asyncio.sleep(source.uniform(0.0, 0.05))
+                if source.random() < 0.5:
+                    await asyncio.wait_for(reader.read(64), 0.3)
+                await asyncio.sleep(source.uniform(0.0, 2.0))
+                writer.transport.abort()
+            except (OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.1)
+
     # ---- callers
 
     def ordinary_name(self, source):
@@ -519,6 +559,8 @@
         extra_faults = [self.zone_faults()] if self.with_zones else []
         extra_faults += [self.leaving_faults()] if self.with_leaving else []
         extra_faults += [self.short_freezes()] if self.with_stutter else []
+        extra_faults += [self.slow_leafs()] if self.with_slow else []
+        callers += [asyncio.create_task(self.slow_caller(n)) for n in range(SLOW_CALLERS if self.with_slow else 0)]
         await asyncio.gather(self.faults(), *extra_faults)
         await asyncio.sleep(1.0)
         self.running = False
@@ -553,12 +595,13 @@
     parser.add_argument("--zones", action="store_true", help="also inject faults of whole zones")
     parser.add_argument("--leaving", action="store_true", help="also remove leafs while the others of their service fail")
     parser.add_argument("--stutter", action="store_true", help="leafs answer twice and refuse often, VMs freeze briefly")
+    parser.add_argument("--slow", action="store_true", help="some callers and leafs read slowly or not at all, VMs are small")
     options = parser.parse_args()
     failed = 0
     for seed in seeds_from(options.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder, options.zones, options.leaving,
-                                       options.stutter)))
+                                       options.stutter, options.slow)))
         for problem in soak.problems[:10]:
             print(problem)
         failed += bool(soak.problems)
