--- a/soak/soak.py
+++ b/soak/soak.py
@@ -477,6 +477,8 @@
             answer = await connections.ask(vm.ip, vm.port, "POST" if non_idempotent else "GET",
                                            path + self.ordinary_name(source), request_id, 800,
                                            b"entry" if non_idempotent else b"", HOST)
+            if self.with_slow:  # VMs short of connections close idle ones, which may cross with a request
+                connections.close()
             planned = vm.planned_since is not None and vm.planned_since <= time.monotonic()
             calm = calm and not vm.stopping and not vm.frozen
             self.attempts[request_id] = (path, answer)
