--- a/libs/priority/src/priority_scale.cpp
+++ b/libs/priority/src/priority_scale.cpp
@@ -1,15 +1,14 @@
 #include <priority/priority.h>
 
 #include <iterator>
+#include <set>
 
 namespace chivelock {
 
 priority_scale::priority_scale(std::span<const std::uint32_t> ranks)
-    : m_ranks(ranks.begin(), ranks.end())
 {
-    std::ranges::sort(m_ranks);
-    const auto repeated = std::ranges::unique(m_ranks);
-    m_ranks.erase(repeated.begin(), repeated.end());
+    const std::set<std::uint32_t> distinct(ranks.begin(), ranks.end());
+    m_ranks.assign(distinct.begin(), distinct.end());
 }
 
 double priority_scale::urgencyOf(std::uint32_t rank) const
