Refuse single look-ups that would be late, with a retry time for each caller

A crowd of single look-ups fills the queues of all leafs of its service, and every request then waits for those before it: 319 of 1,660 were late. libs/admission judges a new request by its expected time at the least loaded leaf, by this VM's lag and by its client account's open requests; refused callers get their own times, at a share of the rate at which requests complete.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway_actions.h"
 #include "sent_requests.h"
 
+#include <admission/admission.h>
 #include <base/base.h>
 #include <leafs/leafs.h>
 #include <quarantine/quarantine.h>
@@ -42,6 +43,7 @@
     std::optional<millis> roundTrip {}; ///< measured round trip to the caller, if known
     request_fingerprint key {}; ///< equal for all attempts of the same request
     bool newConnection = false; ///< first request on its connection: the caller also waited for the handshake
+    account_id account = 0; ///< the client account that sent it
 };
 
 /** Decisions under load that operators can switch off. Each takes effect only where the data call for it. */
@@ -173,6 +175,12 @@
 
     [[nodiscard]] std::vector<gateway_action> takeActions();
 
+    /** Decisions under overload, for metrics. */
+    [[nodiscard]] const overload_control &overload() const
+    {
+        return m_overload;
+    }
+
     [[nodiscard]] std::size_t openExchanges() const
     {
         return m_exchanges.size();
@@ -257,6 +265,12 @@
     void begin(exchange &work, millis now);
     void beginSingle(exchange &work, millis now);
     void beginGather(exchange &work, millis now);
+    [[nodiscard]] bool refuseIfOverloaded(exchange &work, millis now);
+    [[nodiscard]] admission_request describeLoad(const exchange &work, millis now) const;
+    [[nodiscard]] millis freshOwnLag(millis now) const;
+    [[nodiscard]] millis
+    retryAfterOf(const exchange &work, exchange_outcome outcome, std::string_view cause, millis earliest, millis now);
+    void recordCompleted(const exchange &work, exchange_outcome outcome, millis now);
     [[nodiscard]] millis estimateNetworkTime(const caller_request &request) const;
     [[nodiscard]] choice chooseLeaf(const exchange &work, const shard_call &call, bool forHedge, millis now);
     [[nodiscard]] double expectedCost(const leaf &candidate, const route_latency &latency, millis now);
@@ -370,6 +384,7 @@
     std::unordered_map<std::string, std::vector<double>> m_shareCredits; ///< by route, for smooth weighted round-robin
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<send_id, send> m_sends;
+    overload_control m_overload;
     vm_load m_ownLoad;
     millis m_ownLoadAt = millis() - millis::never(); ///< when @ref m_ownLoad was measured
     std::vector<helper_vm> m_helpers;
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -135,6 +135,7 @@
     work->id = id;
     work->requestId = request.id;
     work->key = request.key;
+    work->account = request.account;
     work->table = m_table;
     work->route = route;
     work->latency = &latencyOf(*route);
@@ -144,6 +145,7 @@
         request.callerTimeout ? timeoutAfterNetwork(*request.callerTimeout, work->networkTime) : route->timeout;
     work->limit = now + std::min(callerTimeout, route->timeout);
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
+    m_overload.accounts().begin(kept.account);
     beginCanary(kept, now);
     begin(kept, now);
     if (kept.ended) {
@@ -167,6 +169,9 @@
     work.sendBy = std::min(work.sendBy, now + work.route->objective * connectionWaitShare);
     shard_call &call = work.calls.emplace_back();
     call.service = pickSplitService(*work.route);
+    if (refuseIfOverloaded(work, now)) {
+        return;
+    }
     budgetOf(call.service).countRequest(now);
     const choice chosen = chooseLeaf(work, call, false, now);
     if (chosen.to && maySendMore(work, now)) {
@@ -192,6 +197,9 @@
     const millis inTime = std::max(work.route->objective - work.networkTime, work.route->objective * minObjectiveShare);
     work.cutoff = now + inTime;
     addCalls(work, work.route->shards);
+    if (refuseIfOverloaded(work, now)) {
+        return;
+    }
     bool overloaded = false;
     for (shard_call &call : work.calls) {
         const choice one = chooseLeaf(work, call, false, now);
@@ -455,6 +463,7 @@
     cancelDelegations(ended, false);
     endCanary(ended);
     logAskedLeafs(ended);
+    m_overload.accounts().end(ended.account);
     m_exchanges.erase(id);
 }
 
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr millis minRetryAfter(50); // most short pauses of leafs and full queues are over by then
 constexpr millis maxRetryAfter(500); // without a leaf: updates from the store about new leafs arrive within a second
 
 /** @return whether this system uses the status to state that a request has not run and will not run. */
@@ -63,8 +62,9 @@
             soonest = std::min(soonest, std::max(one->downUntil - now, millis()));
         }
     }
+    const millis earliest = std::clamp(soonest, minRetryAfter, maxRetryAfter);
     result.retryAfter =
-        std::max(std::clamp(soonest, minRetryAfter, maxRetryAfter), m_requests.quarantineRemaining(work.key, now));
+        std::max(retryAfterOf(work, outcome, cause, earliest, now), m_requests.quarantineRemaining(work.key, now));
     m_actions.emplace_back(std::move(result));
     answer(work, outcome, cause, now);
 }
@@ -90,6 +90,7 @@
     result.elapsed = now - work.arrivedAt;
     result.networkTime = work.networkTime;
     work.ended = true;
+    recordCompleted(work, outcome, now);
 }
 
 void gateway_engine::answerWithoutExchange(const caller_request &request,
@@ -174,6 +175,7 @@
     cancelDelegations(*found->second, true);
     logEvent(*found->second, "caller_left", "closed", nullptr, {}, now - found->second->arrivedAt, now);
     logAskedLeafs(*found->second);
+    m_overload.accounts().end(found->second->account);
     m_exchanges.erase(found);
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -100,6 +100,7 @@
     exchange_id id = 0;
     std::string requestId;
     request_fingerprint key;
+    account_id account = 0; ///< of the client; 0 for delegated work
     std::shared_ptr<const route_table> table; ///< keeps the route alive and all shards at one configuration version
     const gateway_route *route = nullptr;
     std::optional<gateway_route> ownRoute; ///< built from delegated work; the delegating VM has the configured one
--- /dev/null
+++ b/libs/gateway/src/overload.cpp
@@ -0,0 +1,133 @@
+/** @file What the engine tells the admission control about a request, and what it does with its decision. */
+
+#include "exchange.h"
+
+#include <algorithm>
+#include <array>
+
+namespace chivelock {
+
+namespace {
+
+constexpr millis lagValidity(1000); // a reported lag fades to 0 within this time
+
+/** @return 1 for the most urgent of the configured ranks, 0 for the least and if there is only one. */
+double urgencyOf(const gateway_route &route, const route_table &table)
+{
+    const auto [lowest, highest] = std::ranges::minmax(table.config().routes, {}, &gateway_route::rank);
+    const double range = static_cast<double>(highest.rank) - static_cast<double>(lowest.rank);
+    return range > 0 ? (static_cast<double>(highest.rank) - static_cast<double>(route.rank)) / range : 0;
+}
+
+/**
+ * @return the requests at the leaf: those of this VM, or the ones that the leaf reported, faded over the objective. A
+ * VM of a large fleet asks a leaf about twice a second, so a report that only holds for a few request times is mostly
+ * outdated when the next request arrives, although a queue of all callers lasts for seconds.
+ */
+double requestsAt(const leaf &candidate, millis objective, millis now)
+{
+    const auto reported = static_cast<double>(candidate.load.running + candidate.load.waiting);
+    return std::max(static_cast<double>(candidate.open.size()), decayed(reported, now - candidate.loadAt, objective));
+}
+
+/** @return whether a refusal for @p cause is due to load, so that its caller finds room later. */
+bool isLoadCause(std::string_view cause)
+{
+    constexpr std::array<std::string_view, 5> causes {
+        "overloaded", "shards_overloaded", "leafs_full", "leaf_refused", "retry_budget"};
+    constexpr std::array verdicts {
+        admission_verdict::VmOverloaded, admission_verdict::LeafsOverloaded, admission_verdict::AccountAboveShare};
+    return std::ranges::find(causes, cause) != causes.end()
+        || std::ranges::find(verdicts, cause, [](auto one) { return toString(one); }) != verdicts.end();
+}
+
+/** @return under which name the completions of the exchange are counted. */
+std::string_view capacityName(const gateway_route &route, const service_name &service)
+{
+    return route.isGather() ? std::string_view(route.name) : std::string_view(service.value);
+}
+
+} // namespace
+
+/** @return how late this VM's reactor was, faded by the age of the measurement; 0 if none is known. */
+millis gateway_engine::freshOwnLag(millis now) const
+{
+    const millis age = now - m_ownLoadAt;
+    return age >= lagValidity ? millis() : m_ownLoad.lag * (1 - std::max(age.count(), 0.0) / lagValidity.count());
+}
+
+admission_request gateway_engine::describeLoad(const exchange &work, millis now) const
+{
+    admission_request described;
+    described.key = work.key;
+    described.account = work.account;
+    described.urgency = urgencyOf(*work.route, *work.table);
+    described.objective = work.route->objective - work.networkTime;
+    described.timeLeft = work.limit - now;
+    described.usual = work.latency->typical.estimate();
+    described.lag = freshOwnLag(now);
+    if (work.route->isGather()) {
+        described.freeSlot = true;
+        return described;
+    }
+    millis soonest = millis::never();
+    for (const std::shared_ptr<leaf> &one : m_leafs.of(work.calls.front().service)) {
+        if (!mayAsk(*one, now)) {
+            continue;
+        }
+        const double queue = queuePerSlot(requestsAt(*one, work.route->objective, now), one->entry.slots);
+        soonest = std::min(soonest, timeWithQueue(queue, *one, *work.latency) * currentSlowness(*one, now));
+        described.freeSlot = described.freeSlot || queue <= 0;
+    }
+    described.freeSlot = described.freeSlot || soonest == millis::never(); // no leaf: refused for that reason
+    described.expected = soonest;
+    return described;
+}
+
+/** Refuses the request if it can't be answered in time. Nothing of it has been sent. @return whether it was refused. */
+bool gateway_engine::refuseIfOverloaded(exchange &work, millis now)
+{
+    if (!m_settings.scheduling.overload || work.isDelegated()) {
+        return false;
+    }
+    const admission_request described = describeLoad(work, now);
+    const service_name &service = work.calls.front().service;
+    const admission_verdict verdict = m_overload.judge(capacityName(*work.route, service), described, now);
+    if (verdict == admission_verdict::Admitted) {
+        return false;
+    }
+    const bool returned = verdict == admission_verdict::Returned;
+    const millis expected = verdict == admission_verdict::VmOverloaded ? described.lag : described.expected;
+    logEvent(work,
+             returned ? "refused_request_returned" : "overload_refusal",
+             toString(verdict),
+             nullptr,
+             service,
+             expected,
+             now);
+    if (!returned) {
+        answerUnserved(work, toString(verdict), false, now);
+    }
+    return !returned;
+}
+
+/** @return Retry-After; each caller that is refused because of load gets its own. @param earliest the usual value. */
+millis gateway_engine::retryAfterOf(
+    const exchange &work, exchange_outcome outcome, std::string_view cause, millis earliest, millis now)
+{
+    constexpr double shareOfTimeLeft = 1.0 / 3; // callers give up rather than wait for a larger share
+    if (!m_settings.scheduling.overload || outcome != exchange_outcome::Refused || !isLoadCause(cause)) {
+        return earliest;
+    }
+    const retry_window window {earliest, (work.limit - now) * shareOfTimeLeft};
+    return m_overload.retryAfter(capacityName(*work.route, work.calls.front().service), work.key, window, now);
+}
+
+void gateway_engine::recordCompleted(const exchange &work, exchange_outcome outcome, millis now)
+{
+    if (outcome == exchange_outcome::Relayed || outcome == exchange_outcome::Merged) {
+        m_overload.onCompleted(capacityName(*work.route, work.calls.front().service), now);
+    }
+}
+
+} // namespace chivelock
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -35,6 +35,14 @@
     return credentials.append(findHeader(headers, "Cookie"));
 }
 
+/** @return the client account: that of the credentials, or of the client's address if there are none. */
+account_id accountOf(std::string_view credentials, const std::string &address)
+{
+    constexpr std::string_view noCredentials = "\n";
+    return credentials != noCredentials ? fingerprintOf({credentials, {}, {}, {}, {}}).caller
+                                        : fingerprintOf({address, {}, {}, {}, {}}).caller;
+}
+
 } // namespace
 
 gateway_service::gateway_service(gateway_daemon_settings settings)
@@ -142,6 +150,7 @@
     engineRequest.newConnection = m_callers->isFirstRequest(session);
     const std::string caller = credentialsFrom(request.headers);
     engineRequest.key = fingerprintOf({caller, engineRequest.host, request.method, request.target, request.body});
+    engineRequest.account = accountOf(caller, m_callers->addressOf(session));
     const exchange_id id = m_engine.arrive(engineRequest, now);
     pending_request &added = m_pendingRequests[id];
     added.session = session;
