Tests of admission: satisfy the linter

clang-tidy reported a copied parameter and push_back in loops of the new tests. They now fill sized vectors and pass a reference; behaviour is unchanged.

--- a/libs/admission/tests/test_admission.cpp
+++ b/libs/admission/tests/test_admission.cpp
@@ -47,10 +47,8 @@
 BOOST_AUTO_TEST_CASE(each_refused_caller_gets_its_own_time)
 {
     retry_times times;
-    std::vector<millis> given;
-    for (int at = 0; at < 20; ++at) {
-        given.push_back(times.next(100, {millis(50), millis(800)}, start));
-    }
+    std::vector<millis> given(20);
+    std::ranges::generate(given, [&] { return times.next(100, {millis(50), millis(800)}, start); });
     BOOST_TEST((given.front() == millis(50)));
     BOOST_TEST(std::ranges::is_sorted(given));
     BOOST_TEST((given.back() == millis(50 + 19 * 20)));
@@ -60,10 +58,8 @@
 BOOST_AUTO_TEST_CASE(no_time_exceeds_the_window)
 {
     retry_times times;
-    std::vector<millis> given;
-    for (int at = 0; at < 200; ++at) {
-        given.push_back(times.next(10, {millis(50), millis(800)}, start));
-    }
+    std::vector<millis> given(200);
+    std::ranges::generate(given, [&] { return times.next(10, {millis(50), millis(800)}, start); });
     BOOST_TEST((std::ranges::max(given) <= millis(800)));
     std::ranges::sort(given);
     BOOST_TEST((std::ranges::adjacent_find(given) == given.end()));
--- a/libs/gateway/tests/crowd_world.h
+++ b/libs/gateway/tests/crowd_world.h
@@ -116,7 +116,7 @@
         now = end;
     }
 
-    [[nodiscard]] crowd_stats stats(std::function<bool(const crowd_caller &)> counts = [](const auto &) {
+    [[nodiscard]] crowd_stats stats(const std::function<bool(const crowd_caller &)> &counts = [](const auto &) {
         return true;
     }) const
     {
