--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -147,6 +147,7 @@
     work->id = id;
     work->requestId = request.id;
     work->key = request.key;
+    work->account = request.account;
     work->table = m_table;
     work->route = route;
     work->latency = &latencyOf(*route);
@@ -158,6 +159,7 @@
         request.callerTimeout ? timeoutAfterNetwork(*request.callerTimeout, work->networkTime) : route->timeout;
     work->limit = work->arrivedAt + std::min(callerTimeout, route->timeout);
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
+    m_overload.accounts().begin(kept.account);
     beginCanary(kept, now);
     if (now < kept.limit) {
         begin(kept, now);
@@ -185,6 +187,9 @@
     work.sendBy = std::min(work.sendBy, now + work.route->objective * connectionWaitShare);
     shard_call &call = work.calls.emplace_back();
     call.service = pickSplitService(*work.route);
+    if (refuseIfOverloaded(work, now)) {
+        return;
+    }
     budgetOf(call.service).countRequest(now);
     const choice chosen = chooseLeaf(work, call, false, now);
     if (chosen.to && maySendMore(work, now)) {
@@ -211,9 +216,15 @@
 
 void gateway_engine::beginGather(exchange &work, millis now)
 {
-    const millis inTime = std::max(work.route->objective - work.networkTime, work.route->objective * minObjectiveShare);
+    // A VM that is behind also writes the answer late: it decides earlier, so that the caller gets the answer in time.
+    const millis behind = m_settings.scheduling.overload ? ownLag(now) : millis();
+    const millis inTime =
+        std::max(work.route->objective - work.networkTime - behind, work.route->objective * minObjectiveShare);
     work.cutoff = work.arrivedAt + inTime;
     addCalls(work, work.route->shards);
+    if (refuseIfOverloaded(work, now)) {
+        return;
+    }
     bool overloaded = false;
     for (shard_call &call : work.calls) {
         const choice one = chooseLeaf(work, call, false, now);
@@ -487,6 +498,7 @@
     endCanary(ended);
     logAskedLeafs(ended);
     withdrawWaiting(ended);
+    m_overload.accounts().end(ended.account);
     m_exchanges.erase(id);
 }
 
--- a/libs/gateway/src/placed_work.cpp
+++ b/libs/gateway/src/placed_work.cpp
@@ -28,6 +28,12 @@
     });
 }
 
+/** @return how late this VM handles events; 0 if it was not measured recently. */
+millis gateway_engine::ownLag(millis now) const
+{
+    return placement::fadedLag(m_ownLoad.lag, now - m_ownLoadAt);
+}
+
 /** A helper whose capacity is unknown is assumed to have that of this VM. */
 gateway_engine::zone_vms gateway_engine::vmsOf(const zone_name &zone, bool withUnresponsive, millis now) const
 {
@@ -37,8 +43,7 @@
         result.vms.push_back(one);
     };
     if (zone == m_settings.zone) {
-        const millis lag = placement::fadedLag(m_ownLoad.lag, now - m_ownLoadAt);
-        add({}, {m_ownRank, m_settings.capacity, lag, {}, true, false});
+        add({}, {m_ownRank, m_settings.capacity, ownLag(now), {}, true, false});
     }
     for (const helper_vm &helper : m_helpers) {
         if (helper.zone == zone && (withUnresponsive || isResponsive(helper.address, now))) {
@@ -130,7 +135,6 @@
 void gateway_engine::recordReportDelay(const delegation &from, millis now)
 {
     const millis before = m_vmLoads.lagOf(from.helper, now);
-    const millis ownLag = placement::fadedLag(m_ownLoad.lag, now - m_ownLoadAt);
     const millis elapsed = now - from.delegatedAt;
     m_vmLoads.onReportDelay(from.helper, elapsed, from.reportExpectedIn + reportMargin + ownLag, now);
     const millis lag = m_vmLoads.lagOf(from.helper, now);
--- a/programs/chivelockd/gateway/gateway_queue.cpp
+++ b/programs/chivelockd/gateway/gateway_queue.cpp
@@ -20,6 +20,14 @@
     return credentials.append(findHeader(headers, "Cookie"));
 }
 
+/** @return the client account: that of the credentials, or of the client's address if there are none. */
+account_id accountOf(std::string_view credentials, const std::string &address)
+{
+    constexpr std::string_view noCredentials = "\n";
+    return credentials != noCredentials ? fingerprintOf({credentials, {}, {}, {}, {}}).caller
+                                        : fingerprintOf({address, {}, {}, {}, {}}).caller;
+}
+
 } // namespace
 
 queue_terms gateway_service::termsOf(std::uint32_t rank, millis objective) const
@@ -80,6 +88,7 @@
     engineRequest.waited = waited;
     const std::string caller = credentialsFrom(request.headers);
     engineRequest.key = fingerprintOf({caller, engineRequest.host, request.method, request.target, request.body});
+    engineRequest.account = accountOf(caller, m_callers->addressOf(queued.session));
     const exchange_id id = m_engine.arrive(engineRequest, m_clock.now());
     pending_request &added = m_pendingRequests[id];
     added.session = queued.session;
