--- a/libs/gateway/src/placed_work.cpp
+++ b/libs/gateway/src/placed_work.cpp
@@ -136,7 +136,7 @@
 {
     const millis before = m_vmLoads.lagOf(from.helper, now);
     const millis elapsed = now - from.delegatedAt;
-    m_vmLoads.onReportDelay(from.helper, elapsed, from.reportExpectedIn + reportMargin + ownLag, now);
+    m_vmLoads.onReportDelay(from.helper, elapsed, from.reportExpectedIn + reportMargin + ownLag(now), now);
     const millis lag = m_vmLoads.lagOf(from.helper, now);
     if (before == millis() && lag > millis()) {
         logEvent(*m_exchanges.at(from.exchange), "helper_behind", "late_report", nullptr, {from.helper}, lag, now);
