--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -86,7 +86,7 @@
     action.work.rank = work.route->rank;
     action.work.objective = work.route->objective;
     action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
-    action.work.firstReportIn = firstReportDelay(work, action.work.cutoffIn);
+    action.work.firstReportIn = firstReportDelay(work, action.work.cutoffIn, now);
     action.work.limitIn = std::max(work.limit - now - hopMargin, hopMargin);
     action.work.alone = second;
     for (const std::size_t at : calls) {
--- a/libs/hedging/src/hedge_timing.cpp
+++ b/libs/hedging/src/hedge_timing.cpp
@@ -50,7 +50,7 @@
 
 double hedge_timing::secondChance(millis age, const hedge_conditions &given) const
 {
-    const millis left = given.timeLeft - age - given.hop;
+    const millis left = given.timeLeft - given.reserve - age - given.hop;
     return left > millis() ? m_times.shareWithin(left) : 0;
 }
 
@@ -61,14 +61,15 @@
     }
     constexpr double median = 0.5;
     const double immediate = secondChance(millis(), given);
+    const millis inTime = given.timeLeft - given.reserve;
     std::optional<millis> lastChance;
-    for (millis age = std::max(minHedgeDelay, m_times.quantile(median) * minHedgeOverMedian); age < given.timeLeft;
+    for (millis age = std::max(minHedgeDelay, m_times.quantile(median) * minHedgeOverMedian); age < inTime;
          age = age * stepFactor) {
         const double second = secondChance(age, given);
         if (second < minSecondChance) {
             break;
         }
-        if (firstChance(age, given.timeLeft) >= second * clearlyBelow) {
+        if (firstChance(age, inTime) >= second * clearlyBelow) {
             continue;
         }
         if (1 - m_times.shareWithin(age) <= given.maxShare) {
