Only the first answer must arrive ahead of the cutoff

Change: the reserve concerns the first answer; the lag of this VM adds to the time of the second one.

--- a/libs/gateway/src/hedge_delays.cpp
+++ b/libs/gateway/src/hedge_delays.cpp
@@ -27,8 +27,9 @@
         return std::nullopt;
     }
     const double share = hedgeShare(m_settings.retryRatio, work.urgency);
-    const millis reserve = timeLeft * reservedShare + ownLag(now);
-    return hedge_timing(work.latency->times).decide({timeLeft, hop, share, reserve});
+    // A VM that is behind also handles the second answer late.
+    const hedge_conditions given {timeLeft, hop + ownLag(now), share, timeLeft * reservedShare};
+    return hedge_timing(work.latency->times).decide(given);
 }
 
 /** @return until when an answer to a request sent now has its full value, or any value if it is late already. */
--- a/libs/hedging/src/hedge_timing.cpp
+++ b/libs/hedging/src/hedge_timing.cpp
@@ -50,7 +50,7 @@
 
 double hedge_timing::secondChance(millis age, const hedge_conditions &given) const
 {
-    const millis left = given.timeLeft - given.reserve - age - given.hop;
+    const millis left = given.timeLeft - age - given.hop;
     return left > millis() ? m_times.shareWithin(left) : 0;
 }
 
