--- a/libs/gateway/src/accepted_work.cpp
+++ b/libs/gateway/src/accepted_work.cpp
@@ -41,8 +41,8 @@
     addCalls(*work, route.shards);
     excludeTriedLeafs(*work, asked.triedLeafs);
     const bool quarantined = m_requests.quarantineStateOf(asked.key, now) == quarantine_state::Quarantined;
-    // Without a table this VM has just started and knows no leafs; the delegating VM may not know of a quarantine yet.
     const bool expired = asked.limitIn <= millis(); // it was queued here until its time limit
+    // Without a table this VM has just started and knows no leafs; the delegating VM may not know of a quarantine yet.
     if (!m_table || quarantined || expired) {
         return refuseDelegated(*work, now);
     }
--- a/libs/gateway/src/delegation_plan.cpp
+++ b/libs/gateway/src/delegation_plan.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::size_t minDelegatedShards = 3; // for fewer shards, the message costs as much as it saves
-
 std::size_t partsFor(std::size_t calls, std::size_t atOnce)
 {
     return (calls + atOnce - 1) / atOnce;
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -315,7 +315,7 @@
     one.queue = leafQueuePerSlot(*to, *work.latency, now);
     useColdSlot(*to, now);
     updateMixedWork(*to, work.latency->typical.estimate());
-    one.expectedBy = now + std::min(work.hedgeDelay, work.latency->hedgeDelay());
+    one.expectedBy = now + work.latency->hedgeDelay();
     to->open.push_back({one.id, now, one.expectedBy});
     call.tried.push_back(to);
     call.lastAsked = to->entry.id;
@@ -411,13 +411,16 @@
         return;
     }
     const bool neverSent = failure == send_failure::NotSent || failure == send_failure::HeldBack;
-    if (failure != send_failure::HeldBack) {
+    if (failure == send_failure::HeldBack) {
+        constexpr millis holdBackFor(50); // a few answers of the leaf, which make room for further requests
+        ended->to->heldBackUntil = now + holdBackFor;
+    } else {
         updateLeafOnFailure(*ended->to, failure, now);
+        onPlaceFreed(*ended->to, now);
     }
     if (failure == send_failure::TimedOut) {
         ended->latency->times.add(now - ended->sentAt);
     }
-    onPlaceFreed(*ended->to, now);
     // A leaving leaf closes its connections and stops as instructed; that is no crash.
     const bool leafCrashed = failure == send_failure::LeafCrashed && !ended->to->isLeaving();
     exchange *owner = ownerOf(*ended);
@@ -491,15 +494,4 @@
     return std::exchange(m_actions, {});
 }
 
-void gateway_engine::erase(exchange_id id)
-{
-    exchange &ended = *m_exchanges.at(id);
-    cancelDelegations(ended, false);
-    endCanary(ended);
-    logAskedLeafs(ended);
-    withdrawWaiting(ended);
-    m_overload.accounts().end(ended.account);
-    m_exchanges.erase(id);
-}
-
 } // namespace chivelock
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -154,6 +154,17 @@
     m_actions.emplace_back(std::move(work.asked));
 }
 
+void gateway_engine::erase(exchange_id id)
+{
+    exchange &ended = *m_exchanges.at(id);
+    cancelDelegations(ended, false);
+    endCanary(ended);
+    logAskedLeafs(ended);
+    withdrawWaiting(ended);
+    m_overload.accounts().end(ended.account);
+    m_exchanges.erase(id);
+}
+
 void gateway_engine::onCallerLeft(exchange_id id, millis now)
 {
     const auto found = m_exchanges.find(id);
@@ -186,6 +197,7 @@
 void gateway_engine::onProcessPause(millis gap)
 {
     for (auto &[id, one] : m_sends) {
+        one.expectedBy = one.expectedBy + gap;
         for (leaf::open_send &open : one.to->open) {
             if (open.id == id) {
                 open.expectedBy = open.expectedBy + gap;
--- a/libs/gateway/src/engine_priorities.cpp
+++ b/libs/gateway/src/engine_priorities.cpp
@@ -43,7 +43,7 @@
     bool full = false;
     for (const std::shared_ptr<leaf> &one : m_leafs.of(service)) {
         if (mayAsk(*one, now)) {
-            if (one->open.size() < share) {
+            if (one->open.size() < share && now >= one->heldBackUntil) {
                 return true;
             }
             full = true;
@@ -75,7 +75,8 @@
     }
 }
 
-/** @return the first calls that wait for a leaf of the service, in the order in which they are served. */
+/** @return the first calls that wait for a leaf of the service, in the order in which they are served. Also removes the
+ *  ones that no longer wait. */
 std::vector<waiting_position> gateway_engine::callsToServe(const service_name &service, millis now)
 {
     // A call that can use no free place, for example because it was refused there, is passed over.
@@ -152,7 +153,8 @@
     if (waiting != m_waitingCalls.end() && now - waiting->second.servedAt >= offerInterval) {
         serveWaiting(service, &work, now);
     }
-    if (hasFreePlace(service, now)) {
+    // A free place in another region is none for this call, and it must be given up if its own region has no leaf left.
+    if (hasFreePlace(service, now) || !work.route->homeRegions.empty()) {
         sendWaitingCall(work, at, now);
     }
 }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -11,6 +11,9 @@
 
 namespace chivelock {
 
+/** For fewer shards, a message to another VM costs as much as it saves. */
+inline constexpr std::size_t minDelegatedShards = 3;
+
 /** Leafs pause for short times. One that has been unresponsive for longer than this gets no further requests. */
 inline constexpr millis maxShortPause(350);
 
--- a/libs/gateway/src/hedge_delays.cpp
+++ b/libs/gateway/src/hedge_delays.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr millis directHop(2); // a second leaf without a kept connection, or in another zone
-// Of the time left. Answers that all come at the last moment leave none for the reports of helpers and the merge.
-constexpr double reservedShare = 0.2;
 constexpr double loggedChangeFactor = 1.5; // of a route's delay, since it was last logged
 constexpr millis minLogInterval(1000); // for each route
 
@@ -28,8 +26,7 @@
     }
     const double share = hedgeShare(m_settings.retryRatio, work.urgency);
     // A VM that is behind also handles the second answer late.
-    const hedge_conditions given {timeLeft, hop + ownLag(now), share, timeLeft * reservedShare};
-    return hedge_timing(work.latency->times).decide(given);
+    return hedge_timing(work.latency->times).decide({timeLeft, hop + ownLag(now), share});
 }
 
 /** @return until when an answer to a request sent now has its full value, or any value if it is late already. */
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -172,7 +172,7 @@
             best.drained = m_zones.isDrained(candidate->entry.zone) ? &candidate->entry.zone : best.drained;
             continue;
         }
-        if (candidate->open.size() >= share) {
+        if (candidate->open.size() >= share || now < candidate->heldBackUntil) {
             best.full = true;
             continue;
         }
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -85,7 +85,9 @@
     action.work.topRecords = work.route->topRecords;
     action.work.rank = work.route->rank;
     action.work.objective = work.route->objective;
-    action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
+    // A lookup that is late already has until its limit, as if this VM asked the leafs itself.
+    const millis end = now < work.cutoff ? work.cutoff : work.limit;
+    action.work.cutoffIn = std::max(end - now - hopMargin, hopMargin);
     action.work.firstReportIn = firstReportDelay(work, action.work.cutoffIn, now);
     action.work.limitIn = std::max(work.limit - now - hopMargin, hopMargin);
     action.work.alone = second;
--- a/libs/gateway/src/overload.cpp
+++ b/libs/gateway/src/overload.cpp
@@ -33,8 +33,8 @@
 /** @return whether a refusal for @p cause is due to load, so that its caller finds room later. */
 bool isLoadCause(std::string_view cause)
 {
-    constexpr std::array<std::string_view, 5> causes {
-        "overloaded", "shards_overloaded", "leafs_full", "leaf_refused", "retry_budget"};
+    constexpr std::array<std::string_view, 6> causes {
+        "overloaded", "shards_overloaded", "leafs_full", "leaf_refused", "leaf_holds_too_much", "retry_budget"};
     constexpr std::array verdicts {
         admission_verdict::VmOverloaded, admission_verdict::LeafsOverloaded, admission_verdict::AccountAboveShare};
     return std::ranges::find(causes, cause) != causes.end()
@@ -55,7 +55,7 @@
     described.key = work.key;
     described.account = work.account;
     described.urgency = hasPriorities() ? work.urgency : 0;
-    described.objective = work.route->objective - work.networkTime;
+    described.objective = work.route->objective - work.networkTime - (now - work.arrivedAt);
     described.timeLeft = work.limit - now;
     described.usual = work.latency->typical.estimate();
     described.lag = ownLag(now);
@@ -65,7 +65,7 @@
     }
     millis soonest = millis::never();
     for (const std::shared_ptr<leaf> &one : m_leafs.of(work.calls.front().service)) {
-        if (!mayAsk(*one, now)) {
+        if (!mayAsk(*one, now) || !m_regions.allows(work.route->homeRegions, one->entry.zone)) {
             continue;
         }
         const leaf_backlog backlog = backlogOf(*one, work.route->objective, now);
@@ -108,9 +108,8 @@
 
 /**
  * @return whether a hedge of a single look-up would only lengthen the queues. When requests wait at all leafs of a
- * service, most are slower than the hedge delay, and hedges add up to a fifth to the load that causes the wait: at
- * four fifths of the capacity they made one look-up in twenty late. A request that takes several times as long as
- * others did a moment ago is hedged in any case, because its leaf may be hung.
+ * service, most are slower than the hedge delay, and hedges add to the load that causes the wait. A request that takes
+ * several times as long as others did a moment ago is hedged in any case, because its leaf may be hung.
  */
 bool gateway_engine::isHedgeHarmful(const exchange &work, const shard_call &call, millis now) const
 {
@@ -131,7 +130,8 @@
 bool gateway_engine::hasFreeSlot(const exchange &work, const shard_call &call, millis now) const
 {
     return std::ranges::any_of(m_leafs.of(call.service), [&](const std::shared_ptr<leaf> &one) {
-        return mayAsk(*one, now) && backlogOf(*one, work.route->objective, now).queue <= 0;
+        return mayAsk(*one, now) && m_regions.allows(work.route->homeRegions, one->entry.zone)
+            && backlogOf(*one, work.route->objective, now).queue <= 0;
     });
 }
 
--- a/libs/gateway/src/paused_leafs.cpp
+++ b/libs/gateway/src/paused_leafs.cpp
@@ -86,7 +86,9 @@
             && m_regions.allows(work.route->homeRegions, one->entry.zone);
     });
     for (const std::shared_ptr<leaf> &one : leafs) {
-        if (hasOther && !isTried(one) && isAvoided(work, *one, now)) {
+        // A helper of an earlier version does not know the home regions.
+        const bool isOutside = !m_regions.allows(work.route->homeRegions, one->entry.zone);
+        if (!isTried(one) && (isOutside || (hasOther && isAvoided(work, *one, now)))) {
             triedLeafs.push_back(one->entry.id);
         }
     }
--- a/libs/gateway/src/placed_work.cpp
+++ b/libs/gateway/src/placed_work.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t minDelegatedShards = 3; // for fewer shards, the message costs as much as it saves
 constexpr millis reportMargin(3); // for the message there and back, and for reading it on a busy small VM
 
 } // namespace
--- a/libs/hedging/include/hedging/hedging.h
+++ b/libs/hedging/include/hedging/hedging.h
@@ -55,7 +55,6 @@
     millis timeLeft; ///< from the first request until an answer is no longer useful
     millis hop; ///< time that the second leaf needs in addition to its usual response time
     double maxShare = 0; ///< share of the requests that may be hedged
-    millis reserve {}; ///< the first answer should arrive this much before the time is over
 };
 
 /** Why a hedge is sent when it is sent. */
--- a/libs/hedging/src/hedge_timing.cpp
+++ b/libs/hedging/src/hedge_timing.cpp
@@ -61,15 +61,14 @@
     }
     constexpr double median = 0.5;
     const double immediate = secondChance(millis(), given);
-    const millis inTime = given.timeLeft - given.reserve;
     std::optional<millis> lastChance;
-    for (millis age = std::max(minHedgeDelay, m_times.quantile(median) * minHedgeOverMedian); age < inTime;
+    for (millis age = std::max(minHedgeDelay, m_times.quantile(median) * minHedgeOverMedian); age < given.timeLeft;
          age = age * stepFactor) {
         const double second = secondChance(age, given);
         if (second < minSecondChance) {
             break;
         }
-        if (firstChance(age, inTime) >= second * clearlyBelow) {
+        if (firstChance(age, given.timeLeft) >= second * clearlyBelow) {
             continue;
         }
         if (1 - m_times.shareWithin(age) <= given.maxShare) {
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -212,6 +212,7 @@
     unsigned keptConnections = 0; ///< idle connections that the next request can use
     /** When it accepted a new connection after another one had closed without an answer. */
     millis reconnectedAt = millis() - millis::never();
+    millis heldBackUntil = millis() - millis::never(); ///< it holds as many request bytes as it may until about then
     unsigned consecutiveFailures = 0; ///< consecutive failures without an answer in between
     millis downUntil = millis() - millis::never();
     leaf_load load;
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -7,7 +7,7 @@
 
 #include <base/base.h>
 #include <entry/entry.h>
-#include <gateway/gateway.h>
+#include <gateway/gateway_settings.h>
 #include <schema/schema.h>
 
 #include <tl/expected.hpp>
--- a/programs/chivelockd/gateway/gateway_stop.cpp
+++ b/programs/chivelockd/gateway/gateway_stop.cpp
@@ -73,7 +73,7 @@
     if (m_closing) {
         m_callers->closeIdle();
     }
-    const bool done = m_closing && m_callers->sessions() == 0;
+    const bool done = m_closing && m_callers->sessions() == 0 && m_runQueue.isEmpty();
     if (done || spent >= m_settings.grace - exitBeforeGraceEnd) {
         logPeerTraffic();
         logEvent(log_level::Info,
