--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -345,12 +345,11 @@
     listAvoidedLeafs(const exchange &work, const shard_call &call, std::vector<std::string> &triedLeafs, millis now);
     void sendFirst(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
     bool sendApart(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
-    [[nodiscard]] std::optional<hedge_decision>
-    decideHedge(const exchange &work, millis timeLeft, millis hop, millis now) const;
+    [[nodiscard]] std::optional<hedge_decision> decideHedge(const exchange &work, millis timeLeft, millis hop) const;
     [[nodiscard]] static millis timeLeftInTime(const exchange &work, millis now);
     void updateHedgeDelay(exchange &work, millis now);
     void recordHedgeDelay(const exchange &work, millis now);
-    [[nodiscard]] millis firstReportDelay(const exchange &work, millis cutoffIn, millis now) const;
+    [[nodiscard]] millis firstReportDelay(const exchange &work, millis cutoffIn) const;
     [[nodiscard]] millis pendingReportDue(const exchange &work, const delegated_work &asked, millis now) const;
     void learnHelperHop(const delegation &from, const delegated_progress &progress, millis now);
     void sendCall(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -315,7 +315,7 @@
     one.queue = leafQueuePerSlot(*to, *work.latency, now);
     useColdSlot(*to, now);
     updateMixedWork(*to, work.latency->typical.estimate());
-    one.expectedBy = now + work.latency->hedgeDelay();
+    one.expectedBy = now + std::min(work.hedgeDelay, work.latency->hedgeDelay());
     to->open.push_back({one.id, now, one.expectedBy});
     call.tried.push_back(to);
     call.lastAsked = to->entry.id;
--- a/libs/gateway/src/hedge_delays.cpp
+++ b/libs/gateway/src/hedge_delays.cpp
@@ -18,15 +18,13 @@
  * @param timeLeft until the second answer must be here. @param hop additional time of the second leaf.
  * @return nothing if the usual delay applies: the operator switched this off, or there are too few samples.
  */
-std::optional<hedge_decision>
-gateway_engine::decideHedge(const exchange &work, millis timeLeft, millis hop, millis now) const
+std::optional<hedge_decision> gateway_engine::decideHedge(const exchange &work, millis timeLeft, millis hop) const
 {
     if (!m_settings.scheduling.hedging) {
         return std::nullopt;
     }
     const double share = hedgeShare(m_settings.retryRatio, work.urgency);
-    // A VM that is behind also handles the second answer late.
-    return hedge_timing(work.latency->times).decide({timeLeft, hop + ownLag(now), share});
+    return hedge_timing(work.latency->times).decide({timeLeft, hop, share});
 }
 
 /** @return until when an answer to a request sent now has its full value, or any value if it is late already. */
@@ -47,7 +45,7 @@
     work.hedgeDecidedAt = now;
     const bool delegatesSecond = !work.partsByZone.empty();
     const millis hop = delegatesSecond ? m_helperHop.estimate() : directHop;
-    const std::optional<hedge_decision> decided = decideHedge(work, timeLeftInTime(work, now), hop, now);
+    const std::optional<hedge_decision> decided = decideHedge(work, timeLeftInTime(work, now), hop);
     work.hedgeDelay = decided ? decided->delay : work.latency->hedgeDelay();
     work.hedgeCause = decided ? toString(decided->reason) : "silent";
     if (!work.isDelegated()) {
@@ -82,9 +80,9 @@
  * @return time after which a helper reports silent leafs. Its report and the message to the second leaf's VM must fit
  * into the time left, and the helper needs the message with the work first.
  */
-millis gateway_engine::firstReportDelay(const exchange &work, millis cutoffIn, millis now) const
+millis gateway_engine::firstReportDelay(const exchange &work, millis cutoffIn) const
 {
-    const std::optional<hedge_decision> decided = decideHedge(work, cutoffIn, m_helperHop.estimate(), now);
+    const std::optional<hedge_decision> decided = decideHedge(work, cutoffIn, m_helperHop.estimate());
     return decided ? std::min(decided->delay, cutoffIn) : work.latency->hedgeDelay();
 }
 
@@ -94,7 +92,7 @@
  */
 millis gateway_engine::pendingReportDue(const exchange &work, const delegated_work &asked, millis now) const
 {
-    const std::optional<hedge_decision> decided = decideHedge(work, asked.cutoffIn, m_helperHop.estimate(), now);
+    const std::optional<hedge_decision> decided = decideHedge(work, asked.cutoffIn, m_helperHop.estimate());
     const millis own = decided ? std::min(decided->delay, asked.cutoffIn) : asked.firstReportIn;
     return now + std::max(asked.firstReportIn, own);
 }
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -85,10 +85,8 @@
     action.work.topRecords = work.route->topRecords;
     action.work.rank = work.route->rank;
     action.work.objective = work.route->objective;
-    // A lookup that is late already has until its limit, as if this VM asked the leafs itself.
-    const millis end = now < work.cutoff ? work.cutoff : work.limit;
-    action.work.cutoffIn = std::max(end - now - hopMargin, hopMargin);
-    action.work.firstReportIn = firstReportDelay(work, action.work.cutoffIn, now);
+    action.work.cutoffIn = std::max(work.cutoff - now - hopMargin, hopMargin);
+    action.work.firstReportIn = firstReportDelay(work, action.work.cutoffIn);
     action.work.limitIn = std::max(work.limit - now - hopMargin, hopMargin);
     action.work.alone = second;
     for (const std::size_t at : calls) {
--- a/programs/chivelockd/gateway/gateway_queue.cpp
+++ b/programs/chivelockd/gateway/gateway_queue.cpp
@@ -6,8 +6,6 @@
 
 #include <boost/asio/post.hpp>
 
-#include <algorithm>
-
 namespace chivelock {
 
 namespace asio = boost::asio;
@@ -74,11 +72,6 @@
     }
     const millis waited = now - next->terms.arrivedAt;
     m_counts.queueTime = m_counts.queueTime + waited;
-    // Timers are handled between the items, so only the wait of work that yields to no other shows the backlog.
-    constexpr double mostUrgent = 1;
-    if (next->terms.urgency >= mostUrgent && now < next->terms.lateAt()) {
-        recordLag(waited, now);
-    }
     std::visit([&](auto &one) { begin(std::move(one), waited); }, next->item);
 }
 
@@ -107,13 +100,12 @@
     flush();
 }
 
-/** The first report is due when the delegating VM expects it, however long the work was queued. */
+/** The time of the first report is not shortened: it tells for how long leafs have been silent, not this VM. */
 void gateway_service::begin(queued_delegation queued, millis waited)
 {
     delegate_request &request = queued.request;
     request.work.cutoffIn = request.work.cutoffIn - waited;
     request.work.limitIn = request.work.limitIn - waited;
-    request.work.firstReportIn = std::max(request.work.firstReportIn - waited, millis());
     const exchange_id id = m_engine.acceptDelegatedWork(request.requestId, request.work, m_clock.now());
     pending_request &added = m_pendingRequests[id];
     added.delegator = queued.delegator;
