--- a/libs/admission/src/fair_shares.cpp
+++ b/libs/admission/src/fair_shares.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr double shareMargin = 2; // times the mean of the others; accounts differ somewhat in their usual load
-constexpr std::size_t minOpenAboveShare = 4; // a few requests at once, as a page of a client sends, are no crowd
+constexpr std::size_t minOpenAboveShare = 4; // a page of a client may send a few requests at once
 
 } // namespace
 
--- a/libs/admission/src/overload_control.cpp
+++ b/libs/admission/src/overload_control.cpp
@@ -18,9 +18,9 @@
 constexpr double urgentAllowance = 0.2; // of the objective, in addition for the most urgent route
 constexpr double heavyAccountLimit = 0.5; // of the objective, for an account above its share while requests are refused
 constexpr double lightAccountAllowance = 0.2; // of the objective, for other accounts meanwhile
-constexpr double hopelessShare = 0.5; // of the time left: an expected time above this hardly ends before the limit
+constexpr double maxShareOfTimeLeft = 0.5; // of the time left: an expected time above this hardly ends before the limit
 constexpr millis refusingMemory(1000); // after a refusal, others are likely to follow for this long
-constexpr double newestTimeShare = 0.25; // the average covers about four answers, a second of a VM in a large fleet
+constexpr double newestTimeShare = 0.25; // the average covers about four answers
 constexpr millis recentTimeValidity(2000);
 constexpr double lagsOfRequest = 2; // the request waited before it was read, and the leaf's answer waits again
 
@@ -30,14 +30,14 @@
     return minRetryAfter + request.usual <= request.objective;
 }
 
-bool isHopeless(millis expected, const admission_request &request)
+bool isBeyondTimeLimit(millis expected, const admission_request &request)
 {
-    return expected > request.timeLeft * hopelessShare;
+    return expected > request.timeLeft * maxShareOfTimeLeft;
 }
 
 bool isTooLate(millis expected, double limit, const admission_request &request)
 {
-    return expected > request.objective * limit && (canReturnInTime(request) || isHopeless(expected, request));
+    return expected > request.objective * limit && (canReturnInTime(request) || isBeyondTimeLimit(expected, request));
 }
 
 double limitOf(const admission_request &request)
--- a/libs/backpressure/src/connection_table.cpp
+++ b/libs/backpressure/src/connection_table.cpp
@@ -12,7 +12,8 @@
 
 constexpr std::size_t shortShareDivisor = 8; // connections are short once less than this part of the limit is free
 constexpr std::size_t leastShareOfAddress = 8; // connections that any client address may open
-constexpr std::size_t refusalDivisor = 15; // connections that are refused at a time, as a part of the limit
+// One sixteenth of the descriptors for callers is for refusals, see pressure_limits.cpp.
+constexpr std::size_t keptPerRefused = 15;
 constexpr std::size_t leastRefusals = 16;
 
 constexpr double idleBytes = 1024; // weight of a connection that holds nothing
@@ -24,7 +25,7 @@
 
 std::size_t maxRefusals(std::size_t limit)
 {
-    return std::max(leastRefusals, limit / refusalDivisor);
+    return std::max(leastRefusals, limit / keptPerRefused);
 }
 
 } // namespace
--- a/libs/hedging/src/response_times.cpp
+++ b/libs/hedging/src/response_times.cpp
@@ -10,7 +10,7 @@
 
 constexpr double bucketGrowth = 1.15; // wider than the interpolation error and narrower than the spread of the work
 constexpr double firstBucketMs = 0.25; // upper bound of the first bucket
-constexpr double keptShare = 1 - 1.0 / 300; // pauses concern 4 in 100 requests: 12 of them are remembered
+constexpr double keptShare = 1 - 1.0 / 300; // about 300 times are remembered, enough to tell a share of a few in 100
 constexpr double minSamples = 60; // with fewer, the share of the pauses is unknown
 
 } // namespace
