The load of a report has a default

Cause: aggregates of a report without a load gave a compiler warning. Change: the member has an initializer. Result: test_helpers.cpp compiles without a warning.

--- a/libs/gateway/include/gateway/delegated_work.h
+++ b/libs/gateway/include/gateway/delegated_work.h
@@ -78,7 +78,7 @@
     std::vector<lost_shard> lost;
     std::vector<pending_shard> pending; ///< reported once, when the first report is due
     bool last = false; ///< no further report follows
-    std::optional<vm_load> load; ///< of the reporting VM
+    std::optional<vm_load> load {}; ///< of the reporting VM
 };
 
 } // namespace chivelock
