--- a/libs/gateway/tests/test_placed_work.cpp
+++ b/libs/gateway/tests/test_placed_work.cpp
@@ -13,7 +13,7 @@
 constexpr double largeCores = 0.5;
 constexpr double smallCores = 0.12;
 
-/** One of 21 VMs of a zone that has all leafs of 90 shards; the VMs 0 and 1 are large. */
+/** A VM of a zone that has a leaf of each shard; the VMs 0 and 1 are large. */
 class uneven_zone
 {
 public:
--- a/libs/hedging/include/hedging/hedging.h
+++ b/libs/hedging/include/hedging/hedging.h
@@ -75,7 +75,7 @@
 /**
  * Decides when to send a hedge. After a time t without an answer, the chance that the first answer still comes in time
  * is (F(left) - F(t)) / (1 - F(t)), where F is the share of the requests that are answered within a time. A hedge is
- * worth its cost once this chance is clearly below that of a second answer, F(left - t - hop).
+ * sent once this chance is clearly below that of a second answer, F(left - t - hop).
  */
 class hedge_timing
 {
