Leafs that read keep a share of the request bytes

Callers saw nothing yet: found by looking for the cause of the resets elsewhere. Cause: once leafs that read nothing held all request bytes of the VM (16 of them suffice), a leaf that reads got one request at a time: what some accounts keep was taken from those that pass it on. Change: an account may always hold its part of half of the limit; all of it together is at most one and a half times. Result: the new unit test fails with the header before, and all 26 unit tests pass. Not played with real processes.

--- a/libs/backpressure/include/backpressure/backpressure.h
+++ b/libs/backpressure/include/backpressure/backpressure.h
@@ -8,6 +8,7 @@
 
 #include <base/base.h>
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -107,9 +108,8 @@
     [[nodiscard]] bool hasRoom(const key_type &account, std::size_t more) const
     {
         const std::size_t held = heldBy(account);
-        return held == 0
-            || ((m_limits.perAccount == 0 || held + more <= m_limits.perAccount)
-                && hasRoomForAll(more));
+        const bool fitsAccount = m_limits.perAccount == 0 || held + more <= m_limits.perAccount;
+        return held == 0 || (fitsAccount && (hasRoomForAll(more) || held + more <= reservedShare()));
     }
 
     [[nodiscard]] bool hasRoomForAll(std::size_t more) const
@@ -134,6 +134,14 @@
     }
 
 private:
+    /** @return bytes that an account may hold even if the others hold all: what some accounts keep for long must not be
+     *  taken from those that pass it on soon. All shares together are at most half of the limit of all. */
+    [[nodiscard]] std::size_t reservedShare() const
+    {
+        constexpr std::size_t reserveDivisor = 2;
+        return m_limits.all / (reserveDivisor * std::max<std::size_t>(1, m_held.size()));
+    }
+
     byte_limits m_limits;
     std::unordered_map<key_type, std::size_t> m_held;
     std::size_t m_total = 0;
--- a/libs/backpressure/tests/test_backpressure.cpp
+++ b/libs/backpressure/tests/test_backpressure.cpp
@@ -81,6 +81,21 @@
     BOOST_TEST(ledger.total() == 0U);
 }
 
+// Guards against leafs that read nothing and leave those that read one request at a time.
+BOOST_AUTO_TEST_CASE(accounts_that_hold_all_leave_a_share_to_the_others)
+{
+    byte_ledger<int> ledger;
+    ledger.setLimits({100, 1600});
+    constexpr int stuckAccounts = 16;
+    for (int account = 1; account <= stuckAccounts; ++account) {
+        ledger.add(account, 100);
+    }
+    ledger.add(0, 10);
+    BOOST_TEST(ledger.hasRoom(0, 10));
+    BOOST_TEST(!ledger.hasRoom(0, 90));
+    BOOST_TEST(!ledger.hasRoom(1, 1));
+}
+
 BOOST_AUTO_TEST_CASE(a_new_connection_replaces_the_one_that_leaves_its_answer_unread)
 {
     table_of table(2, noByteLimits);
