New queries of death leave the shards that answers require

Cause: the first canary of a new request went to the last leaf of a shard if no shard had two, the next one too once the first had crashed, and one more at the second attempt. Nobody counted the shards that were left. Leafs that other VMs reported as unreachable counted as spare ones, and a canary that waited for a free place skipped the choice. Change: where one more lost shard would leave too few, its last leaf is kept from a request under which a leaf has crashed and, while at least two requests crash leafs in turn, from all that no leaf has answered. They are refused as not run (last_leafs_kept). Held shards wait for the canary, not for a place. Result: the new test in virtual time fails before.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -384,7 +384,9 @@
     [[nodiscard]] bool mayHedge(const exchange &work, const shard_call &call, millis now) const;
     [[nodiscard]] bool isCanaryAttempt(const exchange &work) const;
     void sendCanaries(exchange &work, millis now);
+    [[nodiscard]] std::size_t countLivingLeafs(const service_name &shard, millis now) const;
     [[nodiscard]] bool hasSpareLeaf(const service_name &shard, millis now) const;
+    [[nodiscard]] bool mayRiskLastLeaf(const exchange &work, millis now) const;
     void continueCanary(exchange &work, millis now);
     void holdCall(exchange &work, std::size_t call, millis now);
     void endCanary(const exchange &work);
--- a/libs/gateway/src/canary_requests.cpp
+++ b/libs/gateway/src/canary_requests.cpp
@@ -112,17 +112,46 @@
 }
 
 /**
- * @return whether another leaf of the shard can take over if the asked one crashes. A leaf that refused a connection
- * counts as available again only after it has answered.
+ * @return how many leafs of the shard can be expected to answer. A leaf that refused a connection counts as available
+ * again only after it has answered, whichever VM it refused.
  */
+std::size_t gateway_engine::countLivingLeafs(const service_name &shard, millis now) const
+{
+    constexpr millis reportLifetime(4000); // the entry of a leaf that has ended has expired by then
+    const auto isUnreachable = [&](const leaf &one) {
+        const bool reported =
+            one.peerSawUnreachableAt > one.lastReplyAt && now < one.peerSawUnreachableAt + reportLifetime;
+        return one.consecutiveFailures > 0 || reported;
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(m_leafs.of(shard), [&](const std::shared_ptr<leaf> &one) {
+        return mayAsk(*one, now) && !isUnreachable(*one) && !one->isLeaving();
+    }));
+}
+
+/** @return whether another leaf of the shard can take over if the asked one crashes. */
 bool gateway_engine::hasSpareLeaf(const service_name &shard, millis now) const
 {
-    constexpr std::ptrdiff_t withSpare = 2;
-    return std::ranges::count_if(m_leafs.of(shard),
-                                 [&](const std::shared_ptr<leaf> &one) {
-                                     return mayAsk(*one, now) && one->consecutiveFailures == 0 && !one->isLeaving();
-                                 })
-        >= withSpare;
+    constexpr std::size_t withSpare = 2;
+    return countLivingLeafs(shard, now) >= withSpare;
+}
+
+/**
+ * @return whether the request may be sent to the last leaf of a shard. Without any canary it can't be answered; but if
+ * it crashes that leaf and the route then lacks shards, the lookups of all callers are refused until leafs are back. So
+ * a request under which a leaf has crashed may not take a shard that is still needed, nor may any other while several
+ * requests crash leafs, one after the other: the next one is likely to do so, too.
+ */
+bool gateway_engine::mayRiskLastLeaf(const exchange &work, millis now) const
+{
+    constexpr std::size_t inSeries = 2;
+    const auto living = std::ranges::count_if(
+        work.calls, [&](const shard_call &call) { return countLivingLeafs(call.service, now) > 0; });
+    if (static_cast<std::size_t>(living) != work.neededParts()) {
+        return true; // one more can be missing, or too many already are
+    }
+    const bool mayBeTheCause = !work.evidence->crashedLeafs.empty()
+        || m_requests.quarantineStateOf(work.key, now) == quarantine_state::Suspect;
+    return !mayBeTheCause && m_requests.countCrashingRequests(work.evidence->route, now) < inSeries;
 }
 
 /** Sends canary requests to the leafs with the lowest cost, preferring shards that have a spare leaf. */
@@ -150,8 +179,14 @@
         if (!best.to && !full && !work.isUnderWay()) {
             answerUnserved(work, best.reason(), false, now);
         }
+        if (!best.to) {
+            return;
+        }
         // A shard's only leaf is risked for the first canary alone: without any canary the request can't be answered.
-        if (!best.to || (!bestIsSpare && work.isUnderWay())) {
+        if (!bestIsSpare && (work.isUnderWay() || !mayRiskLastLeaf(work, now))) {
+            if (!work.isUnderWay()) {
+                answerUnserved(work, lastLeafsKept, false, now);
+            }
             return;
         }
         work.calls[bestCall].held = false;
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -64,7 +64,8 @@
             soonest = std::min(soonest, std::max(one->downUntil - now, millis()));
         }
     }
-    const millis earliest = std::clamp(soonest, minRetryAfter, maxRetryAfter);
+    const bool awaitsLeafs = cause == lastLeafsKept; // whose number grows once crashed ones are back
+    const millis earliest = awaitsLeafs ? maxRetryAfter : std::clamp(soonest, minRetryAfter, maxRetryAfter);
     result.retryAfter =
         std::max(retryAfterOf(work, outcome, cause, earliest, now), m_requests.quarantineRemaining(work.key, now));
     m_actions.emplace_back(std::move(result));
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -91,6 +91,9 @@
 
 void gateway_engine::sendWaiting(exchange &work, millis now)
 {
+    if (work.canaryLimit > 0 && work.route->isGather()) {
+        return; // the next canary goes to the leaf that can best be spared, see sendCanaries
+    }
     for (std::size_t at = 0; at < work.calls.size() && !work.ended; ++at) {
         if (!hasPriorities()) {
             sendWaitingCall(work, at, now);
@@ -103,7 +106,7 @@
 void gateway_engine::sendWaitingCall(exchange &work, std::size_t at, millis now)
 {
     shard_call &call = work.calls[at];
-    if (work.ended || !call.waiting || call.done || call.missing || !maySendMore(work, now)) {
+    if (work.ended || !call.waiting || call.held || call.done || call.missing || !maySendMore(work, now)) {
         return;
     }
     const choice chosen = chooseLeaf(work, call, false, now);
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -29,6 +29,9 @@
 inline constexpr double otherZoneShare = 0.3; ///< of the objective, see expectedCost
 inline constexpr double stallShare = 0.5; ///< of the objective: expected additional cost of a stalled leaf
 
+/** Cause of a refusal: the request may crash leafs, and the only ones that could run it are still needed. */
+inline constexpr std::string_view lastLeafsKept = "last_leafs_kept";
+
 /** @return the cost in milliseconds of waiting for the rest of a pause; at most that of a stalled leaf. */
 [[nodiscard]] double pauseCost(const leaf &candidate, const route_latency &latency, millis now);
 
--- a/libs/gateway/tests/test_request_trials.cpp
+++ b/libs/gateway/tests/test_request_trials.cpp
@@ -297,6 +297,38 @@
     BOOST_CHECK_LE(world.finalAnswer(id).missing, unansweredHedges + 1);
 }
 
+// Guards against refusing the lookups of all callers (too_few_shards): each new query of death took the last leafs of
+// further shards while those that the ones before it crashed were away.
+BOOST_AUTO_TEST_CASE(new_queries_of_death_leave_the_shards_that_answers_require)
+{
+    query_of_death_world world;
+    world.crashDelay = millis(5);
+    world.submitOrdinary("/all/popular");
+    exchange_id last = 0;
+    for (std::size_t number = 0; number < 6; ++number) {
+        for (std::size_t attempt = 0; attempt < 2; ++attempt) {
+            last = world.submitCrashing("/all/ending" + std::to_string(number));
+            const exchange_id popular = world.submitOrdinary("/all/popular");
+            BOOST_REQUIRE(world.finalAnswer(popular).outcome == exchange_outcome::Merged);
+        }
+    }
+    BOOST_CHECK(isRefused(world.finalAnswer(last), "last_leafs_kept"));
+    BOOST_CHECK_EQUAL(world.runsOf(last), 0U);
+    BOOST_CHECK(world.finalAnswer(last).retryAfter >= millis(500));
+}
+
+// Guards against refusing new lookups once the leafs are back.
+BOOST_AUTO_TEST_CASE(new_lookups_are_answered_once_crashed_leafs_are_back)
+{
+    query_of_death_world world;
+    for (std::size_t number = 0; number < 6; ++number) {
+        world.submitCrashing("/all/ending" + std::to_string(number));
+    }
+    world.replaceCrashed();
+    const exchange_id id = world.submitOrdinary("/all/ordinary");
+    BOOST_CHECK(world.finalAnswer(id).outcome == exchange_outcome::Merged);
+}
+
 // A paused leaf that gets the canary must not cost the lookup its answer.
 BOOST_AUTO_TEST_CASE(a_canary_at_an_unresponsive_leaf_continues_at_another)
 {
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -181,6 +181,10 @@
      * similar ones may follow. */
     [[nodiscard]] bool requiresCanary(route_digest route, millis now) const;
 
+    /** @return the least number of requests that explain the crashes under requests of the route in the time for which
+     *  it requires canaries. Crashes at about the same time have one cause. */
+    [[nodiscard]] std::size_t countCrashingRequests(route_digest route, millis now) const;
+
     /** Records that these leafs crashed under an attempt that no leaf has answered. @p leafs holds @ref noLeaf if it
      *  timed out. @param alone whether the attempt was a canary request. */
     void recordCrashes(const request_fingerprint &key,
--- a/libs/quarantine/src/request_ledger.cpp
+++ b/libs/quarantine/src/request_ledger.cpp
@@ -289,6 +289,30 @@
     }
 }
 
+std::size_t request_ledger::countCrashingRequests(route_digest route, millis now) const
+{
+    std::vector<std::pair<millis, request_fingerprint>> crashes;
+    for (const auto &[key, about] : m_known) {
+        for (const leaf_crash &one : about.ends) {
+            if (about.route == route && !about.vouched && one.leaf != noLeaf && now < one.at + m_settings.canaryFor) {
+                crashes.emplace_back(one.at, key);
+            }
+        }
+    }
+    std::ranges::sort(crashes);
+    std::set<request_fingerprint> explained;
+    std::size_t count = 0;
+    for (auto event = crashes.begin(); event != crashes.end();) {
+        const auto end = std::find_if(
+            event, crashes.end(), [&](const auto &one) { return one.first > event->first + eventDuration; });
+        const bool isNew = std::none_of(event, end, [&](const auto &one) { return explained.contains(one.second); });
+        count += isNew ? 1 : 0;
+        std::for_each(event, end, [&](const auto &one) { explained.insert(one.second); });
+        event = end;
+    }
+    return count;
+}
+
 void request_ledger::recordCrashes(const request_fingerprint &key,
                                    route_digest route,
                                    attempt_tag attempt,
