A VM that has just started waits for a word before it uses leafs

Cause: a VM that finds nobody reads the store alone after some 0.3 s and used at once what it read, also an entry that was removed and written once more before. What it then heard of the removal it took for as young as its own view of the store. Change: the first contents of a process that reads alone are passed on once a process with contents is its neighbour, all other seeds refuse connections, or after 1.65 s; it dials all seeds.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -43,6 +43,9 @@
     millis seedStoreLostDelay {240}; ///< the same for a seed; the other processes look for a reader at the seeds
     std::size_t maxMembers = 4096; ///< in member lists: a fleet of some thousands, some hundred kilobytes of memory
     millis readerSearchInterval {3000}; ///< between a reader's searches for another reader to follow
+    millis confirmationTimeout {
+        1650}; ///< for a word of another process on what was read alone at the start: the others
+               ///< notice a silent upstream and look for another one at the seeds within it
     millis reportInterval {200}; ///< between messages with reports; each costs a packet, whatever its size
     std::size_t maxReportsPerMessage = 20; ///< in the worst case 1.2 kB per second on each link of the tree
 };
@@ -159,6 +162,8 @@
     struct upstream_candidate {
         std::string address;
         member_list sentMembers; ///< this process's subtree as sent in the request
+        millis dialledAt;
+        bool answered = false; ///< it has sent its state
     };
 
     struct follower {
@@ -208,6 +213,7 @@
     void onFollow(link_id link, follow_request request, millis now);
     void refuse(link_id link, const follow_request &request);
     void processWaitingRequests(millis now);
+    void dropCandidateBehind(const std::string &address);
     void dialReaderIfNeeded(const follow_request &request);
     [[nodiscard]] bool mayFollow(const follow_request &request, millis now) const;
     [[nodiscard]] std::vector<std::string> referralsFor(const follow_request &request) const;
@@ -230,6 +236,12 @@
 
     void onRecentDeletions(link_id link, const recent_deletions &message);
     void sendRecentDeletions(link_id link);
+    void useChanges(store_changes_action changes);
+    void searchForOthers();
+    void recordUnanswered(const upstream_candidate &lost, millis now);
+    void onJoined(millis now);
+    void releaseUnconfirmed(millis now);
+    [[nodiscard]] std::string_view confirmationOfChanges(millis now) const;
     void recordDeletions(const std::string &prefix, std::span<const store_item> newItems);
     void dropExpiredDeletions();
     void onLeafReports(link_id link, leaf_reports_message message, millis now);
@@ -291,6 +303,11 @@
         millis receivedAt;
     };
     std::deque<recorded_deletion> m_recentDeletions; ///< sent on new links
+    bool m_awaitsConfirmation = false; ///< nothing was passed on yet, and there may be other processes that know more
+    std::vector<store_changes_action> m_unconfirmed; ///< read alone and not passed on yet
+    bool m_othersSilent = false; ///< another process may run, but did not answer
+    millis m_confirmBy = millis::never(); ///< the changes are passed on then in any case
+    millis m_confirmedAt = millis::never(); ///< the deletions that the others know have arrived by then
     std::set<std::string> m_fullContentsPending; ///< prefixes whose full contents were requested and have not arrived
     std::map<link_id, follower> m_followers;
     std::vector<waiting_follower> m_waiting;
--- a/libs/fleet/include/fleet/store_view.h
+++ b/libs/fleet/include/fleet/store_view.h
@@ -20,6 +20,7 @@
     bool deleted = false;
     std::string value; ///< empty if deleted
     std::uint64_t created = 0; ///< revision at which the key was created; 0 if unknown, as in messages of the fleet
+    bool beforeStart = false; ///< deleted before this process knew the contents: at an unknown time
 };
 
 /**
@@ -49,6 +50,12 @@
         return m_known;
     }
 
+    /** @return the revision of the first contents, as of which this process knows the times of changes. */
+    [[nodiscard]] std::uint64_t firstRevision() const
+    {
+        return m_firstRevision;
+    }
+
     /** All changes up to this revision have been applied. */
     [[nodiscard]] std::uint64_t revision() const
     {
@@ -95,6 +102,7 @@
     std::uint64_t m_revision = 0;
     std::map<std::string, stored_value, std::less<>> m_items;
     std::map<std::string, deletion, std::less<>> m_deleted; ///< last deletion of each key; the key may exist again
+    std::uint64_t m_firstRevision = 0;
     std::uint64_t m_deletionsSince = 0; ///< @ref m_deleted holds all deletions after this revision
 };
 
--- a/libs/fleet/src/fleet_deletions.cpp
+++ b/libs/fleet/src/fleet_deletions.cpp
@@ -74,7 +74,7 @@
     if (!links.empty()) {
         m_actions.emplace_back(send_message_action {std::move(links), std::move(rest)});
     }
-    m_actions.emplace_back(store_changes_action {message.prefix, std::move(newItems)});
+    useChanges({message.prefix, std::move(newItems)});
 }
 
 } // namespace chivelock
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -98,6 +98,10 @@
         refuse(link, request);
         return;
     }
+    if (std::ranges::any_of(request.known, [](const known_revision &one) { return one.revision > 0; })) {
+        onJoined(now);
+    }
+    dropCandidateBehind(request.address);
     std::ranges::sort(request.members);
     m_followers[link] = {request.address, request.zone, request.subtree, now, std::move(request.members), m_members};
     m_subtreeChanged = true;
@@ -110,6 +114,20 @@
     sendRecentDeletions(link);
 }
 
+/** Gives up following a process that follows this one now. Of two seeds that ask each other at the same time, the one
+ *  that is listed first does so. */
+void fleet_node::dropCandidateBehind(const std::string &address)
+{
+    const auto isSame = [&](const auto &one) { return one.second.address == address; };
+    const auto candidate = std::ranges::find_if(m_candidates, isSame);
+    const std::vector<std::string> before = followableSeeds();
+    if (candidate == m_candidates.end() || std::ranges::find(before, address) != before.end()) {
+        return;
+    }
+    m_actions.emplace_back(close_link_action {candidate->first});
+    m_candidates.erase(candidate);
+}
+
 /** Processes the follow requests that arrived while this process was seeking an upstream. */
 void fleet_node::processWaitingRequests(millis now)
 {
--- a/libs/fleet/src/fleet_items.cpp
+++ b/libs/fleet/src/fleet_items.cpp
@@ -140,7 +140,7 @@
 void fleet_node::forwardItems(store_items items, std::vector<store_item> newItems)
 {
     recordDeletions(items.prefix, newItems);
-    m_actions.emplace_back(store_changes_action {items.prefix, std::move(newItems)});
+    useChanges({items.prefix, std::move(newItems)});
     std::vector<link_id> links;
     std::ranges::transform(m_followers, std::back_inserter(links), [](const auto &one) { return one.first; });
     if (!links.empty()) {
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -33,6 +33,9 @@
     m_tickAt = now;
     m_previousTickAt = now;
     m_nextHeartbeat = now + m_settings.heartbeatInterval;
+    m_confirmBy = now + m_settings.confirmationTimeout;
+    m_awaitsConfirmation = std::ranges::any_of(
+        m_settings.seeds, [this](const std::string &address) { return address != m_settings.address; });
     startSearch(now);
 }
 
@@ -66,6 +69,7 @@
     } else if (auto *requests = std::get_if<request_evidence_message>(&message)) {
         onRequestEvidence(link, std::move(*requests), now);
     }
+    releaseUnconfirmed(now);
 }
 
 void fleet_node::onStoreState(std::string_view prefix, bool ok, millis now)
@@ -112,6 +116,7 @@
     if (m_phase == phase::Reading && now >= m_nextReaderSearch) {
         searchForReader(now);
     }
+    releaseUnconfirmed(now);
     dropUnresponsiveFollowers(now);
     sendReports(now);
     if (now >= m_nextHeartbeat || m_subtreeChanged) {
--- a/libs/fleet/src/fleet_upstream.cpp
+++ b/libs/fleet/src/fleet_upstream.cpp
@@ -95,6 +95,9 @@
         now + (m_leaving ? m_settings.drawInterval : m_settings.readerSearchInterval * (1 + m_random.uniform()));
     m_referralCount = 0;
     dropCandidates(0);
+    if (m_awaitsConfirmation) {
+        searchForOthers();
+    }
     std::ranges::for_each(followableSeeds(), [this](const std::string &address) { dial(address); });
     // The previous reader, which lost the store, looks for another one at the seeds. These may all be down, so this
     // process dials it directly.
@@ -109,7 +112,7 @@
         return;
     }
     const link_id link = m_nextLink++;
-    m_candidates.emplace(link, upstream_candidate {address, m_members});
+    m_candidates.emplace(link, upstream_candidate {address, m_members, m_tickAt});
     m_actions.emplace_back(dial_action {link, address});
 }
 
@@ -139,6 +142,9 @@
     refreshMembers();
     sendStateToFollowers(now);
     processWaitingRequests(now);
+    if (m_awaitsConfirmation) {
+        searchForOthers();
+    }
 }
 
 void fleet_node::onLinkOpen(link_id link, millis now)
@@ -156,12 +162,18 @@
 {
     m_followers.erase(link);
     std::erase_if(m_waiting, [&](const waiting_follower &one) { return one.link == link; });
-    const bool wasCandidate = m_candidates.erase(link) > 0;
+    const auto candidate = m_candidates.find(link);
+    const bool wasCandidate = candidate != m_candidates.end();
+    if (wasCandidate) {
+        recordUnanswered(candidate->second, now);
+        m_candidates.erase(candidate);
+    }
     if (link == m_upstream && m_phase == phase::Following) {
         dropUpstream("closed", now);
     } else if (wasCandidate && m_phase == phase::Seeking && m_candidates.empty()) {
         dialNextSeed();
     }
+    releaseUnconfirmed(now);
 }
 
 void fleet_node::onState(link_id link, const upstream_state &state, millis now)
@@ -194,6 +206,7 @@
 
 void fleet_node::onCandidateState(link_id link, const upstream_state &state, millis now)
 {
+    m_candidates.at(link).answered = true;
     const bool inPath = contains(state.path, m_settings.address);
     // A starting candidate gets the store's first answer within some milliseconds, or reports that reading failed.
     const bool usable = state.accepted && (state.storeOk || (state.starting && m_phase == phase::Seeking)) && !inPath;
@@ -238,6 +251,7 @@
     recordFleetSize(state.fleetSize, now);
     updateMembers(state);
     addLogEvent("follows", m_upstreamAddress, millis());
+    onJoined(now);
     m_actions.emplace_back(link_joined_action {link});
     sendRecentDeletions(link);
     sendStateToFollowers(now);
--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -46,6 +46,7 @@
     std::ranges::move(missing, std::back_inserter(items));
     if (!m_known) {
         m_deletionsSince = revision;
+        m_firstRevision = revision;
     }
     m_known = true;
     return applyChanges(std::move(items), revision, mayHaveExpired);
@@ -62,6 +63,7 @@
         }
         m_deleted[item.key].revision = item.revision;
         newItems.push_back(item);
+        newItems.back().beforeStart = item.revision <= m_firstRevision;
         const auto known = m_items.find(item.key);
         if (known != m_items.end() && known->second.revision > item.revision) {
             newItems.push_back({item.key, known->second.revision, false, known->second.value});
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -246,6 +246,59 @@
     }
 }
 
+// Guards against a VM that starts while the process above it stands still, reads the store alone, and passes on a late
+// write as a new entry.
+BOOST_AUTO_TEST_CASE(a_starting_reader_that_hears_nobody_waits_for_the_others)
+{
+    fleet_world fleet(fleet_world_settings {.nodeCount = 8, .fanOut = 2});
+    fleet.write("leaf", "ready");
+    fleet.write("other", "ready");
+    fleet.run(millis(4000));
+    fleet.write("leaf", "");
+    fleet.run(millis(500));
+    fleet.write("leaf", "ready");
+    fleet.run(millis(300));
+    fleet.kill(1);
+    fleet.setPaused(0, true);
+    fleet.setPaused(2, true);
+    fleet.start(1, fleet.now() + millis(50));
+    for (int step = 0; step < 300; ++step) {
+        fleet.run(millis(10));
+        BOOST_REQUIRE(fleet.valuesReceived(1, "leaf") != "ready");
+    }
+    BOOST_TEST(fleet.valuesReceived(1, "leaf").ends_with("deleted,ready"));
+    BOOST_TEST(fleet.valuesReceived(1, "other") == "ready");
+}
+
+// Guards against a VM that stays without contents because it is the only one that runs.
+BOOST_AUTO_TEST_CASE(a_process_that_runs_alone_uses_the_contents_at_once)
+{
+    fleet_world fleet(8);
+    fleet.write("leaf", "ready");
+    for (std::size_t index = 1; index < 8; ++index) {
+        fleet.start(index, millis::never());
+    }
+    fleet.run(millis(120));
+    BOOST_TEST(fleet.valuesReceived(0, "leaf") == "ready");
+}
+
+// Guards against a VM that waits without end for processes that never answer.
+BOOST_AUTO_TEST_CASE(a_process_that_nobody_answers_uses_the_contents_after_a_while)
+{
+    fleet_world fleet(8);
+    fleet.write("leaf", "ready");
+    fleet.run(millis(3000));
+    fleet.kill(0);
+    for (std::size_t index = 1; index < 8; ++index) {
+        fleet.setPaused(index, true);
+    }
+    fleet.start(0, fleet.now());
+    fleet.run(millis(1500));
+    BOOST_TEST(fleet.valuesReceived(0, "leaf").empty());
+    fleet.run(millis(400));
+    BOOST_TEST(fleet.valuesReceived(0, "leaf") == "ready");
+}
+
 // Guards against all VMs treating leafs as unconfirmed after a store outage: entries that expired because of the outage
 // were not deleted.
 BOOST_AUTO_TEST_CASE(entries_that_expire_in_a_store_outage_are_not_recent_deletions)
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -289,8 +289,9 @@
      *  @return false for an unknown id. */
     bool markUnreadable(std::string_view id);
 
-    /** Records that the entry is missing from the store. @return false for an unknown id. */
-    bool remove(std::string_view id, millis now);
+    /** Records that the entry is missing from the store. @param longAgo it was removed at an unknown time, perhaps long
+     *  before this process knew of it. @return false for an unknown id. */
+    bool remove(std::string_view id, millis now, bool longAgo = false);
 
     /** Removes all leafs that are not in @p entries and puts the others. */
     void replaceAll(std::span<const leaf_entry> entries, millis now);
--- a/libs/leafs/src/leaf_directory.cpp
+++ b/libs/leafs/src/leaf_directory.cpp
@@ -205,20 +205,19 @@
     }
 }
 
-bool leaf_directory::remove(std::string_view id, millis now)
+bool leaf_directory::remove(std::string_view id, millis now, bool longAgo)
 {
     const auto found = m_byId.find(id);
+    const bool mayHaveExpired = !longAgo && isWithinOutageWindow(now);
+    const millis since = longAgo ? millis() : earliestMissingTime(mayHaveExpired, now);
     if (found == m_byId.end()) {
-        const bool mayHaveExpired = isWithinOutageWindow(now);
-        keepRemoved(
-            id,
-            {earliestMissingTime(mayHaveExpired, now), mayHaveExpired, false, std::nullopt, now + removedRetention});
+        keepRemoved(id, {since, mayHaveExpired, false, std::nullopt, now + removedRetention});
         return false;
     }
     leaf &missing = *found->second;
     if (missing.removeAt == millis::never()) {
-        missing.mayHaveExpired = isWithinOutageWindow(now);
-        missing.missingSince = earliestMissingTime(missing.mayHaveExpired, now);
+        missing.mayHaveExpired = mayHaveExpired;
+        missing.missingSince = since;
         missing.removeAt = missing.missingSince + m_hold;
         m_nextExpiry = std::min(m_nextExpiry, missing.removeAt);
     }
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -80,6 +80,7 @@
                  {{"told", std::uint64_t {items.size()}},
                   {"changed", std::uint64_t {changed}},
                   {"known", std::uint64_t {m_engine.leafs().size()}},
+                  {"told_by", m_feed->source()},
                   {"revision", items.back().revision}});
     }
 }
@@ -146,13 +147,14 @@
     const millis now = m_clock.now();
     const std::string id(platform::leafIdFromKey(item.key));
     if (item.deleted) {
-        const bool known = m_engine.leafs().remove(id, now);
+        const bool known = m_engine.leafs().remove(id, now, item.beforeStart);
         if (known && shouldLog) {
             logEvent(log_level::Info,
                      "leaf_missing",
                      {{"leaf", id},
                       {"revision", item.revision},
                       {"told_by", m_feed->source()},
+                      {"before_start", item.beforeStart},
                       {"as_of_ms", m_engine.leafs().maxUpdateAge(now).ceiled()}});
         }
         return known;
