Formatter over the connection table and its server

Cause: the mend of the connection table was committed before the formatter ran over it. Change: line breaks only. Result: the formatter finds nothing in any file.

--- a/libs/backpressure/include/backpressure/backpressure.h
+++ b/libs/backpressure/include/backpressure/backpressure.h
@@ -220,12 +220,8 @@
     /** @param progressed whether the caller has read or sent something since the last call.
      *  @param at when it did; if it did not, the time of the call.
      *  @param received bytes of the current answer that have reached the caller's host. */
-    void update(connection_id id,
-                connection_use use,
-                std::size_t bytes,
-                bool progressed,
-                millis at,
-                std::size_t received = 0);
+    void update(
+        connection_id id, connection_use use, std::size_t bytes, bool progressed, millis at, std::size_t received = 0);
 
     /** @return the kept connection that a new one replaces first, if any. */
     [[nodiscard]] std::optional<connection_closing> firstToReplace(millis now) const;
--- a/libs/backpressure/src/connection_table.cpp
+++ b/libs/backpressure/src/connection_table.cpp
@@ -210,12 +210,8 @@
     m_ledger.close(id);
 }
 
-void connection_table::update(connection_id id,
-                              connection_use use,
-                              std::size_t bytes,
-                              bool progressed,
-                              millis at,
-                              std::size_t received)
+void connection_table::update(
+    connection_id id, connection_use use, std::size_t bytes, bool progressed, millis at, std::size_t received)
 {
     const auto found = m_connections.find(id);
     if (found == m_connections.end()) {
--- a/libs/backpressure/tests/test_backpressure.cpp
+++ b/libs/backpressure/tests/test_backpressure.cpp
@@ -205,7 +205,8 @@
     for (connection_id id = 1; id <= 11; ++id) {
         table.add(id);
         table.use(id, connection_use::Answering, 10 * kilobyte, millis());
-        table.update(id, connection_use::Answering, 10 * kilobyte, true, millis(4), id == 5 ? 2 * kilobyte : 32 * kilobyte);
+        table.update(
+            id, connection_use::Answering, 10 * kilobyte, true, millis(4), id == 5 ? 2 * kilobyte : 32 * kilobyte);
     }
     BOOST_TEST(!table.firstStopped(millis(100), 0).has_value());
     BOOST_TEST(table.firstStopped(millis(110), 0).value().id == 5U);
--- a/programs/chivelockd/gateway/caller_server.h
+++ b/programs/chivelockd/gateway/caller_server.h
@@ -78,8 +78,8 @@
     void setPressureLimits(std::size_t maxConnections, const byte_limits &bytes);
 
     /**
-     * Sets memory aside for the answer to the session's request, until @ref reply. Closes connections whose callers have
-     * stopped reading, if that makes room.
+     * Sets memory aside for the answer to the session's request, until @ref reply. Closes connections whose callers
+     * have stopped reading, if that makes room.
      * @return false if there is no room: the request has then been refused and must not be served.
      */
     [[nodiscard]] bool reserveAnswer(session_id session, std::size_t bytes);
--- a/programs/chivelockd/gateway/caller_session.h
+++ b/programs/chivelockd/gateway/caller_session.h
@@ -256,7 +256,8 @@
 
     /**
      * @return when the caller's host last acknowledged anything; @p now if not known. Connections are sampled only now
-     * and then, so the time of the sample would make a caller that stopped reading long before look like one that reads.
+     * and then, so the time of the sample would make a caller that stopped reading long before look like one that
+     * reads.
      */
     [[nodiscard]] millis lastAcknowledgement(millis now)
     {
