A process that only asks to follow is no word of the fleet

Cause: the VM's contents counted as confirmed when another process with contents asked to follow it. Two had done so while the VM could not reach the store, preferred another reader, and so told it nothing of removals. Evidence: vm-1 logs contents_unconfirmed 12.077, contents_confirmed about=joined 12.089, asks the leaf four times until 12.269, and follows at 12.295, when leaf_missing and doubtful come at once. Change: a process below counts once its first heartbeat has come; it tells its removals before that.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -173,6 +173,7 @@
         millis receivedAt; ///< last request or heartbeat
         std::vector<fleet_member> members; ///< of its subtree, sorted
         member_list sentMembers; ///< the fleet as last sent to it
+        bool hasContents = false; ///< it knew contents of the store when it asked to follow
 
         /** Whether it is shutting down and accepts no followers: a leaving process omits itself from its subtree. */
         [[nodiscard]] bool isLeaving() const
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -98,12 +98,12 @@
         refuse(link, request);
         return;
     }
-    if (std::ranges::any_of(request.known, [](const known_revision &one) { return one.revision > 0; })) {
-        onJoined(now);
-    }
     dropCandidateBehind(request.address);
     std::ranges::sort(request.members);
-    m_followers[link] = {request.address, request.zone, request.subtree, now, std::move(request.members), m_members};
+    const bool hasContents =
+        std::ranges::any_of(request.known, [](const known_revision &one) { return one.revision > 0; });
+    m_followers[link] = {
+        request.address, request.zone, request.subtree, now, std::move(request.members), m_members, hasContents};
     m_subtreeChanged = true;
     upstream_state acceptance = ownState(true);
     acceptance.members = *m_members;
@@ -157,6 +157,9 @@
     m_subtreeChanged = m_subtreeChanged || from.subtree != heartbeat.subtree || !heartbeat.changes.empty();
     from.subtree = heartbeat.subtree;
     from.receivedAt = now;
+    if (from.hasContents) {
+        onJoined(now); // only now: one that has asked may still prefer another process, and then tells nothing
+    }
     from.members = applyMemberChanges(from.members, heartbeat.changes);
 }
 
