--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -43,9 +43,9 @@
     millis seedStoreLostDelay {240}; ///< the same for a seed; the other processes look for a reader at the seeds
     std::size_t maxMembers = 4096; ///< in member lists: a fleet of some thousands, some hundred kilobytes of memory
     millis readerSearchInterval {3000}; ///< between a reader's searches for another reader to follow
-    millis confirmationTimeout {
-        1650}; ///< for a word of another process on what was read alone at the start: the others
-               ///< notice a silent upstream and look for another one at the seeds within it
+    /** Longest wait for a word of another process on what was read alone at the start. Within it the others notice a
+     *  silent upstream and look for another one at the seeds. */
+    millis confirmationTimeout {1650};
     millis reportInterval {200}; ///< between messages with reports; each costs a packet, whatever its size
     std::size_t maxReportsPerMessage = 20; ///< in the worst case 1.2 kB per second on each link of the tree
 };
