Logs and metrics show second sends and silent leafs

Cause: with 65 VMs and 90 shards a run of real processes writes thousands of hedge and leaf_down lines a second, of which the log drops a part, so its counts are lower bounds.

Change: a leaf_sends line for each VM every half second with second sends or silent leafs, and metrics: requests to leafs, second sends, second sends that brought the part first, leafs down and stalled, own lag. No decision changes.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -9,6 +9,7 @@
 
 #include "delegated_work.h"
 #include "gateway_actions.h"
+#include "gateway_counts.h"
 #include "gateway_settings.h"
 #include "sent_requests.h"
 
@@ -107,17 +108,18 @@
         return hasPriorities() ? m_scale.urgencyOf(rank) : 1;
     }
 
-    /** Counts of decisions by urgency since the start. */
-    struct priority_counts {
-        std::uint64_t placesGivenFirst = 0; ///< places at leafs given to a call although an older one waited
-        std::uint64_t budgetLeft =
-            0; ///< extra sends not made, because the rest of the budget is left to more urgent routes
-    };
     [[nodiscard]] const priority_counts &priorityCounts() const
     {
         return m_priorityCounts;
     }
 
+    [[nodiscard]] const send_counts &sendCounts() const
+    {
+        return m_sendCounts;
+    }
+
+    [[nodiscard]] silent_leafs countSilentLeafs(millis now) const;
+
     /** Accepts work that another VM delegates; its results are emitted as @ref progress_action. */
     exchange_id acceptDelegatedWork(std::string requestId, const delegated_work &work, millis now);
 
@@ -242,6 +244,7 @@
         millis closeAt; ///< the send is cancelled then
         double queue = 0; ///< @ref leafQueuePerSlot at the time of the send
         bool idempotent = true;
+        bool second = false; ///< the request may have run at another leaf before
     };
 
     /** Shards of one exchange that were delegated to another VM. */
@@ -256,6 +259,7 @@
         millis reportExpectedIn; ///< from delegating the work until a helper without backlog has reported
         millis firstReportTimeout; ///< from delegating the work until the first report is overdue
         bool reportReceived = false;
+        bool second = false; ///< the requests may have run at other leafs before
         bool late = false; ///< the first report is overdue; requests to second leafs are allowed
     };
 
@@ -417,6 +421,7 @@
     void delegate(exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now);
     void sendSecond(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
     void delegateSecondSends(exchange &work, millis now);
+    void recordPart(bool bySecond);
     [[nodiscard]] static bool markShardDone(delegation &from, std::uint32_t shard);
     void onReportOverdue(delegation_id id, millis now);
     void reclaimDelegation(delegation_id id, std::string_view cause, millis now);
@@ -502,6 +507,7 @@
     std::unordered_map<service_name, double> m_highestUrgency; ///< of the routes that use the service
     std::unordered_map<service_name, waiting_calls> m_waitingCalls; ///< only if routes have priorities
     priority_counts m_priorityCounts;
+    send_counts m_sendCounts;
 };
 
 /** Size of a record; a shorter remainder at the end of a part is ignored. */
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -309,6 +309,7 @@
     one.latency = work.latency;
     one.sentAt = now;
     one.idempotent = work.route->idempotent;
+    one.second = call.mayHaveRun > 0;
     constexpr millis lateAnswerGrace(100); // so that a leaf's answer that its deadline passed is still received
     one.deadline = usefulUntil(work, now);
     one.closeAt = work.limit + lateAnswerGrace;
@@ -327,6 +328,7 @@
     const bool mayHedge = work.route->idempotent && !work.isDelegated();
     call.nextHedge = mayHedge ? now + work.hedgeDelay : millis::never();
     work.sends += 1;
+    m_sendCounts.all += 1;
     m_due.push({one.closeAt, due_kind::Send, one.id});
     m_actions.emplace_back(send_action {
         one.id, work.id, to, one.deadline, work.limit, connectionShare(call.service), !work.route->idempotent});
@@ -390,6 +392,7 @@
         logEvent(work, "send_in_vain", cause, ended->to.get(), call.service, now - ended->sentAt, now);
     }
     if (!call.done && !call.missing) {
+        recordPart(ended->second && !notRun && reply.isWholeSuccess());
         if (notRun) {
             // The leaf has not started the request, so it may be asked again if no other leaf is left.
             std::erase(call.tried, ended->to);
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -35,6 +35,7 @@
  */
 void gateway_engine::sendSecond(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
+    m_sendCounts.second += work.calls[at].mayHaveRun > 0 ? 1 : 0;
     work.delegatedSecondSends += sendApart(work, at, to, now) ? 1 : 0;
 }
 
@@ -100,6 +101,7 @@
     delegation made;
     made.exchange = work.id;
     made.helper = helper;
+    made.second = second;
     made.shardDone.resize(calls.size());
     made.calls = std::move(calls);
     made.delegatedAt = now;
@@ -174,6 +176,7 @@
         if (alone && call.done) {
             return;
         }
+        recordPart(from.second && !call.done);
         takePart(work, call, std::move(part.stamp), now);
         call.mergedWithOthers = !alone;
     }
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -9,6 +9,8 @@
 #include <base/base.h>
 #include <hedging/hedging.h>
 
+#include <algorithm>
+#include <concepts>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -18,6 +20,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chivelock {
@@ -310,6 +313,12 @@
 
     [[nodiscard]] std::size_t countInZone(const zone_name &zone) const;
 
+    template<std::invocable<const leaf &> Visitor>
+    void forEach(Visitor visit) const
+    {
+        std::ranges::for_each(m_byId, [&](const auto &one) { visit(std::as_const(*one.second)); });
+    }
+
 private:
     [[nodiscard]] bool isWithinOutageWindow(millis now) const;
     [[nodiscard]] millis earliestMissingTime(bool mayHaveExpired, millis now) const;
--- a/programs/chivelockd/gateway/gateway_metrics.cpp
+++ b/programs/chivelockd/gateway/gateway_metrics.cpp
@@ -65,11 +65,32 @@
               {"parts_own", placed.own}});
 }
 
+/** Logs the requests to leafs so far, if second sends were made since the last time. */
+void gateway_service::logLeafSends()
+{
+    const millis now = m_clock.now();
+    const send_counts &sends = m_engine.sendCounts();
+    const silent_leafs silent = m_engine.countSilentLeafs(now);
+    if (sends.second == m_loggedSecondSends && silent.down == 0 && silent.stalled == 0) {
+        return;
+    }
+    m_loggedSecondSends = sends.second;
+    logEvent(log_level::Info,
+             "leaf_sends",
+             {{"all", sends.all},
+              {"second", sends.second},
+              {"useful", sends.useful},
+              {"leafs_down", std::uint64_t {silent.down}},
+              {"leafs_stalled", std::uint64_t {silent.stalled}},
+              {"own_lag_ms", currentLoad(now).lag.ceiled()}});
+}
+
 std::string gateway_service::metricsPage() const
 {
     const millis now = m_clock.now();
     const vm_load own = currentLoad(now);
     const placement::placed_parts &placed = m_engine.placed();
+    const silent_leafs silent = m_engine.countSilentLeafs(now);
     const auto number = [](std::uint64_t value) { return static_cast<double>(value); };
     const std::uint64_t version = m_engine.config() == nullptr ? 0 : m_engine.config()->config().version;
     std::vector<metric_value> values = {
@@ -97,6 +118,16 @@
          {}},
         {"chivelock_gateway_standstills_total", "Times this process stood still.", number(m_counts.processPauses), {}},
         {"chivelock_leaf_sends_total", "Requests to leafs.", number(m_pool->counts().sent), {}},
+        {"chivelock_second_sends_total",
+         "Hedges, and retries of requests that a leaf may have run.",
+         number(m_engine.sendCounts().second),
+         {}},
+        {"chivelock_second_sends_useful_total",
+         "Of the second sends, those that brought the part first.",
+         number(m_engine.sendCounts().useful),
+         {}},
+        {"chivelock_leafs_down", "Leafs not asked after a request was given up.", number(silent.down), {}},
+        {"chivelock_leafs_stalled", "Leafs not asked while a request is overdue.", number(silent.stalled), {}},
         {"chivelock_leaf_connections_opened_total", "New connections.", number(m_pool->counts().opened), {}},
         {"chivelock_leaf_stray_answers_total", "Answers to other requests.", number(m_pool->counts().strayAnswers), {}},
         {"chivelock_work_handed_out_total",
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -371,6 +371,7 @@
         logPeerTraffic();
         logPlacement();
     }
+    logLeafSends();
     m_nextHousekeeping = now + housekeepingInterval;
     m_housekeepingTimer.expires_after(std::chrono::milliseconds(housekeepingInterval.ceiled()));
     m_housekeepingTimer.async_wait([this](const error_code &timerError) {
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -116,6 +116,7 @@
     void continueStop();
     void logPeerTraffic();
     void logPlacement() const;
+    void logLeafSends();
     [[nodiscard]] bool answerReadinessProbe() override;
     [[nodiscard]] std::string metricsPage() const override;
 
@@ -138,6 +139,7 @@
     millis m_nextQueueSample;
     millis m_nextHousekeeping;
     millis m_nextTrafficLog;
+    std::uint64_t m_loggedSecondSends = 0;
     std::unordered_map<exchange_id, pending_request> m_pendingRequests;
     std::unordered_map<session_id, exchange_id> m_exchangeBySession;
     std::map<delegation_key, exchange_id> m_delegatedExchanges; ///< for work that other VMs delegated
