A lookup asks few shards twice while no second leaf answers

What callers saw: on a fleet of 65 VMs before 90 shards, beside busy processes, lookups failed at their time limit for seconds although no leaf had failed; the share served fell to 0.03 to 0.15.

Cause: hedges and retries were limited only by the retry budget, which holds over ten seconds and is divided among the VMs. A VM of a large fleet gets a lookup every two seconds, and its part of the budget allows it to ask each shard of its next three lookups twice. When all leafs are late at the same time, because their hosts paused or are busy, all VMs do so, the leafs get up to twice the load, and stay late. This is a metastable failure: the trigger is over, and the retries sustain the overload.

Change: second sends of a lookup that have brought no part are limited to 0.15 of its shards, at least six. Each one that brings its part makes room for another, so a lookup still survives the loss of a zone whose second leafs answer. Requests that no leaf ran are not limited. A call beyond the limit waits.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -421,7 +421,10 @@
     void delegate(exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now);
     void sendSecond(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
     void delegateSecondSends(exchange &work, millis now);
-    void recordPart(bool bySecond);
+    [[nodiscard]] bool maySendSecond(const exchange &work, shard_call &call);
+    void countSecondSend(exchange &work, shard_call &call);
+    void recordUsefulSecond(exchange &work, shard_call &call);
+    static void releaseSecond(exchange &work, shard_call &call);
     [[nodiscard]] static bool markShardDone(delegation &from, std::uint32_t shard);
     void onReportOverdue(delegation_id id, millis now);
     void reclaimDelegation(delegation_id id, std::string_view cause, millis now);
--- a/libs/gateway/include/gateway/gateway_counts.h
+++ b/libs/gateway/include/gateway/gateway_counts.h
@@ -18,6 +18,8 @@
     std::uint64_t all = 0; ///< sent by this VM, also for others
     std::uint64_t second = 0; ///< second sends that this VM decided, including those that it delegated
     std::uint64_t useful = 0; ///< of these, those that brought the part first
+    std::uint64_t withheld =
+        0; ///< shards not asked again in time because too many second sends of the lookup had no answer
 };
 
 /** Leafs that this VM does not ask at present, because they did not answer it. */
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -262,6 +262,7 @@
     for (const service_name &shard : shards) {
         work.calls.emplace_back().service = shard;
     }
+    work.secondSendLimit = second_send_limit(shards.size());
 }
 
 /** Sends the calls that are not delegated to another VM. */
@@ -384,6 +385,11 @@
     const bool notRun = reply.notRun || reply.wrongInstance;
     call.mayHaveRun -= notRun ? 1 : 0;
     call.reachedLeaf = true;
+    if (ended->second && notRun) {
+        releaseSecond(work, call);
+    } else if (ended->second && !call.done && reply.isWholeSuccess()) {
+        recordUsefulSecond(work, call);
+    }
     if (survived) {
         recordSurvived(work, now);
     }
@@ -392,7 +398,6 @@
         logEvent(work, "send_in_vain", cause, ended->to.get(), call.service, now - ended->sentAt, now);
     }
     if (!call.done && !call.missing) {
-        recordPart(ended->second && !notRun && reply.isWholeSuccess());
         if (notRun) {
             // The leaf has not started the request, so it may be asked again if no other leaf is left.
             std::erase(call.tried, ended->to);
@@ -437,6 +442,9 @@
     call.mayHaveRun -= neverSent ? 1 : 0;
     call.reachedLeaf = call.reachedLeaf || !neverSent;
     call.leafCrashed = call.leafCrashed || leafCrashed;
+    if (ended->second && neverSent) {
+        releaseSecond(work, call);
+    }
     if (leafCrashed) {
         recordLeafCrash(work, ended->to->entry.id);
     }
--- a/libs/gateway/src/engine_retries.cpp
+++ b/libs/gateway/src/engine_retries.cpp
@@ -24,6 +24,10 @@
         failCall(work, at, cause, now);
         return;
     }
+    if (!maySendSecond(work, call)) {
+        call.waiting = true;
+        return;
+    }
     const choice chosen = chooseLeaf(work, call, false, now);
     if (!chosen.to && chosen.full && now >= work.cutoff) {
         call.waiting = true; // already late: uses only capacity not needed by requests that can still be in time
@@ -76,7 +80,7 @@
             call.nextHedge = millis::never();
             continue;
         }
-        const choice chosen = mayHedge(work, call, now) && !isHedgeHarmful(work, call, now)
+        const choice chosen = maySendSecond(work, call) && mayHedge(work, call, now) && !isHedgeHarmful(work, call, now)
             ? chooseLeaf(work, call, true, now)
             : choice();
         if (!chosen.to || !spendExtra(work, call.service, hedgeReserve, now)) {
@@ -109,6 +113,9 @@
     if (work.ended || !call.waiting || call.held || call.done || call.missing || !maySendMore(work, now)) {
         return;
     }
+    if (!maySendSecond(work, call)) {
+        return;
+    }
     const choice chosen = chooseLeaf(work, call, false, now);
     const bool again = call.sends > 0;
     if (chosen.to && again && !spendExtra(work, call.service, 0, now)) {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -77,6 +77,8 @@
     unsigned open = 0; ///< sends without an answer yet
     unsigned mayHaveRun = 0; ///< sends that may have run; excludes those proven not to have
     unsigned sends = 0;
+    unsigned limitedSends = 0; ///< second sends that count in the limit of the lookup
+    bool secondWithheld = false; ///< a second send was not made because of that limit
     millis nextHedge = millis::never();
     bool waiting = false; ///< not sent yet, for example because no leaf has a free connection
     bool held = false; ///< held back: not sent, or not resent, until a leaf has survived the request
@@ -148,6 +150,7 @@
     std::size_t canaryLimit = 0; ///< canary requests allowed before a leaf has survived the request; 0 for no limit
     asked_leafs_action asked; ///< for the log
     std::optional<gateway_reply> failure; ///< of a request to one leaf: the last failed answer
+    second_send_limit secondSendLimit;
     unsigned sends = 0;
     unsigned hedges = 0;
     unsigned retries = 0;
--- a/libs/gateway/src/outgoing_delegations.cpp
+++ b/libs/gateway/src/outgoing_delegations.cpp
@@ -35,7 +35,7 @@
  */
 void gateway_engine::sendSecond(exchange &work, std::size_t at, const std::shared_ptr<leaf> &to, millis now)
 {
-    m_sendCounts.second += work.calls[at].mayHaveRun > 0 ? 1 : 0;
+    countSecondSend(work, work.calls[at]);
     work.delegatedSecondSends += sendApart(work, at, to, now) ? 1 : 0;
 }
 
@@ -141,6 +141,9 @@
         std::erase(work.delegations, id);
     }
     for (const lost_shard &one : lost) {
+        if (from.second && !one.mayHaveRun) {
+            releaseSecond(work, work.calls[from.calls[one.shard]]);
+        }
         if (!work.ended) {
             resumeCall(work, from.calls[one.shard], one, now);
         }
@@ -176,7 +179,9 @@
         if (alone && call.done) {
             return;
         }
-        recordPart(from.second && !call.done);
+        if (from.second && !call.done) {
+            recordUsefulSecond(work, call);
+        }
         takePart(work, call, std::move(part.stamp), now);
         call.mergedWithOthers = !alone;
     }
--- a/libs/gateway/src/second_sends.cpp
+++ b/libs/gateway/src/second_sends.cpp
@@ -2,12 +2,44 @@
 
 #include "exchange.h"
 
+#include <utility>
+
 namespace chivelock {
 
-/** A part has arrived. @param bySecond whether a second send brought it. */
-void gateway_engine::recordPart(bool bySecond)
+/** @return whether a further leaf may be asked for the shard. The limit does not apply if no leaf has run the request.
+ */
+bool gateway_engine::maySendSecond(const exchange &work, shard_call &call)
+{
+    if (call.mayHaveRun == 0 || !work.secondSendLimit.isReached()) {
+        return true;
+    }
+    m_sendCounts.withheld += std::exchange(call.secondWithheld, true) ? 0 : 1;
+    return false;
+}
+
+/** @pre the attempt is not counted in the call yet. */
+void gateway_engine::countSecondSend(exchange &work, shard_call &call)
+{
+    if (call.mayHaveRun > 0) {
+        m_sendCounts.second += 1;
+        call.limitedSends += 1;
+        work.secondSendLimit.onSent();
+    }
+}
+
+/** A second send brought the part before the first leaf did. */
+void gateway_engine::recordUsefulSecond(exchange &work, shard_call &call)
+{
+    m_sendCounts.useful += 1;
+    releaseSecond(work, call);
+}
+
+void gateway_engine::releaseSecond(exchange &work, shard_call &call)
 {
-    m_sendCounts.useful += bySecond ? 1 : 0;
+    if (call.limitedSends > 0) {
+        call.limitedSends -= 1;
+        work.secondSendLimit.onReleased();
+    }
 }
 
 silent_leafs gateway_engine::countSilentLeafs(millis now) const
--- a/libs/hedging/include/hedging/hedging.h
+++ b/libs/hedging/include/hedging/hedging.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string_view>
 
@@ -102,6 +103,35 @@
  *  @param budgetRatio extra requests that the fleet allows per request. @param urgency from 0 to 1. */
 [[nodiscard]] double hedgeShare(double budgetRatio, double urgency);
 
+/**
+ * Limits the second sends of one lookup that have brought no part yet. While second leafs answer, further ones may be
+ * asked, so that a lookup survives the loss of a zone. When all leafs are late, second sends bring nothing and lengthen
+ * the queues, so that only a share of the shards is asked twice, however many are late.
+ */
+class second_send_limit
+{
+public:
+    /** Without a limit, for a request to one leaf. */
+    second_send_limit() = default;
+
+    /** @param shards of the lookup. */
+    explicit second_send_limit(std::size_t shards);
+
+    [[nodiscard]] bool isReached() const
+    {
+        return m_unanswered >= m_limit;
+    }
+
+    void onSent();
+
+    /** A second send brought its part, or its leaf did not run the request. */
+    void onReleased();
+
+private:
+    std::size_t m_limit = std::numeric_limits<std::size_t>::max();
+    std::size_t m_unanswered = 0; ///< including those whose part came from the first leaf
+};
+
 /**
  * How fast a leaf usually is: the ratio of its response times to those that are typical of the routes, averaged over
  * some tens of answers. Single pauses hardly change it.
--- a/libs/hedging/tests/test_hedging.cpp
+++ b/libs/hedging/tests/test_hedging.cpp
@@ -206,3 +206,15 @@
     BOOST_CHECK_CLOSE(slow.factor(), 4.0, 0.1);
     BOOST_CHECK_CLOSE(fast.factor(), 0.5, 0.1);
 }
+
+BOOST_AUTO_TEST_CASE(a_released_second_send_makes_room_for_another)
+{
+    second_send_limit limit(20);
+    for (std::size_t at = 0; at < 6; ++at) {
+        BOOST_TEST(!limit.isReached());
+        limit.onSent();
+    }
+    BOOST_TEST(limit.isReached());
+    limit.onReleased();
+    BOOST_TEST(!limit.isReached());
+}
--- a/programs/chivelockd/gateway/gateway_metrics.cpp
+++ b/programs/chivelockd/gateway/gateway_metrics.cpp
@@ -80,6 +80,7 @@
              {{"all", sends.all},
               {"second", sends.second},
               {"useful", sends.useful},
+              {"withheld", sends.withheld},
               {"leafs_down", std::uint64_t {silent.down}},
               {"leafs_stalled", std::uint64_t {silent.stalled}},
               {"own_lag_ms", currentLoad(now).lag.ceiled()}});
@@ -126,6 +127,10 @@
          "Of the second sends, those that brought the part first.",
          number(m_engine.sendCounts().useful),
          {}},
+        {"chivelock_second_sends_withheld_total",
+         "Shards not asked again in time, because too many second sends of the lookup had no answer.",
+         number(m_engine.sendCounts().withheld),
+         {}},
         {"chivelock_leafs_down", "Leafs not asked after a request was given up.", number(silent.down), {}},
         {"chivelock_leafs_stalled", "Leafs not asked while a request is overdue.", number(silent.stalled), {}},
         {"chivelock_leaf_connections_opened_total", "New connections.", number(m_pool->counts().opened), {}},
