Leafs finish late parts while lookups need them

Cause: a request to a leaf carries the time of the partial answer plus 20 ms as its deadline, so that leafs do not work on parts of lookups that were answered without them. If more parts are late than a lookup may lack, it is not answered then but waits for its time limit. The leafs drop the late parts all the same, mostly just before they would be ready, and the lookup asks for them again: the leafs work, and no part arrives.

Change: each VM keeps the share of parts that were late for partial answers over some seconds, from its own lookups and from work that others delegate to it. Above 0.15 requests carry the lookup's limit. Single slow leafs, whose shards are asked again, rarely reach that share, and their late parts are dropped as before.

All unit tests pass.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -421,6 +421,7 @@
     void delegate(exchange &work, const std::string &helper, std::vector<std::size_t> calls, bool second, millis now);
     void sendSecond(exchange &work, std::size_t call, const std::shared_ptr<leaf> &to, millis now);
     void delegateSecondSends(exchange &work, millis now);
+    static void recordLateParts(exchange &work, millis now);
     [[nodiscard]] bool maySendSecond(const exchange &work, shard_call &call);
     void countSecondSend(exchange &work, shard_call &call);
     void recordUsefulSecond(exchange &work, shard_call &call);
--- a/libs/gateway/src/accepted_work.cpp
+++ b/libs/gateway/src/accepted_work.cpp
@@ -135,6 +135,9 @@
         }
     }
     report.records = mergeRecords(parts, work.route->topRecords);
+    if (last) {
+        recordLateParts(work, now);
+    }
     work.ended = work.ended || last;
     const bool hasChanges = !report.parts.empty() || !report.lost.empty() || !report.pending.empty();
     if (hasChanges || last || !work.firstReportSent) {
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -293,7 +293,8 @@
 millis gateway_engine::usefulUntil(const exchange &work, millis now)
 {
     constexpr millis partGrace(20); // a part that arrives slightly late may still complete a lookup that lacks parts
-    const bool inTime = work.route->isGather() && now < work.cutoff;
+    // A lookup that can't be answered without late parts would ask for them again, and no leaf would finish any.
+    const bool inTime = work.route->isGather() && now < work.cutoff && !work.latency->needsLateParts(now);
     return inTime ? std::min(work.limit, work.cutoff + partGrace) : work.limit;
 }
 
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -94,6 +94,9 @@
     result.elapsed = now - work.arrivedAt;
     result.networkTime = work.networkTime;
     work.ended = true;
+    if (outcome == exchange_outcome::Merged) {
+        recordLateParts(work, now);
+    }
     recordCompleted(work, outcome, now);
 }
 
--- a/libs/gateway/src/engine_schedule.cpp
+++ b/libs/gateway/src/engine_schedule.cpp
@@ -3,11 +3,27 @@
 #include "exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chivelock {
 
+/** Counts the parts that are missing at the cutoff, or none if the lookup has ended before. */
+void gateway_engine::recordLateParts(exchange &work, millis now)
+{
+    if (!work.route->isGather() || std::exchange(work.latenessRecorded, true)) {
+        return;
+    }
+    const auto late = now < work.cutoff
+        ? 0
+        : std::ranges::count_if(work.calls, [](const shard_call &call) { return !call.done && !call.missing; });
+    work.latency->late.add(static_cast<std::size_t>(late), work.calls.size(), now);
+}
+
 void gateway_engine::advanceExchange(exchange &work, millis now)
 {
+    if (now >= work.cutoff) {
+        recordLateParts(work, now);
+    }
     if (now >= work.limit) {
         answerUnserved(work, "time", true, now);
         return;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -156,6 +156,7 @@
     unsigned retries = 0;
     unsigned delegatedSecondSends = 0; ///< hedges and retries that were delegated to other VMs
     placement::placed_parts placed;
+    bool latenessRecorded = false; ///< its late parts were counted
     bool ended = false;
 
     [[nodiscard]] bool isDelegated() const
--- a/libs/gateway/tests/test_shared_host.cpp
+++ b/libs/gateway/tests/test_shared_host.cpp
@@ -53,3 +53,15 @@
     }
     BOOST_TEST(static_cast<double>(all.served) >= minServedShare * static_cast<double>(all.asked));
 }
+
+// Guards against giving up and asking again for parts that lookups need although they are late.
+BOOST_AUTO_TEST_CASE(lookups_are_served_while_the_hosts_of_the_leafs_are_nearly_saturated)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        shared_host_fleet fleet({.hostTime = millis(2), .seed = seed}); // 0.9 of its time
+        const millis began = fleet.now;
+        fleet.runLoad(millis(10000));
+        const lookup_count count = fleet.countLookups(began + recoversWithin, fleet.now - lookupEnd);
+        BOOST_TEST(static_cast<double>(count.served) >= minServedShare * static_cast<double>(count.asked));
+    }
+}
--- a/libs/leafs/include/leafs/leafs.h
+++ b/libs/leafs/include/leafs/leafs.h
@@ -68,6 +68,24 @@
     millis m_estimate;
 };
 
+/** Share of the parts of lookups that were late for a partial answer, over the last seconds. */
+class late_part_share
+{
+public:
+    /** @param late of the @p all parts that were asked for. */
+    void add(std::size_t late, std::size_t all, millis now);
+
+    /** @return from 0 to 1; 0 if there were no lookups. */
+    [[nodiscard]] double at(millis now) const;
+
+private:
+    [[nodiscard]] double keptAt(millis now) const;
+
+    double m_late = 0; ///< each part decays since its time
+    double m_all = 0;
+    millis m_updatedAt;
+};
+
 /** Latency of the requests of one route at its leafs. */
 struct route_latency {
     explicit route_latency(millis objective);
@@ -79,9 +97,13 @@
      *  samples. */
     [[nodiscard]] millis hedgeDelay() const;
 
+    /** @return whether so many parts are late that lookups can't be answered without late ones. */
+    [[nodiscard]] bool needsLateParts(millis now) const;
+
     quantile_tracker typical; ///< median time without the leaf's queue
     quantile_tracker slow; ///< high quantile of the time with the leaf's queue
     response_times times; ///< time from the send to the answer
+    late_part_share late;
     millis objective;
 };
 
