A process that runs without the store may know more than a starting one

Cause: a process that starts reads the store and takes itself for the only one if all other seeds refuse the connection or answer. Any answer counted, also that of a process that runs and has lost the store. That one is not followed, so it did not confirm the contents, and it was not waited for either: contents_confirmed about=none_running, 12 ms after the contents. It knew of the removal that the late write had undone.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -306,7 +306,7 @@
     std::deque<recorded_deletion> m_recentDeletions; ///< sent on new links
     bool m_awaitsConfirmation = false; ///< nothing was passed on yet, and there may be other processes that know more
     std::vector<store_changes_action> m_unconfirmed; ///< read alone and not passed on yet
-    bool m_othersSilent = false; ///< another process may run, but did not answer
+    bool m_othersMayKnowMore = false; ///< another process did not answer, or runs without the store
     millis m_confirmBy = millis::never(); ///< the changes are passed on then in any case
     millis m_confirmedAt = millis::never(); ///< the deletions that the others know have arrived by then
     std::set<std::string> m_fullContentsPending; ///< prefixes whose full contents were requested and have not arrived
--- a/libs/fleet/src/fleet_confirmation.cpp
+++ b/libs/fleet/src/fleet_confirmation.cpp
@@ -40,7 +40,7 @@
 /** Notes a process that did not refuse the connection, as it would if it did not run, and did not answer either. */
 void fleet_node::recordUnanswered(const upstream_candidate &lost, millis now)
 {
-    m_othersSilent = m_othersSilent || (!lost.answered && now - lost.dialledAt > refusedWithin);
+    m_othersMayKnowMore = m_othersMayKnowMore || (!lost.answered && now - lost.dialledAt > refusedWithin);
 }
 
 /** Another process that has contents is a neighbour now. */
@@ -61,7 +61,7 @@
         return "none_heard";
     }
     const bool allAnswered = std::ranges::all_of(m_candidates, [](const auto &one) { return one.second.answered; });
-    const bool isAlone = m_phase == phase::Reading && allAnswered && !m_othersSilent;
+    const bool isAlone = m_phase == phase::Reading && allAnswered && !m_othersMayKnowMore;
     return isAlone && m_confirmedAt == millis::never() ? "none_running" : std::string_view();
 }
 
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -270,6 +270,29 @@
     BOOST_TEST(fleet.valuesReceived(1, "other") == "ready");
 }
 
+// Guards against a VM that takes itself for the only one because the others run without the store, and passes on a late
+// write as a new entry.
+BOOST_AUTO_TEST_CASE(a_starting_reader_waits_for_a_process_that_has_lost_the_store)
+{
+    fleet_world fleet(3);
+    fleet.write("leaf", "ready");
+    fleet.run(millis(4000));
+    fleet.write("leaf", "");
+    fleet.run(millis(500));
+    fleet.write("leaf", "ready");
+    fleet.run(millis(300));
+    fleet.kill(1);
+    fleet.kill(2);
+    fleet.setStoreUnavailable(0, true);
+    fleet.run(millis(700));
+    fleet.start(1, fleet.now() + millis(50));
+    for (int step = 0; step < 300; ++step) {
+        fleet.run(millis(10));
+        BOOST_REQUIRE(fleet.valuesReceived(1, "leaf") != "ready");
+    }
+    BOOST_TEST(fleet.valuesReceived(1, "leaf").ends_with("deleted,ready"));
+}
+
 // Guards against a VM that stays without contents because it is the only one that runs.
 BOOST_AUTO_TEST_CASE(a_process_that_runs_alone_uses_the_contents_at_once)
 {
