Only processes without the store are waited for at a start

Change: only answers of processes that neither start nor have the store count.

Result: the tests of the fleet pass, a_starting_reader_waits_for_a_process_that_has_lost_the_store among them.

--- a/libs/fleet/src/fleet_upstream.cpp
+++ b/libs/fleet/src/fleet_upstream.cpp
@@ -219,7 +219,7 @@
         m_stateExpectedUntil = now + m_settings.upstreamTimeout;
         return; // the candidate sends its next state without being asked; another request would only delay it
     }
-    m_othersMayKnowMore = m_othersMayKnowMore || !state.starting;
+    m_othersMayKnowMore = m_othersMayKnowMore || (!state.starting && !state.storeOk);
     const std::vector<std::string> referrals = state.accepted ? std::vector<std::string>() : state.referrals;
     m_actions.emplace_back(close_link_action {link});
     m_candidates.erase(link);
