--- a/libs/gateway/include/gateway/gateway_counts.h
+++ b/libs/gateway/include/gateway/gateway_counts.h
@@ -2,6 +2,7 @@
 
 /** @file Counts of the engine's decisions since the start, for logs and metrics; a part of gateway.h. */
 
+#include <cstddef>
 #include <cstdint>
 
 namespace chivelock {
