--- a/libs/gateway/tests/shared_host_fleet.h
+++ b/libs/gateway/tests/shared_host_fleet.h
@@ -19,10 +19,11 @@
     std::uint64_t seed = 1;
 };
 
-/** How many lookups arrived, and how many of them were answered. */
+/** How many lookups arrived, how many were answered, and how many failed after leafs had worked on them. */
 struct lookup_count {
     std::size_t asked = 0;
     std::size_t served = 0;
+    std::size_t failed = 0;
 };
 
 class shared_host_fleet
@@ -78,6 +79,7 @@
             if (one.at >= from && one.at < to) {
                 count.asked += 1;
                 count.served += one.served ? 1 : 0;
+                count.failed += one.failed ? 1 : 0;
             }
         }
         return count;
@@ -97,6 +99,7 @@
     struct lookup {
         millis at;
         bool served = false;
+        bool failed = false; ///< not served, and not refused as not run
     };
     struct vm {
         std::unique_ptr<gateway_engine> engine;
@@ -285,9 +288,9 @@
     void perform(std::size_t at, const answer_action &answer)
     {
         const auto found = m_vms[at].lookups.find(answer.exchange);
-        // An answer that arrive() gives at once precedes the entry; it is a refusal.
         if (found != m_vms[at].lookups.end()) {
             m_lookups[found->second].served = answer.outcome == exchange_outcome::Merged;
+            m_lookups[found->second].failed = answer.outcome == exchange_outcome::Failed;
         }
     }
 
