--- a/libs/gateway/tests/test_saturated_hosts.cpp
+++ b/libs/gateway/tests/test_saturated_hosts.cpp
@@ -6,7 +6,7 @@
 using namespace chivelock;
 using namespace chivelock::testing;
 
-// Guards against holding lookups until their time limit, and refusing none, while leafs get more than they can handle.
+// Guards against holding lookups until their time limit while leafs get more than they can handle.
 BOOST_AUTO_TEST_CASE(lookups_beyond_the_capacity_of_the_leafs_are_refused_at_once)
 {
     constexpr std::uint64_t seeds = 3;
