--- a/review/1/case.py
+++ b/review/1/case.py
@@ -77,8 +77,14 @@
         if TROUBLE:
             record.write(f"signal  SIGTERM to {stopped.name}")
             stopped.send(signal.SIGTERM)
-            ended = await asyncio.wait_for(stopped.process.wait(), BOUNDS["graceS"] + 1)
-            record.write(f"end     {stopped.name} {time.monotonic() - stop_at:.3f} s after SIGTERM, exit code {ended}")
+            try:
+                await asyncio.wait_for(stopped.process.wait(), stop_at + BOUNDS["graceS"] - time.monotonic())
+            except asyncio.TimeoutError:
+                record.write(f"signal  SIGKILL to {stopped.name}")
+                stopped.send(signal.SIGKILL)
+                await stopped.process.wait()
+            record.write(f"end     {stopped.name} {time.monotonic() - stop_at:.3f} s after SIGTERM, "
+                         f"exit code {stopped.process.returncode}")
         await asyncio.gather(*clients)
         return judge(results, leafs, stop_at, record)
     finally:
