Log each request that a planned stop leaves without an answer

Seen: around a SIGTERM callers lost requests, and the log held only a count (stopped unanswered=N). It could not tell a request whose leaf had not answered from an answer that was written and not delivered, or from a connection closed with a request on it.

Change: at the end of a stop one line request_unanswered for each request begun (leaf, age, rest of its time limit, whether it was at a leaf, at another VM or waiting), and in stopped what else is open: requests not begun, work for other VMs, connections, bytes not delivered. No decision changes.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -187,6 +187,9 @@
     /** This process was paused for @p gap: answers that became overdue meanwhile don't count against the leafs. */
     void onProcessPause(millis gap);
 
+    /** Logs each request that has no final answer yet, because the process is about to end. */
+    void logUnanswered(millis now);
+
     /** Performs all actions that are due by @p now. */
     void advance(millis now);
 
--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -158,6 +158,21 @@
     m_actions.emplace_back(std::move(work.asked));
 }
 
+void gateway_engine::logUnanswered(millis now)
+{
+    for (const auto &[id, work] : m_exchanges) {
+        const auto underWay = std::ranges::find_if(
+            work->calls, [](const shard_call &call) { return call.open > 0 || call.openDelegations > 0; });
+        const bool isUnderWay = underWay != work->calls.end();
+        const bool isAtLeaf = isUnderWay && underWay->open > 0;
+        const std::string_view cause = isAtLeaf ? "at_leaf" : (isUnderWay ? "delegated" : "waiting");
+        const std::shared_ptr<leaf> asked = isAtLeaf ? m_leafs.find(underWay->lastAsked) : nullptr;
+        const service_name service = isUnderWay ? underWay->service : service_name();
+        logEvent(*work, "request_unanswered", cause, asked.get(), service, work->limit - now, now);
+        logAskedLeafs(*work);
+    }
+}
+
 void gateway_engine::erase(exchange_id id)
 {
     exchange &ended = *m_exchanges.at(id);
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -114,6 +114,7 @@
     void applyZoneDrain(const zone_name &zone, const store_item &item);
     void applyConfig(const store_item &item);
     void continueStop();
+    void endStop(millis spent);
     void logPeerTraffic();
     void logPlacement() const;
     void logLeafSends();
--- a/programs/chivelockd/gateway/gateway_stop.cpp
+++ b/programs/chivelockd/gateway/gateway_stop.cpp
@@ -75,13 +75,7 @@
     }
     const bool done = m_closing && m_callers->sessions() == 0 && m_runQueue.isEmpty();
     if (done || spent >= m_settings.grace - exitBeforeGraceEnd) {
-        logPeerTraffic();
-        logEvent(log_level::Info,
-                 "stopped",
-                 {{"spent_ms", spent.ceiled()},
-                  {"unanswered", std::uint64_t {m_pendingRequests.size() + m_runQueue.size()}}});
-        const std::uint64_t one = 1;
-        (void)!write(m_finishedFd, &one, sizeof one);
+        endStop(spent);
         return;
     }
     m_stopTimer.expires_after(std::chrono::milliseconds(stopPollInterval.ceiled()));
@@ -92,4 +86,21 @@
     });
 }
 
+void gateway_service::endStop(millis spent)
+{
+    m_engine.logUnanswered(m_clock.now());
+    flush();
+    logPeerTraffic();
+    logEvent(log_level::Info,
+             "stopped",
+             {{"spent_ms", spent.ceiled()},
+              {"unanswered", std::uint64_t {m_pendingRequests.size()}},
+              {"queued", std::uint64_t {m_runQueue.size()}},
+              {"delegated", std::uint64_t {m_delegatedExchanges.size()}},
+              {"callers", std::uint64_t {m_callers->sessions()}},
+              {"undelivered_bytes", std::uint64_t {m_callers->bytesHeld()}}});
+    const std::uint64_t one = 1;
+    (void)!write(m_finishedFd, &one, sizeof one);
+}
+
 } // namespace chivelock
