A planned stop answers every request before the process ends

Callers saw: a request that a VM had read and passed on ended without an answer around a SIGTERM to that VM.

Cause: a stop closed connections and ended the process by two delays of its own, 4.5 and 5.5 s after SIGTERM, while a request was bounded only by its time limit (8 s). Nothing tied the two: whatever a leaf had at 5.5 s was cut, also a request sent before SIGTERM whose leaf never answered.

Change: the time of the last answers, 0.9 of the grace time, bounds every request in a stop as its time limit does: its leafs' deadline, retries, waits and hedges, lookups over many shards, work for other VMs. A request that its route's response times say can't be done by then is refused at once, before a leaf has it; what is queued or incomplete then is refused too. The process ends when nothing is open, at 0.95 at the latest; work for another VM counts. Connections without a request are closed as soon as the platform has noticed the stop, for their callers then reach other VMs; one whose request has arrived is read first. A reload no longer moves the end of a stop.

Why it works: no request can be open when the process ends, whatever delays are chosen, since its limit lies before that.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway_counts.h"
 #include "gateway_settings.h"
 #include "sent_requests.h"
+#include "stop_schedule.h"
 
 #include <admission/admission.h>
 #include <base/base.h>
@@ -187,6 +188,12 @@
     /** This process was paused for @p gap: answers that became overdue meanwhile don't count against the leafs. */
     void onProcessPause(millis gap);
 
+    /**
+     * Begins a planned stop. Requests in progress get their final answer by @p answersBy at the latest; new ones are
+     * refused once they would probably not be answered by then.
+     */
+    void beginStop(millis answersBy, millis now);
+
     /** Logs each request that has no final answer yet, because the process is about to end. */
     void logUnanswered(millis now);
 
@@ -325,6 +332,9 @@
     void beginSingle(exchange &work, millis now);
     void beginGather(exchange &work, millis now);
     [[nodiscard]] bool refuseIfOverloaded(exchange &work, millis now);
+    [[nodiscard]] bool refuseIfStopping(exchange &work, millis now);
+    [[nodiscard]] bool isLimitedByStop(const exchange &work) const;
+    void limitToStop(exchange &work) const;
     [[nodiscard]] admission_request describeLoad(const exchange &work, millis now) const;
     [[nodiscard]] bool isHedgeHarmful(const exchange &work, const shard_call &call, millis now) const;
     [[nodiscard]] bool hasFreeSlot(const exchange &work, const shard_call &call, millis now) const;
@@ -484,6 +494,7 @@
     drained_zones m_zones;
     region_policy m_regions;
     std::size_t m_fleetSize;
+    millis m_answersBy = millis::never(); ///< of the planned stop, see @ref beginStop
     std::uint64_t m_seed; ///< differs between VMs
     std::unordered_map<service_name, retry_budget> m_budgets;
     std::unordered_map<std::string, route_latency> m_routeLatencies;
--- a/libs/gateway/src/accepted_work.cpp
+++ b/libs/gateway/src/accepted_work.cpp
@@ -37,11 +37,12 @@
     work->firstReportDue = now + asked.firstReportIn;
     work->pendingReportDue = pendingReportDue(*work, asked, now);
     work->limit = now + asked.limitIn;
+    limitToStop(*work);
     work->reportSeparately = asked.alone;
     addCalls(*work, route.shards);
     excludeTriedLeafs(*work, asked.triedLeafs);
     const bool quarantined = m_requests.quarantineStateOf(asked.key, now) == quarantine_state::Quarantined;
-    const bool expired = asked.limitIn <= millis(); // it was queued here until its time limit
+    const bool expired = work->limit <= now; // it was queued here until its time limit, or the process is about to end
     // Without a table this VM has just started and knows no leafs; the delegating VM may not know of a quarantine yet.
     if (!m_table || quarantined || expired) {
         return refuseDelegated(*work, now);
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -151,13 +151,14 @@
     const millis callerTimeout =
         request.callerTimeout ? timeoutAfterNetwork(*request.callerTimeout, work->networkTime) : route->timeout;
     work->limit = work->arrivedAt + std::min(callerTimeout, route->timeout);
+    limitToStop(*work);
     exchange &kept = *m_exchanges.emplace(id, std::move(work)).first->second;
     m_overload.accounts().begin(kept.account);
     beginCanary(kept, now);
-    if (now < kept.limit) {
+    if (now >= kept.limit) {
+        answerUnserved(kept, isLimitedByStop(kept) ? stoppingCause : "queued_too_long", false, now);
+    } else if (!refuseIfStopping(kept, now)) {
         begin(kept, now);
-    } else {
-        answerUnserved(kept, "queued_too_long", false, now);
     }
     if (kept.ended) {
         erase(id);
@@ -214,6 +215,7 @@
     const millis inTime =
         std::max(work.route->objective - work.networkTime - behind, work.route->objective * minObjectiveShare);
     work.cutoff = work.arrivedAt + inTime;
+    limitToStop(work);
     addCalls(work, work.route->shards);
     if (refuseIfOverloaded(work, now)) {
         return;
--- a/libs/gateway/src/engine_schedule.cpp
+++ b/libs/gateway/src/engine_schedule.cpp
@@ -25,7 +25,7 @@
         recordLateParts(work, now);
     }
     if (now >= work.limit) {
-        answerUnserved(work, "time", true, now);
+        answerUnserved(work, isLimitedByStop(work) ? stoppingCause : "time", true, now);
         return;
     }
     const bool firstDue = !work.firstReportSent && now >= work.firstReportDue;
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -3,8 +3,9 @@
 #include "addresses.h"
 #include "caller_session.h"
 
+#include <algorithm>
+#include <ranges>
 #include <utility>
-#include <vector>
 
 namespace chivelock {
 
@@ -249,11 +250,7 @@
             return;
         }
         const millis now = boot_clock().now();
-        std::vector<std::shared_ptr<session>> all;
-        for (const auto &[id, one] : m_sessions) {
-            all.push_back(one); // closing a session removes it from the map
-        }
-        for (const auto &one : all) {
+        for (const auto &one : allSessions()) {
             one->sampleUnread();
             one->closeIfOverdue(now, m_limits);
         }
@@ -279,13 +276,19 @@
 
 void caller_server::closeIdle()
 {
-    std::vector<std::shared_ptr<session>> all;
-    for (const auto &[id, one] : m_sessions) {
-        all.push_back(one);
-    }
-    for (const auto &one : all) {
-        one->closeIfIdle();
-    }
+    std::ranges::for_each(allSessions(), [](const auto &one) { one->closeIfIdle(); });
+}
+
+void caller_server::refuseIncomplete(std::string_view cause)
+{
+    std::ranges::for_each(allSessions(), [cause](const auto &one) { one->refuseIfIncomplete(cause); });
+}
+
+/** @return a copy, since closing a session removes it from the map. */
+std::vector<std::shared_ptr<caller_server::session>> caller_server::allSessions() const
+{
+    const auto sessions = std::views::values(m_sessions);
+    return {sessions.begin(), sessions.end()};
 }
 
 } // namespace chivelock
--- a/programs/chivelockd/gateway/caller_server.h
+++ b/programs/chivelockd/gateway/caller_server.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace chivelock {
 
@@ -99,9 +100,12 @@
     /** Accepts no further connections. */
     void stopListening();
 
-    /** Closes connections on which no request is in progress. */
+    /** Closes connections on which no request is in progress and none has arrived. */
     void closeIdle();
 
+    /** Refuses the requests of which only a part has arrived; their connections close then. */
+    void refuseIncomplete(std::string_view cause);
+
     [[nodiscard]] std::size_t sessions() const
     {
         return m_sessions.size();
@@ -138,6 +142,7 @@
     void sweep();
     void enforceMemoryLimit(session_id except);
     void closeStopped(std::size_t needed, session_id except);
+    [[nodiscard]] std::vector<std::shared_ptr<session>> allSessions() const;
 
     boost::asio::io_context &m_reactor;
     request_listener &m_listener;
--- a/programs/chivelockd/gateway/caller_session.h
+++ b/programs/chivelockd/gateway/caller_session.h
@@ -161,13 +161,21 @@
         closeAndRemove();
     }
 
+    /** Closes the connection if no request has arrived on it, as far as the kernel knows now. */
     void closeIfIdle()
     {
-        if (m_phase == phase::Waiting && !hasPartialRequest()) {
+        if (m_phase == phase::Waiting && !hasPartialRequest() && !hasInputInKernel()) {
             closeAndRemove();
         }
     }
 
+    void refuseIfIncomplete(std::string_view cause)
+    {
+        if (m_phase == phase::Waiting && hasPartialRequest()) {
+            refuse(cause);
+        }
+    }
+
     void closeIfOverdue(millis now, const caller_limits &limits)
     {
         const bool receiving = m_phase == phase::Waiting && hasPartialRequest();
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -114,6 +114,8 @@
     void applyZoneDrain(const zone_name &zone, const store_item &item);
     void applyConfig(const store_item &item);
     void continueStop();
+    void answerUnbegun();
+    [[nodiscard]] bool isAllWorkDone() const;
     void endStop(millis spent);
     void logPeerTraffic();
     void logPlacement() const;
@@ -150,6 +152,7 @@
     bool m_stopping = false;
     bool m_closing = false;
     millis m_stopBegan;
+    stop_schedule m_stopSchedule; ///< as of the settings when the stop began
     unsigned m_notReadyAnswers = 0; ///< readiness probes answered "not ready" since the stop began
     bool m_finished = false;
     int m_finishedFd;
--- a/programs/chivelockd/gateway/gateway_stop.cpp
+++ b/programs/chivelockd/gateway/gateway_stop.cpp
@@ -17,8 +17,6 @@
 namespace {
 
 constexpr millis stopPollInterval(50);
-constexpr millis closeBeforeGraceEnd(1500); // time to answer the last requests before the process is killed
-constexpr millis exitBeforeGraceEnd(500); // time to end the threads and write the last log lines on a busy VM
 
 // The platform removes a VM after two; one more in case a probe crossed with the stop signal.
 constexpr unsigned notReadyAnswersBeforeClose = 3;
@@ -33,12 +31,15 @@
 
 void gateway_service::beginStop()
 {
-    asio::post(m_reactor, [this] {
+    asio::post(m_reactor, [this, began = m_clock.now()] {
         if (m_stopping) {
             return;
         }
         m_stopping = true;
-        m_stopBegan = m_clock.now();
+        m_stopBegan = began;
+        m_stopSchedule = stop_schedule::of(began, m_settings.grace);
+        m_engine.beginStop(m_stopSchedule.answersBy, m_clock.now());
+        armDueTimer();
         m_feed->leave();
         logEvent(log_level::Info, "stopping", {{"callers", std::uint64_t {m_callers->sessions()}}});
         continueStop();
@@ -59,23 +60,26 @@
 
 /**
  * Advances the planned stop. New callers connect until the platform has noticed that this VM is not ready, and they are
- * served. Connections that stay open are closed late, so that a request that could still have been answered does not
- * cross with the close.
+ * served. From then on callers whose connections are closed reach other VMs, so connections without a request are not
+ * kept for requests that may come too late to be answered.
  */
 void gateway_service::continueStop()
 {
-    const millis spent = m_clock.now() - m_stopBegan;
-    const bool platformNoticed = m_notReadyAnswers >= notReadyAnswersBeforeClose && m_callers->sessions() == 0;
-    if (!m_closing && (spent >= m_settings.grace - closeBeforeGraceEnd || platformNoticed)) {
-        m_closing = true;
-        m_callers->stopListening();
-    }
+    const millis now = m_clock.now();
+    const bool platformNoticed = m_notReadyAnswers >= notReadyAnswersBeforeClose;
+    m_closing = m_closing || platformNoticed || now >= m_stopSchedule.closesIdleAt;
     if (m_closing) {
         m_callers->closeIdle();
     }
-    const bool done = m_closing && m_callers->sessions() == 0 && m_runQueue.isEmpty();
-    if (done || spent >= m_settings.grace - exitBeforeGraceEnd) {
-        endStop(spent);
+    const bool noCallerLeft = m_closing && m_callers->sessions() == 0;
+    if (noCallerLeft || now >= m_stopSchedule.closesIdleAt) {
+        m_callers->stopListening();
+    }
+    if (now >= m_stopSchedule.answersBy) {
+        answerUnbegun();
+    }
+    if ((noCallerLeft && isAllWorkDone()) || now >= m_stopSchedule.endsBy) {
+        endStop(now - m_stopBegan);
         return;
     }
     m_stopTimer.expires_after(std::chrono::milliseconds(stopPollInterval.ceiled()));
@@ -86,6 +90,21 @@
     });
 }
 
+/** Refuses what was read, completely or in part, and not begun by the time of the last answers. */
+void gateway_service::answerUnbegun()
+{
+    for (std::size_t left = m_runQueue.size(); left > 0; --left) {
+        beginNext();
+    }
+    m_callers->refuseIncomplete(stoppingCause);
+}
+
+/** @return whether nothing is queued, and no VM waits for work that it delegated to this one. */
+bool gateway_service::isAllWorkDone() const
+{
+    return m_runQueue.isEmpty() && m_delegatedExchanges.empty() && m_helperLinks->unsentBytes() == 0;
+}
+
 void gateway_service::endStop(millis spent)
 {
     m_engine.logUnanswered(m_clock.now());
