A request refused for a stop may return at once

Callers saw: Retry-After half a second on a refusal because of a stop, as if no leaf were known; the refusal comes before the services are looked at.

Change: the shortest retry time, for other VMs serve the request now.

Measured: the unit test failed before (500 ms) and passes (50 ms).

--- a/libs/gateway/src/engine_answers.cpp
+++ b/libs/gateway/src/engine_answers.cpp
@@ -65,7 +65,9 @@
         }
     }
     const bool awaitsLeafs = cause == lastLeafsKept; // whose number grows once crashed ones are back
-    const millis earliest = awaitsLeafs ? maxRetryAfter : std::clamp(soonest, minRetryAfter, maxRetryAfter);
+    const bool awaitsNothing = cause == stoppingCause; // other VMs can serve it now
+    const millis usual = awaitsLeafs ? maxRetryAfter : std::clamp(soonest, minRetryAfter, maxRetryAfter);
+    const millis earliest = awaitsNothing ? minRetryAfter : usual;
     result.retryAfter =
         std::max(retryAfterOf(work, outcome, cause, earliest, now), m_requests.quarantineRemaining(work.key, now));
     m_actions.emplace_back(std::move(result));
--- a/libs/gateway/tests/test_planned_stop.cpp
+++ b/libs/gateway/tests/test_planned_stop.cpp
@@ -90,6 +90,7 @@
         BOOST_CHECK(answer.outcome == exchange_outcome::Refused);
         BOOST_TEST(answer.cause == stoppingCause);
         BOOST_CHECK(at == sentAt);
+        BOOST_CHECK(answer.retryAfter == minRetryAfter); // other VMs serve it at once
         BOOST_TEST(world.runs.size() == runsBefore);
     }
 }
