Messages between VMs carry when an entry of the store was created

Callers met: requests of theirs at a leaf 3.0 to 3.8 s after its removal. The only VM that had been told of the removal stood still or restarted, and a late write brought the entry back: the VM that reads next sees an unchanged list, and those that follow it take the write for an update.

Cause: a removal that nobody passed on can be told only from the revision at which the key was created; the store sends it, messages between VMs dropped it.

Change: items carry it; it is kept beside the value and given to whoever joins or falls behind. To followers that hold the value from before it is not sent, and a recreated key is never sent as a patch.

--- a/libs/fleet/include/fleet/store_view.h
+++ b/libs/fleet/include/fleet/store_view.h
@@ -19,7 +19,7 @@
     std::uint64_t revision = 0; ///< store revision; increases with every change of any key
     bool deleted = false;
     std::string value; ///< empty if deleted
-    std::uint64_t created = 0; ///< revision at which the key was created; 0 if unknown, as in messages of the fleet
+    std::uint64_t created = 0; ///< revision at which the key was created; 0 if unknown
     bool beforeStart = false; ///< deleted before this process knew the contents: at an unknown time
 };
 
@@ -71,6 +71,7 @@
     struct stored_value {
         std::uint64_t revision = 0;
         std::string value;
+        std::uint64_t created = 0; ///< see @ref store_item::created
     };
 
     /** @return the item under the key, valid until the next change; nullptr if there is none. */
@@ -90,6 +91,7 @@
 private:
     void addInferredDeletions(std::vector<store_item> &items) const;
     [[nodiscard]] bool isNewer(const store_item &item) const;
+    [[nodiscard]] static store_item itemOf(const std::string &key, const stored_value &known);
     void applyItem(const store_item &item, bool mayHaveExpired);
     void dropOldDeletions();
 
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -163,7 +163,7 @@
         for (const store_item &item : items) {
             const auto key = builder.CreateString(item.key);
             const auto value = builder.CreateString(item.value);
-            offsets.push_back(fleet_wire::CreateItem(builder, key, item.revision, item.deleted, value));
+            offsets.push_back(fleet_wire::CreateItem(builder, key, item.revision, item.deleted, value, item.created));
         }
         return builder.CreateVector(offsets);
     }
@@ -243,7 +243,8 @@
     std::vector<store_item> items;
     if (from != nullptr) {
         for (const auto *item : *from) {
-            items.push_back({textOf(item->key()), item->revision(), item->deleted(), textOf(item->value())});
+            items.push_back(
+                {textOf(item->key()), item->revision(), item->deleted(), textOf(item->value()), item->created()});
         }
     }
     return items;
--- a/libs/fleet/src/fleet_items.cpp
+++ b/libs/fleet/src/fleet_items.cpp
@@ -15,6 +15,13 @@
 // Far above any real value; limits the memory that a faulty peer can make this process allocate.
 constexpr std::uint32_t maxPatchedValueBytes = 16U << 20U;
 
+/** Followers hold the same value as this process, so they know the creation of a key that has existed since then. */
+void omitKnownCreation(const store_view &view, store_item &item)
+{
+    const store_view::stored_value *base = view.find(item.key);
+    item.created = base != nullptr && item.created <= base->revision ? 0 : item.created;
+}
+
 } // namespace
 
 void fleet_node::sendMissingItems(link_id link, const follow_request &request)
@@ -103,6 +110,7 @@
 {
     store_view &view = m_views.find(prefix)->second;
     std::vector<store_item> rest = items;
+    std::ranges::for_each(rest, [&](store_item &item) { omitKnownCreation(view, item); });
     std::vector<item_patch> patches = extractPatches(prefix, rest);
     std::vector<store_item> newItems = view.applyChanges(std::move(items), revision, mayHaveExpiredEntries());
     if (!newItems.empty()) {
@@ -122,7 +130,7 @@
     std::erase_if(items, [&](const store_item &item) {
         const store_view::stored_value *base = view.find(item.key);
         const bool once = std::ranges::count(items, item.key, &store_item::key) == 1;
-        if (base == nullptr || item.deleted || item.value.size() < minPatchedValueBytes || !once
+        if (base == nullptr || item.deleted || item.created > 0 || item.value.size() < minPatchedValueBytes || !once
             || item.revision <= base->revision) {
             return false;
         }
--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -66,7 +66,7 @@
         newItems.back().beforeStart = item.revision <= m_firstRevision;
         const auto known = m_items.find(item.key);
         if (known != m_items.end() && known->second.revision > item.revision) {
-            newItems.push_back({item.key, known->second.revision, false, known->second.value});
+            newItems.push_back(itemOf(known->first, known->second));
         }
     }
     dropOldDeletions();
@@ -87,7 +87,7 @@
     std::vector<store_item> changes;
     for (const auto &[key, known] : m_items) {
         if (known.revision > revision) {
-            changes.push_back({key, known.revision, false, known.value});
+            changes.push_back(itemOf(key, known));
         }
     }
     for (const auto &[key, last] : m_deleted) {
@@ -102,7 +102,7 @@
 {
     std::vector<store_item> all;
     for (const auto &[key, known] : m_items) {
-        all.push_back({key, known.revision, false, known.value});
+        all.push_back(itemOf(key, known));
     }
     return all;
 }
@@ -158,7 +158,13 @@
     if (before != m_deleted.end() && before->second.mayHaveExpired) {
         m_deleted.erase(before);
     }
-    m_items[item.key] = {item.revision, item.value};
+    stored_value &known = m_items[item.key];
+    known = {item.revision, item.value, item.created > 0 ? item.created : known.created};
+}
+
+store_item store_view::itemOf(const std::string &key, const stored_value &known)
+{
+    return {key, known.revision, false, known.value, known.created};
 }
 
 void store_view::dropOldDeletions()
--- a/libs/fleet/tests/fleet_world_store.cpp
+++ b/libs/fleet/tests/fleet_world_store.cpp
@@ -7,7 +7,10 @@
 
 void fleet_world::write(const std::string &key, const std::string &value)
 {
-    m_store[key] = {key, ++m_revision, value.empty(), value};
+    const auto before = m_store.find(key);
+    const bool exists = before != m_store.end() && !before->second.deleted;
+    ++m_revision;
+    m_store[key] = {key, m_revision, value.empty(), value, exists ? before->second.created : m_revision};
     m_writtenAt[m_revision] = m_now;
     for (std::size_t index = 0; index < m_processes.size(); ++index) {
         if (m_processes[index].reading && m_processes[index].storeAnswered) {
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -293,6 +293,24 @@
     BOOST_TEST(fleet.valuesReceived(1, "leaf").ends_with("deleted,ready"));
 }
 
+// Guards against followers that take a late write for an update, because those that read the store restarted meanwhile.
+BOOST_AUTO_TEST_CASE(followers_learn_of_a_removal_that_no_reader_has_told_them)
+{
+    fleet_world fleet(8);
+    fleet.write("leaf", "ready");
+    fleet.run(millis(4000));
+    for (const std::size_t seed : {0U, 1U, 2U}) {
+        fleet.kill(seed);
+        fleet.start(seed, fleet.now() + millis(250));
+    }
+    fleet.write("leaf", "");
+    fleet.write("leaf", "ready");
+    fleet.run(millis(3000));
+    for (std::size_t index = 3; index < 8; ++index) {
+        BOOST_TEST(fleet.valuesReceived(index, "leaf").ends_with("deleted,ready"));
+    }
+}
+
 // Guards against a VM that stays without contents because it is the only one that runs.
 BOOST_AUTO_TEST_CASE(a_process_that_runs_alone_uses_the_contents_at_once)
 {
--- a/libs/fleet/tests/test_fleet_items.cpp
+++ b/libs/fleet/tests/test_fleet_items.cpp
@@ -83,6 +83,33 @@
     }
 }
 
+// Guards against a recreated key that is sent as a patch or without its creation: its followers know the removed one.
+BOOST_AUTO_TEST_CASE(only_a_recreated_key_is_sent_with_its_creation)
+{
+    fleet_world world(zonedFleetSettings());
+    std::vector<std::uint64_t> creations;
+    std::size_t patches = 0;
+    world.corruptItems = [&](store_items &items) {
+        std::ranges::transform(items.items, std::back_inserter(creations), &store_item::created);
+        patches += items.patches.size();
+    };
+    world.write("config", configText(1));
+    world.run(millis(5000));
+    creations.clear();
+    world.write("config", configText(2));
+    world.run(millis(200));
+    BOOST_TEST(creations.empty());
+    BOOST_TEST(patches > 0U);
+    patches = 0;
+    world.write("config", "");
+    world.write("config", configText(3));
+    world.run(millis(200));
+    BOOST_REQUIRE(!creations.empty());
+    BOOST_TEST(std::ranges::count(creations, 0U) == 0);
+    BOOST_TEST(patches == 0U);
+    BOOST_TEST(world.countHolders("config") == 60U);
+}
+
 BOOST_AUTO_TEST_CASE(a_resumed_process_receives_only_the_updates_it_missed)
 {
     fleet_world world(zonedFleetSettings());
