--- a/libs/gateway/src/accepted_work.cpp
+++ b/libs/gateway/src/accepted_work.cpp
@@ -115,6 +115,7 @@
     work.pendingReported = work.pendingReported || pendingDue;
     delegated_progress report;
     report.last = last;
+    const bool isGivenUp = last && isLimitedByStop(work); // while the delegating VM still has time
     std::vector<std::string_view> parts;
     for (std::size_t at = 0; at < work.calls.size(); ++at) {
         shard_call &call = work.calls[at];
@@ -127,7 +128,7 @@
             }
             report.parts.push_back({shard, call.part.stamp});
             parts.emplace_back(call.part.body);
-        } else if (call.missing && !call.reported) {
+        } else if ((call.missing || (isGivenUp && !call.done)) && !call.reported) {
             call.reported = true;
             report.lost.push_back({shard, call.mayHaveRun > 0, call.reachedLeaf, call.leafCrashed, call.lastAsked});
         } else if (pendingDue && !call.done && !call.missing && !call.lastAsked.empty()) {
--- a/libs/gateway/src/engine_stop.cpp
+++ b/libs/gateway/src/engine_stop.cpp
@@ -14,8 +14,8 @@
 constexpr double endShare = 0.95;
 
 /**
- * @return the time within which nearly all requests of the route have their answer. Only answers count: a few lost ones,
- * which end at their time limit, would have every request refused.
+ * @return the time within which nearly all requests of the route have their answer. Only answers count: a few lost
+ * ones, which end at their time limit, would have every request refused.
  */
 millis expectedTime(const gateway_route &route, const route_latency &latency)
 {
--- a/libs/gateway/tests/test_helpers.cpp
+++ b/libs/gateway/tests/test_helpers.cpp
@@ -50,6 +50,23 @@
     BOOST_TEST(world.sends[1] == 0U);
 }
 
+// Guards against a lookup that waits until its time limit for shards that a stopping helper gave up without saying so.
+BOOST_AUTO_TEST_CASE(work_that_a_stopping_helper_gives_up_is_asked_again)
+{
+    two_vms world;
+    bool isSilent = true;
+    for (auto &[id, behaviour] : world.behaviours) {
+        behaviour.neverAnswers = std::exchange(isSilent, !isSilent);
+    }
+    const exchange_id id = world.submit();
+    world.runFor(millis(2));
+    world.engineOf(1).beginStop(world.now + millis(10), world.now);
+    world.runFor(millis(300));
+    BOOST_REQUIRE(world.answers.contains(id));
+    BOOST_CHECK(world.answers.at(id).outcome == exchange_outcome::Merged);
+    BOOST_TEST(hasEachShardOnce(world.answers.at(id)));
+}
+
 // Guards against late lookups while a VM is paused: the helper stops with its link open and sends no update, and its
 // work was not taken over.
 BOOST_AUTO_TEST_CASE(work_of_a_paused_helper_is_taken_over_in_time)
