A process that stood still gives its last answers before it ends

Callers met: no answer where the process stood still from before the last answers of a stop until after its end (found in review: SIGSTOP 5.1 to 5.8 s after SIGTERM, one core, 20 of 20 requests unanswered in 3 of 6 plays).

Cause: the timer of the stop may fire before the engine's, and the process then ended without asking the engine; and answers that are given in the last step had no time to be written.

Change: the step that gives the last answers advances the engine itself, and the process ends one step later at the earliest.

--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -114,7 +114,7 @@
     void applyZoneDrain(const zone_name &zone, const store_item &item);
     void applyConfig(const store_item &item);
     void continueStop();
-    void answerUnbegun();
+    void giveLastAnswers(millis now);
     [[nodiscard]] bool isAllWorkDone() const;
     void endStop(millis spent);
     void logPeerTraffic();
@@ -153,6 +153,7 @@
     bool m_closing = false;
     millis m_stopBegan;
     stop_schedule m_stopSchedule; ///< as of the settings when the stop began
+    bool m_lastAnswersGiven = false;
     unsigned m_notReadyAnswers = 0; ///< readiness probes answered "not ready" since the stop began
     bool m_finished = false;
     int m_finishedFd;
--- a/programs/chivelockd/gateway/gateway_stop.cpp
+++ b/programs/chivelockd/gateway/gateway_stop.cpp
@@ -75,10 +75,11 @@
     if (noCallerLeft || now >= m_stopSchedule.closesIdleAt) {
         m_callers->stopListening();
     }
+    const bool hadTimeToWrite = m_lastAnswersGiven && now >= m_stopSchedule.endsBy;
     if (now >= m_stopSchedule.answersBy) {
-        answerUnbegun();
+        giveLastAnswers(now);
     }
-    if ((noCallerLeft && isAllWorkDone()) || now >= m_stopSchedule.endsBy) {
+    if ((noCallerLeft && isAllWorkDone()) || hadTimeToWrite) {
         endStop(now - m_stopBegan);
         return;
     }
@@ -90,9 +91,12 @@
     });
 }
 
-/** Refuses what was read, completely or in part, and not begun by the time of the last answers. */
-void gateway_service::answerUnbegun()
+/** Answers the requests in progress, and refuses what was read, completely or in part, and not begun. */
+void gateway_service::giveLastAnswers(millis now)
 {
+    m_lastAnswersGiven = true;
+    m_engine.advance(now);
+    flush();
     for (std::size_t left = m_runQueue.size(); left > 0; --left) {
         beginNext();
     }
