A stopping VM waits for the first request of a new connection

Cause: the mend closed connections without a request every 50 ms as soon as the platform had noticed the stop, new ones too.

Change: a connection that has carried no request is kept for half a second after it was opened.

--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -276,7 +276,8 @@
 
 void caller_server::closeIdle()
 {
-    std::ranges::for_each(allSessions(), [](const auto &one) { one->closeIfIdle(); });
+    const millis now = boot_clock().now();
+    std::ranges::for_each(allSessions(), [now](const auto &one) { one->closeIfIdle(now); });
 }
 
 void caller_server::refuseIncomplete(std::string_view cause)
--- a/programs/chivelockd/gateway/caller_server.h
+++ b/programs/chivelockd/gateway/caller_server.h
@@ -100,7 +100,7 @@
     /** Accepts no further connections. */
     void stopListening();
 
-    /** Closes connections on which no request is in progress and none has arrived. */
+    /** Closes connections on which no request is in progress, and none has arrived or is expected soon. */
     void closeIdle();
 
     /** Refuses the requests of which only a part has arrived; their connections close then. */
--- a/programs/chivelockd/gateway/caller_session.h
+++ b/programs/chivelockd/gateway/caller_session.h
@@ -161,10 +161,11 @@
         closeAndRemove();
     }
 
-    /** Closes the connection if no request has arrived on it, as far as the kernel knows now. */
-    void closeIfIdle()
+    /** Closes the connection if no request has arrived on it, as far as the kernel knows now, and none is expected. */
+    void closeIfIdle(millis now)
     {
-        if (m_phase == phase::Waiting && !hasPartialRequest() && !hasInputInKernel()) {
+        const bool expectsFirst = m_requests == 0 && now - m_phaseStart < firstRequestWait;
+        if (m_phase == phase::Waiting && !expectsFirst && !hasPartialRequest() && !hasInputInKernel()) {
             closeAndRemove();
         }
     }
@@ -206,6 +207,7 @@
     static constexpr millis lingerLimit {
         1000}; // for the caller to read the last answer before the connection is closed
     static constexpr millis refusalWait {1000}; // for the request of a connection that can't be kept
+    static constexpr millis firstRequestWait {500}; // after the connection was opened; some round trips
     // Of the kernel for each caller, if the memory of the VM is known. It covers some 100 Mbit/s at a round trip of 10
     // ms.
     static constexpr int sendBufferBytes = 131072;
