Several askers for readiness do not shorten a stop

Callers saw: if others than the platform ask a stopping VM whether it is ready, its connections close and it ends before the platform sends callers elsewhere. With three askers 60 of 60 requests sent 1.0 to 1.9 s after SIGTERM on kept connections got no connection.

Cause: three "not ready" answers counted as the platform's notice, whoever asked.

Change: the answers count only once the platform, which asks each second, can have asked three times: from 2 s after SIGTERM. For its own probes nothing changes.

--- a/programs/chivelockd/gateway/gateway_stop.cpp
+++ b/programs/chivelockd/gateway/gateway_stop.cpp
@@ -20,6 +20,8 @@
 
 // The platform removes a VM after two; one more in case a probe crossed with the stop signal.
 constexpr unsigned notReadyAnswersBeforeClose = 3;
+constexpr millis readinessInterval(1000); // of the platform; others may ask in between
+constexpr millis minTimeToNotice = readinessInterval * (notReadyAnswersBeforeClose - 1);
 
 } // namespace
 
@@ -66,7 +68,8 @@
 void gateway_service::continueStop()
 {
     const millis now = m_clock.now();
-    const bool platformNoticed = m_notReadyAnswers >= notReadyAnswersBeforeClose;
+    const bool platformNoticed =
+        m_notReadyAnswers >= notReadyAnswersBeforeClose && now >= m_stopBegan + minTimeToNotice;
     m_closing = m_closing || platformNoticed || now >= m_stopSchedule.closesIdleAt;
     if (m_closing) {
         m_callers->closeIdle();
