Soak: another kind of soak can set its VMs and its faults

Change: the number of VMs and their settings are attributes, killing a VM, the checks at the end and the summary have methods of their own, so that a soak of planned stops can use them. The draws of a seed stay the same.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -23,7 +23,7 @@
 from gateway_process import Gateway  # noqa: E402
 
 HOST = "soak.example"
-SHARDS, VMS, TOP_RECORDS, MIN_COVERAGE = 6, 4, 10, 0.6
+SHARDS, TOP_RECORDS, MIN_COVERAGE = 6, 10, 0.6
 DRAIN_S, GRACE_S, MAX_ATTEMPTS = 3.0, 6.0, 2
 APPLY_S = 3.0
 BACK_AFTER_S = 2.5  # restart delay of a leaf that a request crashed
@@ -77,6 +77,7 @@
 
 
 class Soak:
+    vm_count, vm_settings = 4, None
     least_answered = 0.3  # share of all requests
     ends_after_s = (0.03, 0.05, 0.08, 0.16)  # until a crash; the last exceeds a shard request's time limit
 
@@ -145,12 +146,12 @@
         self.publish(self.shards)
         seeds = [f"127.0.2.{at + 1}:{self.port + 2}" for at in range(2)]
         self.proxies, self.vms = [], []
-        for at in range(VMS):
+        for at in range(self.vm_count):
             proxy = Proxy(("127.0.2.9", store_port))
             await proxy.start(f"127.0.2.{at + 1}", store_port)
             self.proxies.append(proxy)
             limits = {"drain_ms": DRAIN_S * 1000, "grace_s": GRACE_S, "apply_ms": APPLY_S * 1000}
-            more = SMALL_VM if self.with_slow else None
+            more = SMALL_VM if self.with_slow else self.vm_settings
             self.vms.append(Gateway(self.program, self.folder, at, self.port, store_port, seeds, limits, more))
             await self.vms[-1].start()
         await asyncio.sleep(1.5)
@@ -211,9 +212,7 @@
             self.on_ended(leaf, "none")
         lost = [vm for vm in self.vms if vm.at % 2 == zone and not vm.stopping and not vm.frozen]
         for vm in lost:
-            vm.troubled_until, vm.stopping = time.monotonic() + 3, True
-            vm.send(signal.SIGKILL)
-            await vm.process.wait()
+            await self.kill_vm(vm)
         await asyncio.sleep(self.zone_random.uniform(0.3, 1.5))
         for vm in lost:
             await vm.start()
@@ -285,13 +284,15 @@
 
     async def kill(self):
         if vm := self.pick_vm():
-            vm.troubled_until = time.monotonic() + 3
-            vm.stopping = True
-            vm.send(signal.SIGKILL)
-            await vm.process.wait()
+            await self.kill_vm(vm)
             await asyncio.sleep(self.random.uniform(0.1, 1.0))
             await vm.start()
 
+    async def kill_vm(self, vm):
+        vm.troubled_until, vm.stopping = time.monotonic() + 3, True
+        vm.send(signal.SIGKILL)
+        await vm.process.wait()
+
     async def freeze(self):
         if vm := self.pick_vm():
             await self.freeze_vm(vm, self.random.uniform(0.3, 2.0))
@@ -385,7 +386,7 @@
         self.queries_of_death[path] = []
         callers = [platform.Caller(f"127.0.3.{zone + 1}") for zone in range(2)]
         for number in range(12):
-            vm, began = self.vms[self.random.randrange(VMS)], time.monotonic()
+            vm, began = self.vms[self.random.randrange(self.vm_count)], time.monotonic()
             undisturbed = not vm.stopping and not vm.frozen and vm.troubled_until + UNDISTURBED_S < began
             request_id = f"e{self.seed}-{path}-{number}"
             self.queries_of_death[path].append((began, request_id, undisturbed))
@@ -440,7 +441,7 @@
         """Sends requests on one connection and reads few answers or none."""
         source = random.Random(f"{self.seed}/slow/{number}")
         while self.running:
-            vm = self.vms[source.randrange(VMS)]
+            vm = self.vms[source.randrange(self.vm_count)]
             try:
                 reader, writer = await asyncio.open_connection(vm.ip, vm.port, limit=1024)
                 writer.transport.pause_reading()
@@ -467,7 +468,7 @@
     async def caller(self, number):
         source, connections = random.Random(f"{self.seed}/{number}"), platform.Caller()
         while self.running:
-            vm = self.vms[source.randrange(VMS)]
+            vm = self.vms[source.randrange(self.vm_count)]
             path = source.choice(["/all/", "/all/", "/one/", "/once/"])
             self.counts["asked"] += 1
             request_id = f"q{self.seed}-{number}-{self.counts['asked']}"
@@ -567,6 +568,11 @@
         await asyncio.sleep(1.0)
         self.running = False
         await asyncio.gather(*callers)
+        await self.end()
+        return self
+
+    async def end(self):
+        """Checks the guarantees and ends the VMs."""
         self.check()
         for vm in self.vms:
             if vm.process.returncode not in (None, 0):
@@ -575,7 +581,10 @@
             await vm.process.wait()
         if self.counts["ok"] < self.counts["asked"] * self.least_answered:
             self.broken("service", f"only {self.counts['ok']} of {self.counts['asked']} requests were answered")
-        return self
+
+    def summary(self):
+        return (f"{self.counts['ok']} of {self.counts['asked']} answered, {self.counts['calm_ok']} of "
+                f"{self.counts['calm']} at calm VMs, {len(self.injected)} faults")
 
 
 def seeds_from(text):
@@ -608,9 +617,7 @@
             print(problem)
         failed += bool(soak.problems)
         logs = f" logs {folder}" if soak.problems else ""
-        print(f"seed {seed}: {soak.counts['ok']} of {soak.counts['asked']} answered, "
-              f"{soak.counts['calm_ok']} of {soak.counts['calm']} at calm VMs, {len(soak.injected)} faults, "
-              f"{len(soak.problems)} promises broken{logs}", flush=True)
+        print(f"seed {seed}: {soak.summary()}, {len(soak.problems)} promises broken{logs}", flush=True)
     print(f"{len(seeds_from(options.seeds)) - failed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
