A soak that shows whether a planned stop leaves requests unanswered

Callers saw: requests that a VM had passed on ended without an answer around a SIGTERM to that VM.

Why the soak missed it: its callers asked every 0 to 60 ms with a time limit of 0.8 s. None left a connection idle, and no work outlasted a stop.

Callers leave connections idle for 1 to 9 s, or go on using one whose answer said that it closes; their time limit is 8 s. Leafs work 0.2, 1.3 or 2.5 s, hang or never answer. Up to half of six VMs are stopped at once or in turn while they work for others, with a second SIGTERM, SIGHUP and new configurations in the stop, and others are killed and frozen.

Checked: every request that reached a leaf gets a complete answer unless its VM was killed or frozen meanwhile; another ends within 0.2 s of its last byte or gets an answer; no VM runs 6 s after SIGTERM; and what the soak checks of every answer. No time of a stop is left out.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -598,6 +598,14 @@
     return await soak.run()
 
 
+def soak_of(options, seed, folder):
+    if options.stopping:
+        from stopping import StoppingSoak  # it extends this module
+        return StoppingSoak(options.program, seed, options.seconds, folder)
+    return Soak(options.program, seed, options.seconds, folder, options.zones, options.leaving, options.stutter,
+                options.slow)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("program")
@@ -607,12 +615,12 @@
     parser.add_argument("--leaving", action="store_true", help="also remove leafs while the others of their service fail")
     parser.add_argument("--stutter", action="store_true", help="leafs answer twice and refuse often, VMs freeze briefly")
     parser.add_argument("--slow", action="store_true", help="some callers and leafs read slowly or not at all, VMs are small")
+    parser.add_argument("--stopping", action="store_true", help="instead stop VMs while callers use idle connections again")
     options = parser.parse_args()
     failed = 0
     for seed in seeds_from(options.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = asyncio.run(played(Soak(options.program, seed, options.seconds, folder, options.zones, options.leaving,
-                                       options.stutter, options.slow)))
+        soak = asyncio.run(played(soak_of(options, seed, folder)))
         for problem in soak.problems[:10]:
             print(problem)
         failed += bool(soak.problems)
