A length that a leaf or the store announces is checked before it is reserved

What callers saw: a leaf or the store that answers with `Content-Length:` ends the gateway with std::bad_alloc.

Cause: Beast's parser compares the length with body_limit, but moves to the state of the body first and, if it is eager, goes on to it as long as input is left, whatever the comparison said. There string_body reserves the announced length, and the error is overwritten. So the limit held only if no byte of the body arrived with the head. A length that could be reserved was read whole.

Change: the parser of responses is eager only once its head is complete and accepted, as that of requests is already. Beast's body_limit then stops the message; no bound of ours is added for an announced length.

--- a/libs/http1/src/response_reader.cpp
+++ b/libs/http1/src/response_reader.cpp
@@ -134,7 +134,8 @@
         parser.emplace();
         parser->header_limit(maxHeadBytes);
         parser->body_limit(maxBodyBytes);
-        parser->eager(true);
+        // An eager parser goes on to the body behind a head that it has rejected for the length of the body.
+        parser->eager(false);
         parser->skip(isHeadResponse);
         begun = false;
     }
@@ -164,8 +165,11 @@
         if (error && error != http::error::need_more) {
             return error == http::error::body_limit ? read_state::BodyTooLarge : read_state::BadMessage;
         }
-        if (m_state->parser->is_header_done() && !isSound(m_state->parser->get())) {
-            return read_state::BadMessage;
+        if (m_state->parser->is_header_done()) {
+            if (!isSound(m_state->parser->get())) {
+                return read_state::BadMessage;
+            }
+            m_state->parser->eager(true);
         }
         if (m_state->parser->is_done()) {
             const auto &message = m_state->parser->get();
