Chunk extensions, trailers, interim answers and blank lines are bounded

What callers saw: a leaf or the store that sends a chunk extension or a trailer without end takes hundreds of megabytes of the VM. Interim answers without end are read until the time limit, and an extension, a trailer or blank lines of a caller for as long as they come.

Cause: Beast's parser consumes nothing of a chunk's line before its end, and nothing of a trailer before its last line, so the input that we keep for it grew. Its header_limit ends with the head and its body_limit counts data only. Each interim answer started a new parser with new limits. Blank lines ahead of a request were dropped and not counted.

Change: one bound for each message, the limit of the head, holds for the head (with blank lines ahead of a request), for all interim answers, and for chunk extensions, leading zeros of chunk sizes and the trailer together. New states say which one was crossed. Beast's header_limit and body_limit stay: they stop an incomplete head, an announced length, a chunk's size and a body. Ours begin where Beast has none; its chunk callback gives the sizes from which the bytes that each chunk needs are known, and the rest counts.

--- a/libs/http1/include/http1/http1.h
+++ b/libs/http1/include/http1/http1.h
@@ -62,10 +62,18 @@
     HeadComplete, ///< the head of a request is complete, its body is not; returned once per request
     Complete,
     BadMessage,
-    HeadTooLarge,
+    HeadTooLarge, ///< counts the blank lines ahead of a request
+    InterimTooLarge, ///< the interim responses ahead of a response
+    FramingTooLarge, ///< the chunk extensions and the trailer of a message
     BodyTooLarge
 };
 
+/** @return the name of a state in logs. */
+[[nodiscard]] std::string_view toString(read_state state);
+
+/** Whether a message was rejected because it is larger than a bound. */
+[[nodiscard]] bool isTooLarge(read_state state);
+
 /** Parses the requests of one connection, one after the other. */
 class request_reader
 {
@@ -75,7 +83,8 @@
     request_reader &operator=(const request_reader &) = delete;
     ~request_reader();
 
-    /** Sets the size limits of the next request, in bytes. */
+    /** Sets the size limits of the next request, in bytes. The limit of the head also bounds the chunk extensions and
+     * the trailer together. */
     void setLimits(std::size_t maxHeadBytes, std::size_t maxBodyBytes);
 
     /** Consumes bytes from the front of @p input; bytes after a complete request stay in it. */
@@ -95,10 +104,15 @@
     std::unique_ptr<state> m_state;
 };
 
-/** Parses the responses of one connection. Interim 1xx responses are skipped. */
+/**
+ * Parses the responses of one connection. Interim 1xx responses are skipped. One bound holds for the head of a
+ * response, for all interim responses ahead of it, and for its chunk extensions and trailer together.
+ */
 class response_reader
 {
 public:
+    static constexpr std::size_t maxHeadBytes = 32768; // the head of a leaf's response has a few hundred bytes
+
     response_reader();
     response_reader(const response_reader &) = delete;
     response_reader &operator=(const response_reader &) = delete;
--- a/libs/http1/src/headers.cpp
+++ b/libs/http1/src/headers.cpp
@@ -62,6 +62,35 @@
     return known || headerHasToken(all, "Connection", name);
 }
 
+std::string_view toString(read_state state)
+{
+    switch (state) {
+    case read_state::NeedMore:
+        return "incomplete";
+    case read_state::HeadComplete:
+        return "head_complete";
+    case read_state::Complete:
+        return "complete";
+    case read_state::BadMessage:
+        return "bad_message";
+    case read_state::HeadTooLarge:
+        return "head_too_large";
+    case read_state::InterimTooLarge:
+        return "interim_too_large";
+    case read_state::FramingTooLarge:
+        return "framing_too_large";
+    case read_state::BodyTooLarge:
+        return "body_too_large";
+    }
+    return "unknown";
+}
+
+bool isTooLarge(read_state state)
+{
+    return state == read_state::HeadTooLarge || state == read_state::InterimTooLarge
+        || state == read_state::FramingTooLarge || state == read_state::BodyTooLarge;
+}
+
 std::string_view reasonPhrase(unsigned status)
 {
     const beast::string_view phrase = beast::http::obsolete_reason(beast::http::int_to_status(status));
--- a/libs/http1/src/request_reader.cpp
+++ b/libs/http1/src/request_reader.cpp
@@ -1,3 +1,4 @@
+#include "chunk_framing.h"
 #include "message_parts.h"
 
 #include <http1/http1.h>
@@ -50,6 +51,8 @@
     std::size_t maxBodyBytes = 1048576;
     http_headers headers; ///< without trailers, which the parser adds to the headers of its message
     bool keepAlive = false;
+    std::optional<chunk_framing> framing; ///< once the head is complete
+    std::size_t blankBytes = 0; ///< of blank lines ahead of the request
     std::size_t scannedBytes = 0; ///< bytes of an incomplete head that were already searched for its end
     bool headComplete = false;
     bool headReported = false;
@@ -62,11 +65,16 @@
 
 constexpr std::string_view headEnd = "\r\n\r\n";
 
-void dropLeadingBlankLines(std::string &input)
+/** @return the number of bytes dropped. */
+std::size_t dropLeadingBlankLines(std::string &input)
 {
-    while (input.starts_with("\r\n")) {
-        input.erase(0, 2);
+    constexpr std::string_view lineEnd = "\r\n";
+    std::size_t blankBytes = 0;
+    while (std::string_view(input).substr(blankBytes).starts_with(lineEnd)) {
+        blankBytes += lineEnd.size();
     }
+    input.erase(0, blankBytes);
+    return blankBytes;
 }
 
 } // namespace
@@ -74,7 +82,10 @@
 read_state request_reader::state::readHead(std::string &input)
 {
     if (scannedBytes == 0) {
-        dropLeadingBlankLines(input);
+        blankBytes += dropLeadingBlankLines(input);
+        if (blankBytes > maxHeadBytes) {
+            return read_state::HeadTooLarge;
+        }
         if (input == "\r") {
             return read_state::NeedMore; // of a blank line
         }
@@ -85,7 +96,7 @@
     if (hasAmbiguousLines(std::string_view(input).substr(0, headBytes))) {
         return read_state::BadMessage;
     }
-    if (headBytes > maxHeadBytes) {
+    if (blankBytes + headBytes > maxHeadBytes) {
         return read_state::HeadTooLarge;
     }
     scannedBytes = input.size();
@@ -94,6 +105,7 @@
     }
     parser->header_limit(static_cast<std::uint32_t>(maxHeadBytes + headEnd.size()));
     parser->body_limit(maxBodyBytes);
+    parser->on_chunk_header(framing.emplace(maxHeadBytes));
     boost::system::error_code error;
     const std::size_t used = parser->put(boost::asio::buffer(input), error);
     parser->eager(true);
@@ -118,8 +130,10 @@
 {
     boost::system::error_code error;
     while (!parser->is_done() && !input.empty()) {
+        const std::size_t bodyBytes = parser->get().body().size();
         const std::size_t used = parser->put(boost::asio::buffer(input), error);
         input.erase(0, used);
+        framing->add(used - (parser->get().body().size() - bodyBytes));
         if (error == http::error::body_limit) {
             return read_state::BodyTooLarge;
         }
@@ -130,7 +144,11 @@
             break;
         }
     }
-    return parser->is_done() ? read_state::Complete : read_state::NeedMore;
+    const bool isDone = parser->is_done();
+    if (framing->isTooLarge(isDone ? 0 : input.size())) {
+        return read_state::FramingTooLarge;
+    }
+    return isDone ? read_state::Complete : read_state::NeedMore;
 }
 
 request_reader::request_reader()
--- a/libs/http1/src/response_reader.cpp
+++ b/libs/http1/src/response_reader.cpp
@@ -1,3 +1,4 @@
+#include "chunk_framing.h"
 #include "message_parts.h"
 
 #include <http1/http1.h>
@@ -16,7 +17,9 @@
 namespace {
 
 using beast_parser = http::response_parser<http::string_body>;
-constexpr std::uint32_t maxHeadBytes = 32768; // The head of a leaf's response has a few hundred bytes.
+constexpr std::size_t maxHeadBytes = response_reader::maxHeadBytes;
+constexpr std::size_t maxInterimBytes = maxHeadBytes;
+constexpr std::size_t maxFramingBytes = maxHeadBytes;
 
 bool isInterim(unsigned status)
 {
@@ -125,22 +128,101 @@
 
 struct response_reader::state {
     std::optional<beast_parser> parser;
+    chunk_framing framing {maxFramingBytes};
     bool isHeadResponse = false;
     bool begun = false;
     std::size_t maxBodyBytes = 0;
+    std::size_t headBytes = 0; ///< consumed by the parser
+    std::size_t interimBytes = 0; ///< of the interim responses ahead of this one
 
     void startResponse()
     {
         parser.emplace();
-        parser->header_limit(maxHeadBytes);
+        framing = chunk_framing(maxFramingBytes);
+        headBytes = 0;
+        parser->header_limit(maxHeadBytes + 1); // a head of one byte more is rejected here
         parser->body_limit(maxBodyBytes);
         // An eager parser goes on to the body behind a head that it has rejected for the length of the body.
         parser->eager(false);
         parser->skip(isHeadResponse);
+        parser->on_chunk_header(framing);
         begun = false;
     }
+
+    [[nodiscard]] read_state readHead(std::string &input);
+    [[nodiscard]] read_state readBody(std::string &input);
+    [[nodiscard]] bool skipInterim();
 };
 
+namespace {
+
+read_state faultOf(const boost::system::error_code &error)
+{
+    if (error == http::error::body_limit) {
+        return read_state::BodyTooLarge;
+    }
+    return error == http::error::header_limit ? read_state::HeadTooLarge : read_state::BadMessage;
+}
+
+bool isFault(const boost::system::error_code &error)
+{
+    return error && error != http::error::need_more;
+}
+
+} // namespace
+
+/** @return HeadComplete, NeedMore or why the head is rejected. */
+read_state response_reader::state::readHead(std::string &input)
+{
+    boost::system::error_code error;
+    const std::size_t used = parser->put(boost::asio::buffer(input), error);
+    input.erase(0, used);
+    headBytes += used;
+    const std::size_t received = parser->is_header_done() ? headBytes : headBytes + input.size();
+    if (received > maxHeadBytes) {
+        return read_state::HeadTooLarge;
+    }
+    if (isFault(error)) {
+        return faultOf(error);
+    }
+    if (!parser->is_header_done()) {
+        return read_state::NeedMore;
+    }
+    parser->eager(true);
+    return isSound(parser->get()) ? read_state::HeadComplete : read_state::BadMessage;
+}
+
+/** @return Complete, NeedMore or why the body is rejected. */
+read_state response_reader::state::readBody(std::string &input)
+{
+    while (!parser->is_done() && !input.empty()) {
+        boost::system::error_code error;
+        const std::size_t bodyBytes = parser->get().body().size();
+        const std::size_t used = parser->put(boost::asio::buffer(input), error);
+        input.erase(0, used);
+        framing.add(used - (parser->get().body().size() - bodyBytes));
+        if (isFault(error)) {
+            return faultOf(error);
+        }
+        if (used == 0) {
+            break;
+        }
+    }
+    const bool isDone = parser->is_done();
+    if (framing.isTooLarge(isDone ? 0 : input.size())) {
+        return read_state::FramingTooLarge;
+    }
+    return isDone ? read_state::Complete : read_state::NeedMore;
+}
+
+/** @return false if there are too many interim responses. */
+bool response_reader::state::skipInterim()
+{
+    interimBytes += headBytes;
+    startResponse();
+    return interimBytes <= maxInterimBytes;
+}
+
 response_reader::response_reader()
     : m_state(std::make_unique<state>())
 {
@@ -152,38 +234,33 @@
 {
     m_state->isHeadResponse = isHeadResponse;
     m_state->maxBodyBytes = maxBodyBytes;
+    m_state->interimBytes = 0;
     m_state->startResponse();
 }
 
 read_state response_reader::feed(std::string &input)
 {
-    boost::system::error_code error;
     while (!input.empty()) {
         m_state->begun = true;
-        const std::size_t used = m_state->parser->put(boost::asio::buffer(input), error);
-        input.erase(0, used);
-        if (error && error != http::error::need_more) {
-            return error == http::error::body_limit ? read_state::BodyTooLarge : read_state::BadMessage;
-        }
-        if (m_state->parser->is_header_done()) {
-            if (!isSound(m_state->parser->get())) {
-                return read_state::BadMessage;
+        if (!m_state->parser->is_header_done()) {
+            const read_state head = m_state->readHead(input);
+            if (head != read_state::HeadComplete) {
+                return head;
             }
-            m_state->parser->eager(true);
         }
-        if (m_state->parser->is_done()) {
-            const auto &message = m_state->parser->get();
-            if (joinsTwoHeads(message) || (!input.empty() && runsIntoFurtherHead(message.body(), input))) {
-                return read_state::BadMessage;
-            }
-            if (!isInterim(m_state->parser->get().result_int())) {
-                return read_state::Complete;
-            }
-            m_state->startResponse();
-            continue;
+        const read_state body = m_state->readBody(input);
+        if (body != read_state::Complete) {
+            return body;
         }
-        if (used == 0) {
-            break;
+        const auto &message = m_state->parser->get();
+        if (joinsTwoHeads(message) || (!input.empty() && runsIntoFurtherHead(message.body(), input))) {
+            return read_state::BadMessage;
+        }
+        if (!isInterim(message.result_int())) {
+            return read_state::Complete;
+        }
+        if (!m_state->skipInterim()) {
+            return read_state::InterimTooLarge;
         }
     }
     return read_state::NeedMore;
