Input past a bound ends one connection, is logged and counted

What callers saw: a caller that was refused and went on sending was read for a second, 430 MB on one connection. A leaf or the store past a bound was closed without a line that says so. An exception while the input of any connection was read ended the process.

Cause: input after the last answer was dropped and not counted. Nothing between a parser and the reactor's run() catches an exception.

A leaf's connection fails as broken, which is no evidence for a query of death. The store's old contents stay in force, and it is called again with the backoff as before.

Evidence: the test of a refused caller fails with the bound lifted to 4000 MB (167,772,160 bytes taken, all that it sends) and passes. The tests of the guard cover std::bad_alloc and std::length_error.

--- a/libs/http1/include/http1/http1.h
+++ b/libs/http1/include/http1/http1.h
@@ -65,14 +65,15 @@
     HeadTooLarge, ///< counts the blank lines ahead of a request
     InterimTooLarge, ///< the interim responses ahead of a response
     FramingTooLarge, ///< the chunk extensions and the trailer of a message
-    BodyTooLarge
+    BodyTooLarge,
+    ReadFailed ///< the user of a reader got an exception, for example for lack of memory
 };
 
 /** @return the name of a state in logs. */
 [[nodiscard]] std::string_view toString(read_state state);
 
-/** Whether a message was rejected because it is larger than a bound. */
-[[nodiscard]] bool isTooLarge(read_state state);
+/** Whether a message was rejected because it is larger than a bound or could not be read. */
+[[nodiscard]] bool isCutOff(read_state state);
 
 /** Parses the requests of one connection, one after the other. */
 class request_reader
--- a/libs/http1/src/headers.cpp
+++ b/libs/http1/src/headers.cpp
@@ -81,14 +81,16 @@
         return "framing_too_large";
     case read_state::BodyTooLarge:
         return "body_too_large";
+    case read_state::ReadFailed:
+        return "read_failed";
     }
     return "unknown";
 }
 
-bool isTooLarge(read_state state)
+bool isCutOff(read_state state)
 {
     return state == read_state::HeadTooLarge || state == read_state::InterimTooLarge
-        || state == read_state::FramingTooLarge || state == read_state::BodyTooLarge;
+        || state == read_state::FramingTooLarge || state == read_state::BodyTooLarge || state == read_state::ReadFailed;
 }
 
 std::string_view reasonPhrase(unsigned status)
--- a/libs/http1/tests/test_bounds.cpp
+++ b/libs/http1/tests/test_bounds.cpp
@@ -304,15 +304,16 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(only_bounds_count_as_too_large)
+BOOST_AUTO_TEST_CASE(only_bounds_and_failures_cut_input_off)
 {
     for (const read_state state : {read_state::HeadTooLarge,
                                    read_state::InterimTooLarge,
                                    read_state::FramingTooLarge,
-                                   read_state::BodyTooLarge}) {
-        BOOST_TEST(isTooLarge(state), toString(state));
+                                   read_state::BodyTooLarge,
+                                   read_state::ReadFailed}) {
+        BOOST_TEST(isCutOff(state), toString(state));
     }
     for (const read_state state : {read_state::NeedMore, read_state::Complete, read_state::BadMessage}) {
-        BOOST_TEST(!isTooLarge(state), toString(state));
+        BOOST_TEST(!isCutOff(state), toString(state));
     }
 }
--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -34,6 +34,7 @@
     , m_acceptor(reactor)
     , m_sweepTimer(reactor)
     , m_acceptTimer(reactor)
+    , m_input(answers.source)
 {
     constexpr std::size_t fixedConnections = 1000;
     m_table.setLimits(fixedConnections, {});
--- a/programs/chivelockd/gateway/caller_server.h
+++ b/programs/chivelockd/gateway/caller_server.h
@@ -6,6 +6,8 @@
  * work for a caller that has disconnected can be stopped.
  */
 
+#include "input_guard.h"
+
 #include <backpressure/backpressure.h>
 #include <gateway/gateway.h>
 #include <http1/http1.h>
@@ -51,6 +53,7 @@
 struct server_answers {
     read_error_writer readError = nullptr;
     refusal_writer refusal = nullptr;
+    std::string_view source = "caller"; ///< name of those who connect, for logs and metrics
 };
 
 /** Decisions under pressure since the start. */
@@ -122,6 +125,11 @@
         return m_table.limit();
     }
 
+    [[nodiscard]] const input_guard &input() const
+    {
+        return m_input;
+    }
+
     [[nodiscard]] const caller_pressure_counts &pressureCounts() const
     {
         return m_counts;
@@ -153,6 +161,7 @@
     caller_limits m_limits;
     connection_table m_table;
     caller_pressure_counts m_counts;
+    input_guard m_input;
     bool m_limitsMemory = false; ///< the memory of the VM is known
     /** Shared by all connections: a buffer for each would take up 16 KB even while the connection is idle. */
     std::array<char, maxReadBytes> m_readBuffer {};
--- a/programs/chivelockd/gateway/caller_session.h
+++ b/programs/chivelockd/gateway/caller_session.h
@@ -203,6 +203,8 @@
 
 private:
     static constexpr std::size_t maxPipelinedBytes = 65536; // buffered pipelined requests; the rest stays in the kernel
+    // Read and dropped after the last answer. It lets a caller whose body is too large end it and read that answer.
+    static constexpr std::size_t maxIgnoredBytes = 4U << 20U;
     static constexpr double roundTripsOfFirstBytes = 2; // with a delayed acknowledgement
     static constexpr millis lingerLimit {
         1000}; // for the caller to read the last answer before the connection is closed
@@ -316,11 +318,9 @@
             onPeerClosed();
             return;
         }
-        if (m_phase != phase::Lingering) {
-            const bool first = m_phase == phase::Waiting && m_input.empty() && !m_reader.begun();
-            m_phaseStart = first ? boot_clock().now() : m_phaseStart;
-            m_input.append(m_server.m_readBuffer.data(), count);
-            m_heldInput += count;
+        const bool isAccepted = m_phase == phase::Lingering ? ignoreInput(count) : keepInput(count);
+        if (!isAccepted) {
+            return;
         }
         sampleUse(!m_unread);
         if (m_phase == phase::Waiting) {
@@ -331,10 +331,56 @@
         }
     }
 
+    [[nodiscard]] bool keepInput(std::size_t count)
+    {
+        const bool first = m_phase == phase::Waiting && m_input.empty() && !m_reader.begun();
+        m_phaseStart = first ? boot_clock().now() : m_phaseStart;
+        const read_state state = m_server.m_input.read([this, count] {
+            m_input.append(m_server.m_readBuffer.data(), count);
+            return read_state::NeedMore;
+        });
+        m_heldInput += count;
+        if (isCutOff(state)) {
+            cutOff(toString(state), m_heldInput);
+        }
+        return !isCutOff(state);
+    }
+
+    /** @return false if the connection was closed: its caller does not stop sending. */
+    [[nodiscard]] bool ignoreInput(std::size_t count)
+    {
+        m_ignoredBytes += count;
+        const bool isTooMuch = m_ignoredBytes > maxIgnoredBytes;
+        if (isTooMuch) {
+            cutOff("input_after_answer", m_ignoredBytes);
+        }
+        return !isTooMuch;
+    }
+
+    /** Closes the connection without an answer. */
+    void cutOff(std::string_view cause, std::size_t bytes)
+    {
+        m_server.m_input.countCutOff(cause, peerAddress(), bytes);
+        onPeerClosed();
+    }
+
+    /** @param request receives the request that is complete then. */
+    [[nodiscard]] read_state feedReader(http_request &request)
+    {
+        return m_server.m_input.read([this, &request] {
+            const read_state state = m_reader.feed(m_input);
+            if (state == read_state::Complete) {
+                request = m_reader.take();
+            }
+            return state;
+        });
+    }
+
     void parse()
     {
+        http_request request;
         m_reader.setLimits(m_server.m_limits.headBytes, m_server.m_limits.bodyBytes);
-        read_state state = m_reader.feed(m_input);
+        read_state state = feedReader(request);
         if (state == read_state::HeadComplete || state == read_state::Complete) {
             if (!m_server.mayServe(m_id, peerAddress())) {
                 refuse(m_server.m_table.isMemoryFull() ? "memory_full" : "connections_full");
@@ -343,11 +389,15 @@
         }
         if (state == read_state::HeadComplete) {
             sendContinue();
-            state = m_reader.feed(m_input);
+            state = feedReader(request);
         }
         if (state == read_state::NeedMore || state == read_state::HeadComplete) {
             return;
         }
+        if (state == read_state::ReadFailed) {
+            cutOff(toString(state), m_heldInput);
+            return;
+        }
         if (state != read_state::Complete) {
             rejectInput(state);
             return;
@@ -355,7 +405,6 @@
         m_phase = phase::Busy;
         sampleUse(true);
         m_requests += 1;
-        http_request request = m_reader.take();
         m_keepAlive = request.keepAlive;
         m_toHead = request.method == "HEAD";
         m_server.m_listener.onRequest(m_id, std::move(request));
@@ -378,6 +427,9 @@
 
     void rejectInput(read_state state)
     {
+        if (isCutOff(state)) {
+            m_server.m_input.countCutOff(toString(state), peerAddress(), m_heldInput);
+        }
         m_phase = phase::Busy;
         m_toHead = false;
         reply(m_server.m_answers.readError(state), true);
@@ -469,6 +521,7 @@
     std::string m_input;
     answer_pieces m_output;
     std::size_t m_heldInput = 0; ///< bytes of the current request and of those behind it
+    std::size_t m_ignoredBytes = 0; ///< received after the last answer
     std::size_t m_reserved = 0; ///< for the answer to the current request
     std::size_t m_answerBegin = 0; ///< bytes on this connection before the current answer
     std::size_t m_writtenBefore = 0; ///< on this connection, before the current piece of an answer
--- a/programs/chivelockd/gateway/gateway_metrics.cpp
+++ b/programs/chivelockd/gateway/gateway_metrics.cpp
@@ -1,6 +1,7 @@
 /** @file The gateway's metrics page, and the log line with the traffic between VMs. */
 
 #include "gateway_service.h"
+#include "status_pages.h"
 
 namespace chivelock {
 
@@ -29,6 +30,14 @@
                       {}});
 }
 
+void writeInputCutOff(std::vector<metric_value> &values, std::string_view source, std::uint64_t count)
+{
+    values.push_back({"chivelock_input_cut_off_total",
+                      "Connections closed for input past a bound or that could not be read, by source.",
+                      static_cast<double>(count),
+                      source});
+}
+
 } // namespace
 
 /** Logs the bytes sent so far, as own zone/other zones/unknown zone. Periodic lines keep most of the counts of a
@@ -212,6 +221,15 @@
                           state.delay.count(),
                           route});
     }
+    for (const input_guard *input : {&m_callers->input(),
+                                     &m_pages->readiness().input(),
+                                     &m_pages->metrics().input(),
+                                     &m_pool->input(),
+                                     &m_feed->peerInput(),
+                                     &m_helperLinks->peerInput()}) {
+        writeInputCutOff(values, input->source(), input->cutOff());
+    }
+    writeInputCutOff(values, "store", m_feed->storeInputCutOff());
     writeOverload(values, m_engine.overload());
     m_traffic.write(values);
     return m_latencies.write(values);
--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -32,7 +32,7 @@
     : m_settings(std::move(settings))
     , m_traffic(traffic)
     , m_listener(listener)
-    , m_mesh(reactor, *this)
+    , m_mesh(reactor, *this, "helper_link")
     , m_timer(reactor)
 {
 }
@@ -191,7 +191,18 @@
 
 bool helper_links::onLinkFrame(link_id link, std::span<const std::uint8_t> payload)
 {
-    auto message = decodeDelegationPayload(payload);
+    std::optional<delegation_message> message;
+    const read_state state = m_mesh.input().read([&] {
+        auto decoded = decodeDelegationPayload(payload);
+        if (!decoded) {
+            return read_state::BadMessage;
+        }
+        message = *std::move(decoded);
+        return read_state::Complete;
+    });
+    if (isCutOff(state)) {
+        m_mesh.input().countCutOff(toString(state), m_mesh.peerOf(link), payload.size());
+    }
     if (!message) {
         return false;
     }
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -82,6 +82,11 @@
         return m_mesh.unsentBytes();
     }
 
+    [[nodiscard]] const input_guard &peerInput() const
+    {
+        return m_mesh.input();
+    }
+
 private:
     struct helper {
         zone_name zone;
--- a/programs/chivelockd/gateway/leaf_connection.h
+++ b/programs/chivelockd/gateway/leaf_connection.h
@@ -184,6 +184,7 @@
         m_busy = true;
         m_written = false;
         m_strayCount = 0;
+        m_answerBytes = 0;
         m_reader.expect(m_message.toHead, maxAnswerBodyBytes);
         m_writeEnd = boot_clock().now() + m_message.remaining - spent;
         m_output = platform::completeLeafRequest(*m_message.text, m_message.remaining - spent, m_message.to->entry.id);
@@ -221,17 +222,44 @@
             removeIdle(); // unsolicited input belongs to no request
             return;
         }
-        m_input.append(m_readBuffer.data(), count);
-        const read_state state = m_reader.feed(m_input);
+        m_answerBytes += count;
+        onInput(readAnswer([this, count] {
+            m_input.append(m_readBuffer.data(), count);
+            return m_reader.feed(m_input);
+        }));
+        if (!m_closed) {
+            read();
+        }
+    }
+
+    /** @param step feeds the reader. Decodes the answer that is complete then. */
+    template<typename read_step>
+    [[nodiscard]] read_state readAnswer(read_step &&step)
+    {
+        return m_pool.m_input.read([&] {
+            const read_state state = step();
+            if (state == read_state::Complete) {
+                m_answer = platform::readLeafAnswer(m_reader.take());
+            }
+            return state;
+        });
+    }
+
+    void onInput(read_state state)
+    {
         if (state == read_state::Complete) {
             onAnswer();
         } else if (state != read_state::NeedMore) {
-            fail(send_failure::Broken);
-            return;
+            failInput(state);
         }
-        if (!m_closed) {
-            read();
+    }
+
+    void failInput(read_state state)
+    {
+        if (isCutOff(state)) {
+            m_pool.m_input.countCutOff(toString(state), peer().entry.id, m_answerBytes);
         }
+        fail(send_failure::Broken);
     }
 
     void onEndOfStream(const error_code &error)
@@ -241,7 +269,8 @@
             return;
         }
         const bool isOrderlyClose = error == boost::asio::error::eof;
-        if (isOrderlyClose && m_reader.begun() && m_reader.finish() == read_state::Complete) {
+        if (isOrderlyClose && m_reader.begun()
+            && readAnswer([this] { return m_reader.finish(); }) == read_state::Complete) {
             m_endOfStream = true;
             onAnswer();
             return;
@@ -319,7 +348,7 @@
 
     void onAnswer()
     {
-        platform::leaf_answer answer = platform::readLeafAnswer(m_reader.take());
+        platform::leaf_answer answer = std::exchange(m_answer, {});
         const bool isNamed = answer.requestId == m_message.requestId;
         if (!isNamed && !answer.requestId.empty()) {
             onStray(answer);
@@ -364,12 +393,8 @@
             return;
         }
         m_reader.expect(m_message.toHead, maxAnswerBodyBytes);
-        const read_state state = m_reader.feed(m_input);
-        if (state == read_state::Complete) {
-            onAnswer();
-        } else if (state != read_state::NeedMore) {
-            fail(send_failure::Broken);
-        }
+        m_answerBytes = m_input.size();
+        onInput(readAnswer([this] { return m_reader.feed(m_input); }));
     }
 
     void notifySkipped(const platform::leaf_answer &answer, bool connectionClosed)
@@ -416,6 +441,8 @@
     sent_requests m_carried;
     std::array<char, readBytes> m_readBuffer {};
     std::string m_input;
+    std::uint64_t m_answerBytes = 0; ///< received of the answer and of the interim answers ahead of it
+    platform::leaf_answer m_answer; ///< the last one read
     std::string m_output;
     std::size_t m_heldBytes = 0; ///< of the current request, accounted to the leaf
     millis m_writeEnd; ///< until when the leaf must have read the request
--- a/programs/chivelockd/gateway/leaf_pool.h
+++ b/programs/chivelockd/gateway/leaf_pool.h
@@ -6,6 +6,8 @@
  * cancelled.
  */
 
+#include "input_guard.h"
+
 #include <backpressure/backpressure.h>
 #include <gateway/gateway.h>
 #include <platform/platform.h>
@@ -112,6 +114,11 @@
         return m_underWay.total();
     }
 
+    [[nodiscard]] const input_guard &input() const
+    {
+        return m_input;
+    }
+
     /** @return the number of open connections. */
     [[nodiscard]] std::size_t connections() const
     {
@@ -130,6 +137,7 @@
     boost::asio::io_context &m_reactor;
     send_listener &m_listener;
     leaf_pool_counts m_counts;
+    input_guard m_input {"leaf"};
     byte_ledger<const leaf *> m_underWay; ///< request bytes of sends without an outcome
     std::size_t m_open = 0;
     /** Idle connections, the most recently used one last. The key is the leaf object, not the leaf's id: a leaf that
--- a/programs/chivelockd/gateway/peer_mesh.cpp
+++ b/programs/chivelockd/gateway/peer_mesh.cpp
@@ -135,10 +135,18 @@
     /** @return false if the peer sent an invalid frame or message. */
     bool take(std::size_t count)
     {
-        m_frames.append(std::span(m_readBuffer).first(count));
+        const read_state kept = m_mesh.m_input.read([this, count] {
+            m_frames.append(std::span(m_readBuffer).first(count));
+            return read_state::NeedMore;
+        });
+        if (isCutOff(kept)) {
+            m_mesh.m_input.countCutOff(toString(kept), m_peer, count);
+            return false;
+        }
         while (!m_closed) {
             const auto payload = m_frames.next();
             if (!payload) {
+                m_mesh.m_input.countCutOff("frame_too_large", m_peer, count);
                 return false;
             }
             if (!*payload) {
@@ -191,9 +199,10 @@
     bool m_closed = false;
 };
 
-peer_mesh::peer_mesh(asio::io_context &reactor, link_listener &listener)
+peer_mesh::peer_mesh(asio::io_context &reactor, link_listener &listener, std::string_view source)
     : m_reactor(reactor)
     , m_listener(listener)
+    , m_input(source)
     , m_acceptor(reactor)
     , m_nextIncoming(firstIncoming)
 {
--- a/programs/chivelockd/gateway/peer_mesh.h
+++ b/programs/chivelockd/gateway/peer_mesh.h
@@ -2,6 +2,8 @@
 
 /** @file Connections between the processes of the fleet, on the reactor thread. */
 
+#include "input_guard.h"
+
 #include <fleet/fleet.h>
 
 #include <boost/asio/io_context.hpp>
@@ -43,7 +45,8 @@
 class peer_mesh
 {
 public:
-    peer_mesh(boost::asio::io_context &reactor, link_listener &listener);
+    /** @param source name of the peers, for logs and metrics; must outlive the mesh. */
+    peer_mesh(boost::asio::io_context &reactor, link_listener &listener, std::string_view source);
     peer_mesh(const peer_mesh &) = delete;
     peer_mesh &operator=(const peer_mesh &) = delete;
     ~peer_mesh();
@@ -61,6 +64,17 @@
     /** @return the bytes of all links that the peers have not received yet. */
     [[nodiscard]] std::size_t unsentBytes() const;
 
+    /** For the listener to decode frames in. */
+    [[nodiscard]] input_guard &input()
+    {
+        return m_input;
+    }
+
+    [[nodiscard]] const input_guard &input() const
+    {
+        return m_input;
+    }
+
     /** Accepts no new links; existing links stay open. */
     void stopListening();
 
@@ -74,6 +88,7 @@
 
     boost::asio::io_context &m_reactor;
     link_listener &m_listener;
+    input_guard m_input;
     boost::asio::ip::tcp::acceptor m_acceptor;
     link_id m_nextIncoming;
     std::unordered_map<link_id, std::shared_ptr<link>> m_links;
--- a/programs/chivelockd/gateway/status_pages.cpp
+++ b/programs/chivelockd/gateway/status_pages.cpp
@@ -66,8 +66,8 @@
 }
 
 status_pages::status_pages(boost::asio::io_context &reactor, status_source &source)
-    : m_readinessServer(reactor, m_readinessPage, {writeReadErrorAnswer, writeRefusalAnswer})
-    , m_metricsServer(reactor, m_metricsPage, {writeReadErrorAnswer, writeRefusalAnswer})
+    : m_readinessServer(reactor, m_readinessPage, {writeReadErrorAnswer, writeRefusalAnswer, "readiness"})
+    , m_metricsServer(reactor, m_metricsPage, {writeReadErrorAnswer, writeRefusalAnswer, "metrics"})
 {
     m_readinessPage.server = &m_readinessServer;
     m_readinessPage.answer = [&source](const http_request &request) { return readinessAnswer(source, request); };
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -63,7 +63,7 @@
     , m_traffic(traffic)
     , m_listener(listener)
     , m_node(makeFleetSettings(settings), std::hash<std::string>()(settings.vmName))
-    , m_mesh(reactor, *this)
+    , m_mesh(reactor, *this, "peer")
     , m_prefixes(makeFleetSettings(settings).prefixes)
     , m_timer(reactor)
 {
@@ -118,6 +118,15 @@
     return calls;
 }
 
+std::uint64_t store_feed::storeInputCutOff() const
+{
+    std::uint64_t cutOff = 0;
+    for (const auto &reader : m_readers) {
+        cutOff += reader->input().cutOff();
+    }
+    return cutOff;
+}
+
 std::string store_feed::source() const
 {
     return m_node.isReading() ? "store" : m_node.upstreamAddress();
@@ -137,7 +146,18 @@
 
 bool store_feed::onLinkFrame(link_id link, std::span<const std::uint8_t> payload)
 {
-    auto message = decodeFleetPayload(payload);
+    std::optional<fleet_message> message;
+    const read_state state = m_mesh.input().read([&] {
+        auto decoded = decodeFleetPayload(payload);
+        if (!decoded) {
+            return read_state::BadMessage;
+        }
+        message = *std::move(decoded);
+        return read_state::Complete;
+    });
+    if (isCutOff(state)) {
+        m_mesh.input().countCutOff(toString(state), m_mesh.peerOf(link), payload.size());
+    }
     if (!message) {
         return false;
     }
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -80,9 +80,17 @@
 
     [[nodiscard]] std::uint64_t storeCalls() const;
 
+    /** @return the number of connections to the store that were closed for what it sent. */
+    [[nodiscard]] std::uint64_t storeInputCutOff() const;
+
     /** @return the source of store updates: the address of the VM that this process follows, or `store`. */
     [[nodiscard]] std::string source() const;
 
+    [[nodiscard]] const input_guard &peerInput() const
+    {
+        return m_mesh.input();
+    }
+
 private:
     void onLinkOpen(link_id link) override;
     void onLinkClosed(link_id link) override;
--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t readBytes = 65536;
+constexpr unsigned okStatus = 200;
 constexpr std::size_t maxAnswerBodyBytes = 16 << 20; // many times a page of one megabyte in base64
 constexpr millis answerSilenceLimit(500); // limit without input; far above the few milliseconds that the store takes
 
@@ -57,6 +58,7 @@
     m_callGeneration += 1;
     m_lastPageKey.clear();
     m_pagedItems.clear();
+    m_page.reset();
     closeSocket();
     m_timeout.cancel();
     m_callTimer.cancel();
@@ -79,6 +81,7 @@
                                           : platform::rangeTarget(m_settings.prefix, m_lastPageKey);
     m_output = "GET " + target + " HTTP/1.1\r\nHost: " + m_settings.address + "\r\n\r\n";
     m_input.clear();
+    m_answerBytes = 0;
     m_reader.expect(false, maxAnswerBodyBytes);
     m_callGeneration += 1;
     m_calledAt = m_lastPageKey.empty() ? m_clock.now() : m_calledAt;
@@ -141,29 +144,49 @@
                 onCallFailed("closed");
                 return;
             }
-            m_input.append(m_readBuffer.data(), count);
-            const read_state state = m_reader.feed(m_input);
+            m_answerBytes += count;
+            const read_state state = readAnswer(count);
             if (state == read_state::NeedMore) {
                 armTimeout(std::clamp(m_answerDeadline - m_clock.now(), millis(), answerSilenceLimit));
                 read(generation);
             } else if (state == read_state::Complete) {
-                onAnswer(m_reader.take());
+                onAnswer();
+            } else if (isCutOff(state)) {
+                m_guard.countCutOff(toString(state), m_settings.address, m_answerBytes);
+                onCallFailed(toString(state));
             } else {
                 onCallFailed("bad_answer");
             }
         });
 }
 
-void store_reader::onAnswer(const http_response &response)
+/** Reads on and decodes the answer that is complete then. */
+read_state store_reader::readAnswer(std::size_t count)
+{
+    return m_guard.read([this, count] {
+        m_input.append(m_readBuffer.data(), count);
+        const read_state state = m_reader.feed(m_input);
+        if (state == read_state::Complete) {
+            m_answer = m_reader.take();
+            m_page.reset();
+            if (m_answer.status == okStatus) {
+                m_page = m_watching ? platform::decodeWatch(m_answer.body) : platform::decodeRange(m_answer.body);
+            }
+            m_answer.body = std::string(); // it may be large
+        }
+        return state;
+    });
+}
+
+void store_reader::onAnswer()
 {
     m_timeout.cancel();
     m_callGeneration += 1;
-    if (!response.keepAlive) {
+    if (!m_answer.keepAlive) {
         closeSocket();
     }
-    constexpr unsigned ok = 200;
     constexpr unsigned historyGone = 410;
-    if (response.status == historyGone) {
+    if (m_answer.status == historyGone) {
         logEvent(log_level::Info,
                  "store_history_gone",
                  {{"prefix", m_settings.prefix}, {"after_revision", m_revision}, {"outcome", "read_anew"}});
@@ -173,24 +196,24 @@
         issueCall();
         return;
     }
-    if (response.status != ok) {
-        onCallFailed("status_" + std::to_string(response.status));
+    if (!m_page) {
+        onCallFailed("status_" + std::to_string(m_answer.status));
         return;
     }
     onStoreAnswered();
-    if (!m_started) {
+    if (!m_started || !m_page) {
         return; // in response to the state change, this process stopped reading and follows another process
     }
     if (m_watching) {
-        onWatch(response);
+        onWatch();
     } else {
-        onRange(response);
+        onRange();
     }
 }
 
-void store_reader::onRange(const http_response &response)
+void store_reader::onRange()
 {
-    auto page = platform::decodeRange(response.body);
+    auto page = *std::exchange(m_page, {});
     if (!page) {
         onCallFailed(page.error().reason);
         return;
@@ -211,9 +234,9 @@
     issueCall();
 }
 
-void store_reader::onWatch(const http_response &response)
+void store_reader::onWatch()
 {
-    auto page = platform::decodeWatch(response.body);
+    auto page = *std::exchange(m_page, {});
     if (!page) {
         onCallFailed(page.error().reason);
         return;
--- a/programs/chivelockd/gateway/store_reader.h
+++ b/programs/chivelockd/gateway/store_reader.h
@@ -6,6 +6,8 @@
  * again when the store has discarded the history since the last known revision.
  */
 
+#include "input_guard.h"
+
 #include <base/base.h>
 #include <http1/http1.h>
 #include <platform/platform.h>
@@ -82,14 +84,20 @@
         return m_calls;
     }
 
+    [[nodiscard]] const input_guard &input() const
+    {
+        return m_guard;
+    }
+
 private:
     void issueCall();
     void connect();
     void write();
     void read(std::uint64_t generation);
-    void onAnswer(const http_response &response);
-    void onRange(const http_response &response);
-    void onWatch(const http_response &response);
+    [[nodiscard]] read_state readAnswer(std::size_t count);
+    void onAnswer();
+    void onRange();
+    void onWatch();
     void onCallFailed(std::string_view cause);
     void armTimeout(millis limit);
     void scheduleCall(millis delay);
@@ -105,6 +113,11 @@
     response_reader m_reader;
     std::string m_output;
     std::string m_input;
+    input_guard m_guard {"store"};
+    std::uint64_t m_answerBytes = 0; ///< received of the current answer
+    http_response m_answer; ///< the last one read
+    std::optional<tl::expected<platform::store_page, platform::decode_error>>
+        m_page; ///< in the last answer, if that is a success
     std::vector<char> m_readBuffer;
     bool m_started = false;
     bool m_watching = false; ///< the contents are known; only changes are requested
--- a/programs/chivelockd/tests/test_caller_server.cpp
+++ b/programs/chivelockd/tests/test_caller_server.cpp
@@ -186,8 +186,46 @@
     return ::recv(socket.native_handle(), &byte, 1, 0) == 1;
 }
 
+/** Sends after a refused request. @return the bytes sent until the server closed the connection. */
+std::size_t sendUntilClosed(running_server &server, std::size_t limit)
+{
+    boost::asio::io_context reactor;
+    tcp::socket socket(reactor);
+    socket.connect(server.endpoint());
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(std::string_view("BAD\r\n\r\n")), error);
+    const std::string piece(65536, 'x');
+    std::size_t sent = 0;
+    while (!error && sent < limit) {
+        sent += boost::asio::write(socket, boost::asio::buffer(piece), error);
+    }
+    return sent;
+}
+
 } // namespace
 
+// Guards against input that is read for as long as it comes, though it is not kept.
+BOOST_AUTO_TEST_CASE(a_refused_caller_that_does_not_stop_sending_is_cut_off)
+{
+    running_server server;
+    constexpr std::size_t fourMegabytes = 4U << 20U;
+    constexpr std::size_t kernelBuffers = 16U << 20U;
+    BOOST_TEST(sendUntilClosed(server, 10 * kernelBuffers) <= fourMegabytes + kernelBuffers);
+    BOOST_TEST(sendUntilClosed(server, fourMegabytes / 2) == fourMegabytes / 2);
+    BOOST_TEST(isServed(server));
+}
+
+// Guards against a process that ends because the input of one connection could not be read.
+BOOST_AUTO_TEST_CASE(an_exception_in_reading_ends_one_connection)
+{
+    input_guard guard("leaf");
+    const auto failing = [](const auto &problem) { return [&problem]() -> read_state { throw problem; }; };
+    BOOST_CHECK(guard.read(failing(std::bad_alloc())) == read_state::ReadFailed);
+    BOOST_CHECK(guard.read(failing(std::length_error("too long"))) == read_state::ReadFailed);
+    BOOST_CHECK(guard.read([] { return read_state::NeedMore; }) == read_state::NeedMore);
+    BOOST_TEST(isCutOff(read_state::ReadFailed));
+}
+
 // Guards against an interim response that is cut for want of room in the socket, or delays all other callers.
 BOOST_AUTO_TEST_CASE(a_caller_that_reads_no_answers_does_not_delay_others)
 {
