Text that a frame refers to many times is bounded

Cause: the length of a frame and of its decompressed contents are compared with 4 MB, but FlatBuffers allows tables and texts to be shared, its verifier counts no text, and the decoders copy each reference.

Change: at most four times the longest frame is copied as text out of one payload, enough for the short texts that our own messages share; else the payload is malformed and the link is closed. The verifier's own max_tables is set to what a payload without shared tables can hold; our bound begins at the text. The length of frames, decompressed messages and patches was looked at too: they are compared with a limit before memory is taken.

--- a/libs/delegation/src/delegation_codec.cpp
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -115,78 +115,102 @@
     }
 };
 
-std::string textOrEmpty(const flatbuffers::String *text)
-{
-    return text == nullptr ? std::string() : text->str();
-}
+/** Copies the message out of a verified payload. */
+struct message_reader {
+    text_allowance texts;
 
-delegate_request readRequest(const delegation_wire::Request &from)
-{
-    delegate_request message;
-    message.id = from.id();
-    message.requestId = textOrEmpty(from.request_id());
-    message.beforeTime = textOrEmpty(from.before_time());
-    message.afterTime = textOrEmpty(from.after_time());
-    message.toHead = from.to_head();
-    message.work.route = textOrEmpty(from.route());
-    message.work.topRecords = from.top_records();
-    message.work.objective = millis::fromMicros(from.objective_micros());
-    message.work.firstReportIn = millis::fromMicros(from.speak_micros());
-    message.work.cutoffIn = millis::fromMicros(from.cutoff_micros());
-    message.work.limitIn = millis::fromMicros(from.limit_micros());
-    if (from.shards() != nullptr) {
-        for (const auto *shard : *from.shards()) {
-            message.work.shards.push_back({textOrEmpty(shard)});
-        }
+    std::string textOrEmpty(const flatbuffers::String *text)
+    {
+        return text == nullptr || !texts.take(text->size()) ? std::string() : text->str();
     }
-    if (from.regions() != nullptr) {
-        for (const auto *region : *from.regions()) {
-            message.work.homeRegions.push_back({textOrEmpty(region)});
+
+    delegate_request readRequest(const delegation_wire::Request &from)
+    {
+        delegate_request message;
+        message.id = from.id();
+        message.requestId = textOrEmpty(from.request_id());
+        message.beforeTime = textOrEmpty(from.before_time());
+        message.afterTime = textOrEmpty(from.after_time());
+        message.toHead = from.to_head();
+        message.work.route = textOrEmpty(from.route());
+        message.work.topRecords = from.top_records();
+        message.work.objective = millis::fromMicros(from.objective_micros());
+        message.work.firstReportIn = millis::fromMicros(from.speak_micros());
+        message.work.cutoffIn = millis::fromMicros(from.cutoff_micros());
+        message.work.limitIn = millis::fromMicros(from.limit_micros());
+        if (from.shards() != nullptr) {
+            for (const auto *shard : *from.shards()) {
+                message.work.shards.push_back({textOrEmpty(shard)});
+            }
         }
+        if (from.regions() != nullptr) {
+            for (const auto *region : *from.regions()) {
+                message.work.homeRegions.push_back({textOrEmpty(region)});
+            }
+        }
+        message.work.alone = from.alone();
+        message.work.key = {from.key_caller(), from.key_content()};
+        message.work.attempt = from.attempt();
+        message.work.rank = from.rank();
+        if (from.tried() != nullptr) {
+            std::ranges::transform(*from.tried(),
+                                   std::back_inserter(message.work.triedLeafs),
+                                   [this](const auto *text) { return textOrEmpty(text); });
+        }
+        return message;
     }
-    message.work.alone = from.alone();
-    message.work.key = {from.key_caller(), from.key_content()};
-    message.work.attempt = from.attempt();
-    message.work.rank = from.rank();
-    if (from.tried() != nullptr) {
-        std::ranges::transform(*from.tried(), std::back_inserter(message.work.triedLeafs), textOrEmpty);
-    }
-    return message;
-}
 
-delegate_progress readProgress(const delegation_wire::Progress &from)
-{
-    delegate_progress message;
-    message.id = from.id();
-    message.progress.last = from.last();
-    if (const delegation_wire::Load *load = from.load()) {
-        message.progress.load = vm_load {load->capacity_millicores() / millicoresPerCore,
-                                         millis::fromMicros(load->lag_micros()),
-                                         load->queued_bytes()};
-    }
-    if (from.parts() != nullptr) {
-        for (const auto *part : *from.parts()) {
-            message.progress.parts.push_back({part->shard(), textOrEmpty(part->digest())});
+    delegate_progress readProgress(const delegation_wire::Progress &from)
+    {
+        delegate_progress message;
+        message.id = from.id();
+        message.progress.last = from.last();
+        if (const delegation_wire::Load *load = from.load()) {
+            message.progress.load = vm_load {load->capacity_millicores() / millicoresPerCore,
+                                             millis::fromMicros(load->lag_micros()),
+                                             load->queued_bytes()};
         }
-    }
-    if (from.records() != nullptr) {
-        message.progress.records.assign(from.records()->begin(), from.records()->end());
-    }
-    if (from.lost() != nullptr) {
-        for (const auto *lost : *from.lost()) {
-            message.progress.lost.push_back({lost->shard(),
-                                             lost->may_have_run(),
-                                             lost->reached_leaf(),
-                                             lost->leaf_ended(),
-                                             textOrEmpty(lost->leaf())});
+        if (from.parts() != nullptr) {
+            for (const auto *part : *from.parts()) {
+                message.progress.parts.push_back({part->shard(), textOrEmpty(part->digest())});
+            }
         }
-    }
-    if (from.pending() != nullptr) {
-        for (const auto *pending : *from.pending()) {
-            message.progress.pending.push_back({pending->shard(), textOrEmpty(pending->leaf())});
+        if (from.records() != nullptr) {
+            message.progress.records.assign(from.records()->begin(), from.records()->end());
         }
+        if (from.lost() != nullptr) {
+            for (const auto *lost : *from.lost()) {
+                message.progress.lost.push_back({lost->shard(),
+                                                 lost->may_have_run(),
+                                                 lost->reached_leaf(),
+                                                 lost->leaf_ended(),
+                                                 textOrEmpty(lost->leaf())});
+            }
+        }
+        if (from.pending() != nullptr) {
+            for (const auto *pending : *from.pending()) {
+                message.progress.pending.push_back({pending->shard(), textOrEmpty(pending->leaf())});
+            }
+        }
+        return message;
+    }
+};
+
+tl::expected<delegation_message, delegation_wire_error> readMessage(const delegation_wire::Envelope &envelope,
+                                                                    message_reader &reader)
+{
+    switch (envelope.message_type()) {
+    case delegation_wire::Message::Request:
+        return reader.readRequest(*envelope.message_as_Request());
+    case delegation_wire::Message::Progress:
+        return reader.readProgress(*envelope.message_as_Progress());
+    case delegation_wire::Message::Cancel:
+        return delegate_cancel {envelope.message_as_Cancel()->id(),
+                                envelope.message_as_Cancel()->caller_left(),
+                                envelope.message_as_Cancel()->survived()};
+    default:
+        return tl::unexpected(delegation_wire_error::UnknownMessage);
     }
-    return message;
 }
 
 } // namespace
@@ -202,23 +226,19 @@
 {
     const std::vector<std::uint64_t> aligned = alignedCopy(payload);
     const auto *data = reinterpret_cast<const std::uint8_t *>(aligned.data());
-    flatbuffers::Verifier verifier(data, payload.size());
+    constexpr flatbuffers::uoffset_t maxDepth = 64;
+    const auto maxTables = static_cast<flatbuffers::uoffset_t>(maxTablesIn(payload.size()));
+    flatbuffers::Verifier verifier(data, payload.size(), maxDepth, maxTables);
     if (payload.empty() || !delegation_wire::VerifyEnvelopeBuffer(verifier)) {
         return tl::unexpected(delegation_wire_error::Malformed);
     }
     const delegation_wire::Envelope &envelope = *delegation_wire::GetEnvelope(data);
-    switch (envelope.message_type()) {
-    case delegation_wire::Message::Request:
-        return readRequest(*envelope.message_as_Request());
-    case delegation_wire::Message::Progress:
-        return readProgress(*envelope.message_as_Progress());
-    case delegation_wire::Message::Cancel:
-        return delegate_cancel {envelope.message_as_Cancel()->id(),
-                                envelope.message_as_Cancel()->caller_left(),
-                                envelope.message_as_Cancel()->survived()};
-    default:
-        return tl::unexpected(delegation_wire_error::UnknownMessage);
+    message_reader reader;
+    auto message = readMessage(envelope, reader);
+    if (reader.texts.isExceeded()) {
+        return tl::unexpected(delegation_wire_error::Malformed);
     }
+    return message;
 }
 
 } // namespace chivelock
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -187,135 +187,142 @@
     }
 };
 
-std::string textOf(const flatbuffers::Vector<std::uint8_t> *bytes)
-{
-    return bytes == nullptr ? std::string() : std::string(bytes->begin(), bytes->end());
-}
+/** Copies the message out of a verified payload. */
+struct message_reader {
+    text_allowance texts;
 
-std::string textOf(const flatbuffers::String *text)
-{
-    return text == nullptr ? std::string() : text->str();
-}
+    std::string textOf(const flatbuffers::Vector<std::uint8_t> *bytes)
+    {
+        return bytes == nullptr || !texts.take(bytes->size()) ? std::string()
+                                                              : std::string(bytes->begin(), bytes->end());
+    }
 
-std::vector<std::string> textsOf(const flatbuffers::Vector<Offset<flatbuffers::String>> *texts)
-{
-    std::vector<std::string> result;
-    if (texts != nullptr) {
-        std::ranges::transform(*texts, std::back_inserter(result), [](const auto *text) { return textOf(text); });
+    std::string textOf(const flatbuffers::String *text)
+    {
+        return text == nullptr || !texts.take(text->size()) ? std::string() : text->str();
     }
-    return result;
-}
 
-std::vector<fleet_member> readMembers(const flatbuffers::Vector<Offset<fleet_wire::Member>> *from)
-{
-    std::vector<fleet_member> members;
-    if (from != nullptr) {
-        for (const auto *one : *from) {
-            members.push_back({textOf(one->address()), {textOf(one->zone())}});
+    std::vector<std::string> textsOf(const flatbuffers::Vector<Offset<flatbuffers::String>> *list)
+    {
+        std::vector<std::string> result;
+        if (list != nullptr) {
+            std::ranges::transform(
+                *list, std::back_inserter(result), [this](const auto *text) { return textOf(text); });
         }
+        return result;
     }
-    return members;
-}
 
-follow_request readFollow(const fleet_wire::Follow &from)
-{
-    follow_request message {textOf(from.address()),
-                            {textOf(from.zone())},
-                            from.reads_store(),
-                            from.subtree(),
-                            {},
-                            readMembers(from.members())};
-    if (from.known() != nullptr) {
-        for (const auto *known : *from.known()) {
-            message.known.push_back({textOf(known->prefix()), known->revision()});
+    std::vector<fleet_member> readMembers(const flatbuffers::Vector<Offset<fleet_wire::Member>> *from)
+    {
+        std::vector<fleet_member> members;
+        if (from != nullptr) {
+            for (const auto *one : *from) {
+                members.push_back({textOf(one->address()), {textOf(one->zone())}});
+            }
         }
+        return members;
     }
-    return message;
-}
 
-follow_heartbeat readHeartbeat(const fleet_wire::Beat &from)
-{
-    return {from.subtree(), {readMembers(from.joined()), readMembers(from.left())}};
-}
-
-std::vector<store_item> readItemList(const flatbuffers::Vector<Offset<fleet_wire::Item>> *from)
-{
-    std::vector<store_item> items;
-    if (from != nullptr) {
-        for (const auto *item : *from) {
-            items.push_back(
-                {textOf(item->key()), item->revision(), item->deleted(), textOf(item->value()), item->created()});
+    follow_request readFollow(const fleet_wire::Follow &from)
+    {
+        follow_request message {textOf(from.address()),
+                                {textOf(from.zone())},
+                                from.reads_store(),
+                                from.subtree(),
+                                {},
+                                readMembers(from.members())};
+        if (from.known() != nullptr) {
+            for (const auto *known : *from.known()) {
+                message.known.push_back({textOf(known->prefix()), known->revision()});
+            }
         }
+        return message;
     }
-    return items;
-}
 
-store_items readItems(const fleet_wire::Items &from)
-{
-    store_items message {textOf(from.prefix()), from.whole(), from.revision(), readItemList(from.items()), {}};
-    if (from.patches() != nullptr) {
-        for (const auto *patch : *from.patches()) {
-            message.patches.push_back({textOf(patch->key()),
-                                       patch->revision(),
-                                       patch->base_revision(),
-                                       patch->digest(),
-                                       patch->size(),
-                                       textOf(patch->bytes())});
+    follow_heartbeat readHeartbeat(const fleet_wire::Beat &from)
+    {
+        return {from.subtree(), {readMembers(from.joined()), readMembers(from.left())}};
+    }
+
+    std::vector<store_item> readItemList(const flatbuffers::Vector<Offset<fleet_wire::Item>> *from)
+    {
+        std::vector<store_item> items;
+        if (from != nullptr) {
+            for (const auto *item : *from) {
+                items.push_back(
+                    {textOf(item->key()), item->revision(), item->deleted(), textOf(item->value()), item->created()});
+            }
         }
+        return items;
     }
-    return message;
-}
 
-leaf_reports_message readReports(const fleet_wire::Reports &from)
-{
-    leaf_reports_message message;
-    if (from.reports() != nullptr) {
-        for (const auto *one : *from.reports()) {
-            message.reports.push_back({one->leaf(),
-                                       one->observer_zone(),
-                                       one->slowness() / hundredths,
-                                       one->unreachable(),
-                                       millis() - millis(one->age())});
+    store_items readItems(const fleet_wire::Items &from)
+    {
+        store_items message {textOf(from.prefix()), from.whole(), from.revision(), readItemList(from.items()), {}};
+        if (from.patches() != nullptr) {
+            for (const auto *patch : *from.patches()) {
+                message.patches.push_back({textOf(patch->key()),
+                                           patch->revision(),
+                                           patch->base_revision(),
+                                           patch->digest(),
+                                           patch->size(),
+                                           textOf(patch->bytes())});
+            }
         }
+        return message;
     }
-    return message;
-}
 
-request_evidence_message readRequests(const fleet_wire::Requests &from)
-{
-    request_evidence_message message;
-    if (from.requests() == nullptr) {
+    leaf_reports_message readReports(const fleet_wire::Reports &from)
+    {
+        leaf_reports_message message;
+        if (from.reports() != nullptr) {
+            for (const auto *one : *from.reports()) {
+                message.reports.push_back({one->leaf(),
+                                           one->observer_zone(),
+                                           one->slowness() / hundredths,
+                                           one->unreachable(),
+                                           millis() - millis(one->age())});
+            }
+        }
         return message;
     }
-    for (const auto *one : *from.requests()) {
-        request_evidence &read = message.requests.emplace_back();
-        read.key = {one->caller(), one->content()};
-        read.route = one->route();
-        read.vouched = one->vouched();
-        if (one->answered()) {
-            read.answeredAt = millis() - millis(one->answered_age());
+
+    request_evidence_message readRequests(const fleet_wire::Requests &from)
+    {
+        request_evidence_message message;
+        if (from.requests() == nullptr) {
+            return message;
         }
-        if (one->ends() != nullptr) {
-            for (const auto *end : *one->ends()) {
-                read.ends.push_back({end->attempt(), end->leaf(), millis() - millis(end->age()), end->alone()});
+        for (const auto *one : *from.requests()) {
+            request_evidence &read = message.requests.emplace_back();
+            read.key = {one->caller(), one->content()};
+            read.route = one->route();
+            read.vouched = one->vouched();
+            if (one->answered()) {
+                read.answeredAt = millis() - millis(one->answered_age());
+            }
+            if (one->ends() != nullptr) {
+                for (const auto *end : *one->ends()) {
+                    read.ends.push_back({end->attempt(), end->leaf(), millis() - millis(end->age()), end->alone()});
+                }
             }
         }
+        return message;
     }
-    return message;
-}
 
-upstream_state readState(const fleet_wire::State &from)
-{
-    return {from.accepted(),
-            from.store_ok(),
-            from.starting(),
-            from.fleet_size(),
-            textsOf(from.path()),
-            textsOf(from.elsewhere()),
-            readMembers(from.members()),
-            {readMembers(from.joined()), readMembers(from.left())},
-            from.current_age() == unknownAge ? std::nullopt : std::optional(millis() - millis(from.current_age()))};
-}
+    upstream_state readState(const fleet_wire::State &from)
+    {
+        return {from.accepted(),
+                from.store_ok(),
+                from.starting(),
+                from.fleet_size(),
+                textsOf(from.path()),
+                textsOf(from.elsewhere()),
+                readMembers(from.members()),
+                {readMembers(from.joined()), readMembers(from.left())},
+                from.current_age() == unknownAge ? std::nullopt : std::optional(millis() - millis(from.current_age()))};
+    }
+};
 
 /** @return a frame with the compressed envelope, or nullopt if compression does not make it smaller. */
 std::optional<std::string> compressedFrameOf(std::span<const std::uint8_t> envelope)
@@ -361,31 +368,25 @@
 
 namespace {
 
-tl::expected<fleet_message, fleet_wire_error> readEnvelope(std::span<const std::uint8_t> bytes, bool mayBeCompressed)
+tl::expected<fleet_message, fleet_wire_error>
+readMessage(const fleet_wire::Envelope &envelope, message_reader &reader, bool mayBeCompressed)
 {
-    const std::vector<std::uint64_t> aligned = alignedCopy(bytes);
-    const auto *payload = reinterpret_cast<const std::uint8_t *>(aligned.data());
-    flatbuffers::Verifier verifier(payload, bytes.size());
-    if (bytes.empty() || !fleet_wire::VerifyEnvelopeBuffer(verifier)) {
-        return tl::unexpected(fleet_wire_error::Malformed);
-    }
-    const fleet_wire::Envelope &envelope = *fleet_wire::GetEnvelope(payload);
     switch (envelope.message_type()) {
     case fleet_wire::Message::Follow:
-        return readFollow(*envelope.message_as_Follow());
+        return reader.readFollow(*envelope.message_as_Follow());
     case fleet_wire::Message::Beat:
-        return readHeartbeat(*envelope.message_as_Beat());
+        return reader.readHeartbeat(*envelope.message_as_Beat());
     case fleet_wire::Message::State:
-        return readState(*envelope.message_as_State());
+        return reader.readState(*envelope.message_as_State());
     case fleet_wire::Message::Items:
-        return readItems(*envelope.message_as_Items());
+        return reader.readItems(*envelope.message_as_Items());
     case fleet_wire::Message::Reports:
-        return readReports(*envelope.message_as_Reports());
+        return reader.readReports(*envelope.message_as_Reports());
     case fleet_wire::Message::Requests:
-        return readRequests(*envelope.message_as_Requests());
+        return reader.readRequests(*envelope.message_as_Requests());
     case fleet_wire::Message::Deletions: {
         const fleet_wire::Deletions &from = *envelope.message_as_Deletions();
-        return recent_deletions {textOf(from.prefix()), readItemList(from.items())};
+        return recent_deletions {reader.textOf(from.prefix()), reader.readItemList(from.items())};
     }
     case fleet_wire::Message::Packed:
         return mayBeCompressed ? readCompressed(*envelope.message_as_Packed())
@@ -395,6 +396,25 @@
     }
 }
 
+tl::expected<fleet_message, fleet_wire_error> readEnvelope(std::span<const std::uint8_t> bytes, bool mayBeCompressed)
+{
+    const std::vector<std::uint64_t> aligned = alignedCopy(bytes);
+    const auto *payload = reinterpret_cast<const std::uint8_t *>(aligned.data());
+    constexpr flatbuffers::uoffset_t maxDepth = 64;
+    const auto maxTables = static_cast<flatbuffers::uoffset_t>(maxTablesIn(bytes.size()));
+    flatbuffers::Verifier verifier(payload, bytes.size(), maxDepth, maxTables);
+    if (bytes.empty() || !fleet_wire::VerifyEnvelopeBuffer(verifier)) {
+        return tl::unexpected(fleet_wire_error::Malformed);
+    }
+    const fleet_wire::Envelope &envelope = *fleet_wire::GetEnvelope(payload);
+    message_reader reader;
+    auto message = readMessage(envelope, reader, mayBeCompressed);
+    if (reader.texts.isExceeded()) {
+        return tl::unexpected(fleet_wire_error::Malformed);
+    }
+    return message;
+}
+
 } // namespace
 
 tl::expected<fleet_message, fleet_wire_error> decodeFleetPayload(std::span<const std::uint8_t> bytes)
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -269,6 +269,37 @@
  *  would shift the offset from which the FlatBuffers verifier computes alignment. */
 [[nodiscard]] std::string frameOf(std::span<const std::uint8_t> payload);
 
+/** Bounds the text that is copied out of one payload, which may refer to the same text any number of times. */
+class text_allowance
+{
+public:
+    /** @return whether @p bytes more may be copied. Once they may not, nothing more may. */
+    [[nodiscard]] bool take(std::size_t bytes)
+    {
+        m_isExceeded = m_isExceeded || bytes > m_left;
+        m_left -= m_isExceeded ? 0 : bytes;
+        return !m_isExceeded;
+    }
+
+    [[nodiscard]] bool isExceeded() const
+    {
+        return m_isExceeded;
+    }
+
+private:
+    static constexpr std::size_t maxTextBytes = 4 * maxFrameBytes; // short texts like zones are shared by many tables
+
+    std::size_t m_left = maxTextBytes;
+    bool m_isExceeded = false;
+};
+
+/** The most tables in a payload without shared ones: each takes an offset to it and one to its layout. */
+[[nodiscard]] constexpr std::size_t maxTablesIn(std::size_t payloadBytes)
+{
+    constexpr std::size_t minTableBytes = 8;
+    return payloadBytes / minTableBytes + 1;
+}
+
 /** Copies a payload into storage that is aligned for its structs; in a stream buffer it may start at any offset. */
 [[nodiscard]] std::vector<std::uint64_t> alignedCopy(std::span<const std::uint8_t> payload);
 
