The command line program bounds an answer and reports one it can't use

What users saw: `chivelock` keeps an answer of any size until its time limit, and ends with an uncaught exception if a status page lacks a field.

Cause: the callback of libcurl appended whatever came; fields of a page were read without a check, and nothing caught the exception.

Change: an answer of more than 16 MB ends the transfer with libcurl's write error. libcurl bounds heads itself; ours is the bound of the body. A page is checked before it is shown, and runCommand reports any other exception with the exit code of a failure. `load` uses the same callback.

--- a/programs/chivelock/commands.cpp
+++ b/programs/chivelock/commands.cpp
@@ -59,6 +59,15 @@
     std::string problem;
 };
 
+bool isStatusPage(const json &page)
+{
+    const auto isNumber = [&page](const char *key) { return page.contains(key) && page[key].is_number_unsigned(); };
+    return page.is_object() && page.contains("ready") && page["ready"].is_boolean() && isNumber("catalogue_revision")
+        && isNumber("topology_revision") && isNumber("lookups_in_flight") && page.contains("troubles")
+        && page["troubles"].is_array()
+        && std::ranges::all_of(page["troubles"], [](const json &trouble) { return trouble.is_string(); });
+}
+
 entry_status_page readStatus(const std::string &entry)
 {
     const auto result = httpGet(entry + "/v1/status", pageTimeout);
@@ -66,8 +75,8 @@
         return {entry, json(), result.error().reason};
     }
     json page = json::parse(result->body, nullptr, false);
-    return page.is_object() ? entry_status_page {entry, std::move(page), ""}
-                            : entry_status_page {entry, json(), "not a status page"};
+    return isStatusPage(page) ? entry_status_page {entry, std::move(page), ""}
+                              : entry_status_page {entry, json(), "not a status page"};
 }
 
 std::string joinTroubles(const entry_status_page &page)
--- a/programs/chivelock/http_client.cpp
+++ b/programs/chivelock/http_client.cpp
@@ -8,18 +8,14 @@
 
 namespace {
 
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
-{
-    static_cast<std::string *>(target)->append(data, size * count);
-    return size * count;
-}
+constexpr std::size_t maxAnswerBytes = 16U << 20U; // far above a status page or the answer to a lookup
 
 tl::expected<http_result, http_error> performRequest(const std::string &url, const std::string *body, millis timeout)
 {
     const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(), &curl_easy_cleanup);
     http_result result;
     curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
-    curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, appendBody);
+    curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, appendAnswer);
     curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &result.body);
     curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.ceiled()));
     curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
@@ -37,6 +33,17 @@
 
 } // namespace
 
+std::size_t appendAnswer(char *data, std::size_t size, std::size_t count, void *target)
+{
+    auto &answer = *static_cast<std::string *>(target);
+    const std::size_t bytes = size * count;
+    if (bytes > maxAnswerBytes - answer.size()) {
+        return 0; // libcurl takes fewer bytes than it gave as an error
+    }
+    answer.append(data, bytes);
+    return bytes;
+}
+
 tl::expected<http_result, http_error> httpGet(const std::string &url, millis timeout)
 {
     return performRequest(url, nullptr, timeout);
--- a/programs/chivelock/http_client.h
+++ b/programs/chivelock/http_client.h
@@ -26,6 +26,10 @@
     std::string reason;
 };
 
+/** Appends what libcurl received to the std::string @p target. Ends the transfer if the answer is too large: an address
+ *  that was mistyped may belong to any server. */
+std::size_t appendAnswer(char *data, std::size_t size, std::size_t count, void *target);
+
 [[nodiscard]] tl::expected<http_result, http_error> httpGet(const std::string &url, millis timeout);
 [[nodiscard]] tl::expected<http_result, http_error>
 httpPost(const std::string &url, const std::string &body, millis timeout);
--- a/programs/chivelock/load.cpp
+++ b/programs/chivelock/load.cpp
@@ -6,6 +6,7 @@
  */
 
 #include "commands.h"
+#include "http_client.h"
 
 #include <metrics/metrics.h>
 
@@ -28,12 +29,6 @@
 constexpr millis replyMargin {2000};
 constexpr long okStatus = 200;
 
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
-{
-    static_cast<std::string *>(target)->append(data, size * count);
-    return size * count;
-}
-
 /** A request in flight. */
 struct open_request {
     CURL *handle = nullptr;
@@ -125,7 +120,7 @@
                            .dump();
         curl_easy_setopt(request.handle, CURLOPT_URL, request.url.c_str());
         curl_easy_setopt(request.handle, CURLOPT_POSTFIELDS, request.body.c_str());
-        curl_easy_setopt(request.handle, CURLOPT_WRITEFUNCTION, appendBody);
+        curl_easy_setopt(request.handle, CURLOPT_WRITEFUNCTION, appendAnswer);
         curl_easy_setopt(request.handle, CURLOPT_WRITEDATA, &request.reply);
         curl_easy_setopt(request.handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(
--- a/programs/chivelock/main.cpp
+++ b/programs/chivelock/main.cpp
@@ -158,6 +158,9 @@
     } catch (const TCLAP::ArgException &problem) {
         std::cerr << "chivelock: " << problem.error() << " " << problem.argId() << "; see --help\n";
         return exit_code::usage;
+    } catch (const std::exception &problem) {
+        std::cerr << "chivelock: the answer can't be read: " << problem.what() << '\n';
+        return exit_code::failed;
     }
 }
 
