A frame that names a message and has none is rejected

Cause: the FlatBuffers verifier accepts a union whose type is set and whose value is missing; two of the three decoders used the value unchecked.

Change: both reject it as an unknown message, as the third one does.

--- a/libs/delegation/src/delegation_codec.cpp
+++ b/libs/delegation/src/delegation_codec.cpp
@@ -199,6 +199,9 @@
 tl::expected<delegation_message, delegation_wire_error> readMessage(const delegation_wire::Envelope &envelope,
                                                                     message_reader &reader)
 {
+    if (envelope.message() == nullptr) {
+        return tl::unexpected(delegation_wire_error::UnknownMessage);
+    }
     switch (envelope.message_type()) {
     case delegation_wire::Message::Request:
         return reader.readRequest(*envelope.message_as_Request());
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -371,6 +371,9 @@
 tl::expected<fleet_message, fleet_wire_error>
 readMessage(const fleet_wire::Envelope &envelope, message_reader &reader, bool mayBeCompressed)
 {
+    if (envelope.message() == nullptr) {
+        return tl::unexpected(fleet_wire_error::UnknownMessage);
+    }
     switch (envelope.message_type()) {
     case fleet_wire::Message::Follow:
         return reader.readFollow(*envelope.message_as_Follow());
--- a/libs/fleet/tests/test_fleet_bounds.cpp
+++ b/libs/fleet/tests/test_fleet_bounds.cpp
@@ -29,6 +29,17 @@
 
 } // namespace
 
+// Guards against a process that ends by a frame which names the type of a message and has none.
+BOOST_AUTO_TEST_CASE(a_type_without_a_message_is_rejected)
+{
+    for (const fleet_wire::Message type : fleet_wire::EnumValuesMessage()) {
+        flatbuffers::FlatBufferBuilder builder;
+        builder.Finish(fleet_wire::CreateEnvelope(builder, type));
+        const auto decoded = decodeFleetPayload({builder.GetBufferPointer(), builder.GetSize()});
+        BOOST_REQUIRE(!decoded.has_value());
+    }
+}
+
 // Guards against a frame of some kilobytes that takes all memory, because its tables share one long text.
 BOOST_AUTO_TEST_CASE(text_that_is_referred_to_many_times_is_bounded)
 {
