--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -4,7 +4,7 @@
 #include "caller_session.h"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 #include <utility>
 
 namespace chivelock {
@@ -289,8 +289,9 @@
 /** @return a copy, since closing a session removes it from the map. */
 std::vector<std::shared_ptr<caller_server::session>> caller_server::allSessions() const
 {
-    const auto sessions = std::views::values(m_sessions);
-    return {sessions.begin(), sessions.end()};
+    std::vector<std::shared_ptr<session>> all;
+    std::ranges::transform(m_sessions, std::back_inserter(all), [](const auto &one) { return one.second; });
+    return all;
 }
 
 } // namespace chivelock
