--- a/libs/http1/tests/test_bounds.cpp
+++ b/libs/http1/tests/test_bounds.cpp
@@ -207,7 +207,7 @@
 BOOST_AUTO_TEST_CASE(an_announced_length_is_compared_with_the_limit_before_memory_is_taken)
 {
     for (const std::string length : {"1001", "99999999999999", "9223372036854775807", "18446744073709551615"}) {
-        const std::string head = answerHead + "Content-Length: " + length + "\r\n\r\n";
+        const std::string head = std::string(answerHead).append("Content-Length: ").append(length).append("\r\n\r\n");
         for (const std::string &answer : {head, head + "a"}) {
             BOOST_TEST((readResponse(answer, answer.size()) == read_state::BodyTooLarge), length);
             BOOST_TEST((readResponse(answer, 1) == read_state::BodyTooLarge), length);
