--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -5,7 +5,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <set>
 
 namespace chivelock {
 
@@ -73,26 +72,38 @@
     for (const fleet_member &member : m_members) {
         byZone[member.zone].emplace_back(hostOf(member.address));
     }
-    std::set<std::string> wanted;
+    std::ranges::for_each(m_helpers, [](auto &one) { one.second.chosen = false; });
     for (auto &[zone, hosts] : byZone) {
         std::ranges::sort(hosts);
-        chooseInZone(zone, hosts, wanted);
+        chooseInZone(zone, hosts);
     }
-    std::erase_if(m_helpers, [&](const auto &one) {
-        const bool isRemoved = !wanted.contains(one.first);
-        if (isRemoved && one.second.link != 0) {
-            m_mesh.closeLink(one.second.link);
-            m_listener.onHelperLost(one.first);
-        }
-        return isRemoved;
-    });
     notifyHelpersChanged();
+    closeUnneeded(m_clock.now());
+}
+
+/**
+ * Closes the links to helpers that are no longer chosen and owe no results. Closing a link with work in progress would
+ * cost lookups parts of their answers whenever a VM joins or leaves, also if the helper itself goes on running.
+ */
+void helper_links::closeUnneeded(millis now)
+{
+    std::vector<std::string> unneeded;
+    for (auto &[address, one] : m_helpers) {
+        if (!one.chosen && !(one.open && one.work.isOpen(now))) {
+            unneeded.push_back(address);
+        }
+    }
+    for (const std::string &address : unneeded) {
+        const link_id link = m_helpers.extract(address).mapped().link;
+        if (link != 0) {
+            m_mesh.closeLink(link);
+            m_listener.onHelperLost(address);
+        }
+    }
 }
 
 /** @param hosts all VMs of the zone, sorted; a VM's position is its rank. */
-void helper_links::chooseInZone(const zone_name &zone,
-                                std::span<const std::string> hosts,
-                                std::set<std::string> &wanted)
+void helper_links::chooseInZone(const zone_name &zone, std::span<const std::string> hosts)
 {
     const auto rankOf = [&](const std::string &host) {
         return static_cast<std::size_t>(std::ranges::lower_bound(hosts, host) - hosts.begin());
@@ -111,9 +122,10 @@
     weighted.resize(std::min(weighted.size(), own ? maxHelpersInOwnZone : maxHelpersInOtherZone));
     for (const auto &[weight, host] : weighted) {
         const std::string address = host + ":" + std::to_string(m_settings.port);
-        wanted.insert(address);
-        m_helpers[address].zone = zone;
-        m_helpers[address].rank = rankOf(host);
+        helper &chosen = m_helpers[address];
+        chosen.chosen = true;
+        chosen.zone = zone;
+        chosen.rank = rankOf(host);
     }
 }
 
@@ -123,8 +135,9 @@
     if (m_membersChanged) {
         chooseHelpers();
     }
+    closeUnneeded(now);
     for (auto &[address, one] : m_helpers) {
-        if (one.link == 0 && now >= one.redialAt) {
+        if (one.chosen && one.link == 0 && now >= one.redialAt) {
             one.link = m_nextLink++;
             m_mesh.dial(one.link, address);
         }
@@ -162,6 +175,7 @@
     helper &lost = found->second;
     const bool wasOpen = std::exchange(lost.open, false);
     lost.link = 0;
+    lost.work = {};
     lost.failures = std::min(lost.failures + 1, 8U);
     lost.redialAt =
         m_clock.now() + std::min(firstRedialDelay * static_cast<double>(1U << (lost.failures - 1)), maxRedialDelay);
@@ -182,7 +196,7 @@
 {
     std::vector<helper_vm> open;
     for (const auto &[address, one] : m_helpers) {
-        if (one.open) {
+        if (one.chosen && one.open) {
             open.push_back({address, one.zone, one.rank});
         }
     }
@@ -209,23 +223,32 @@
     if (auto *request = std::get_if<delegate_request>(&*message)) {
         m_listener.onDelegatedRequest(link, std::move(*request));
     } else if (auto *progress = std::get_if<delegate_progress>(&*message)) {
-        const auto from = findByLink(link);
-        if (progress->progress.load && from != m_helpers.end()) {
-            m_listener.onHelperLoad(from->first, *progress->progress.load);
-        }
-        m_listener.onProgress(progress->id, std::move(progress->progress));
+        onProgress(link, std::move(*progress));
     } else if (const auto *cancelled = std::get_if<delegate_cancel>(&*message)) {
         m_listener.onDelegatedCancel(link, *cancelled);
     }
     return true;
 }
 
+void helper_links::onProgress(link_id link, delegate_progress progress)
+{
+    const auto from = findByLink(link);
+    if (from != m_helpers.end() && progress.progress.last) {
+        from->second.work.remove(progress.id);
+    }
+    if (from != m_helpers.end() && from->second.chosen && progress.progress.load) {
+        m_listener.onHelperLoad(from->first, *progress.progress.load);
+    }
+    m_listener.onProgress(progress.id, std::move(progress.progress));
+}
+
 bool helper_links::delegate(const std::string &address, const delegate_request &request)
 {
     const auto found = m_helpers.find(address);
     if (found == m_helpers.end() || !found->second.open) {
         return false;
     }
+    found->second.work.add(request.id, m_clock.now() + request.work.limitIn);
     send(found->second.link, peer_message_kind::DelegatedWork, encodeDelegationFrame(request));
     return true;
 }
@@ -234,6 +257,7 @@
 {
     const auto found = m_helpers.find(address);
     if (found != m_helpers.end() && found->second.open) {
+        found->second.work.remove(message.id);
         send(found->second.link, peer_message_kind::DelegatedWork, encodeDelegationFrame(message));
     }
 }
--- a/programs/chivelockd/gateway/helper_links.h
+++ b/programs/chivelockd/gateway/helper_links.h
@@ -8,6 +8,7 @@
 
 #include "peer_mesh.h"
 #include "peer_traffic.h"
+#include "unfinished_work.h"
 
 #include <delegation/delegation.h>
 #include <fleet/fleet.h>
@@ -16,7 +17,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -68,7 +68,10 @@
     [[nodiscard]] boost::system::error_code start();
     void stop();
 
-    /** Replaces the list of the fleet's VMs, among which helpers are chosen. */
+    /**
+     * Replaces the list of the fleet's VMs, among which helpers are chosen. A helper that is no longer chosen gets no
+     * new work, and its link is kept until the work in progress there is done.
+     */
     void setMembers(const std::vector<fleet_member> &members);
 
     /** Sends work to a helper. @return false if no link to the helper is open. */
@@ -92,7 +95,9 @@
         zone_name zone;
         std::size_t rank = 0; ///< position among the sorted VMs of its zone
         link_id link = 0;
+        bool chosen = false; ///< it gets new work; otherwise its link closes once @ref work is done
         bool open = false;
+        unfinished_work work;
         millis redialAt;
         unsigned failures = 0;
     };
@@ -104,9 +109,11 @@
 
     [[nodiscard]] std::map<std::string, helper>::iterator findByLink(link_id link);
     void chooseHelpers();
-    void chooseInZone(const zone_name &zone, std::span<const std::string> hosts, std::set<std::string> &wanted);
+    void chooseInZone(const zone_name &zone, std::span<const std::string> hosts);
+    void closeUnneeded(millis now);
     void notifyHelpersChanged();
     void dialDueHelpers();
+    void onProgress(link_id link, delegate_progress progress);
 
     void send(link_id to, peer_message_kind kind, std::string_view frame);
 
@@ -119,7 +126,7 @@
     std::vector<fleet_member> m_members; ///< of the fleet
     bool m_membersChanged = false; ///< since helpers were last chosen
     std::size_t m_ownRank = 0; ///< position among the sorted VMs of the own zone
-    std::map<std::string, helper> m_helpers; ///< chosen helpers, by address with port
+    std::map<std::string, helper> m_helpers; ///< by address with port
     link_id m_nextLink = 1;
 };
 
