Signals are blocked before anything else in the process

Operators saw: a process that ended without a log line if SIGHUP or SIGTERM reached it while it started (SIGHUP 0 to 8 ms after the start, found in review).

Cause: the signals were blocked only after the command line and the settings had been read; until then their default action ends the process.

Change: main blocks them first. The mask and the question whether a stop is pending are a module of their own.

What is left: before main, while the dynamic linker loads the libraries, the default action still holds.

--- a/programs/chivelockd/gateway/serve_gateway.cpp
+++ b/programs/chivelockd/gateway/serve_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway_service.h"
 
+#include "../process_signals.h"
 #include "../settings_file.h"
 
 #include <kernel/kernel.h>
@@ -106,6 +107,10 @@
 int serveGateway(const gateway_daemon_settings &settings, const std::string &settingsPath, int signals)
 {
     const log_writer writer(settings.logLinesPerSecond);
+    if (isStopPending()) {
+        logEvent(log_level::Info, "ended", {{"cause", std::string("stopped_before_start")}});
+        return 0;
+    }
     kernel services;
     services.add(std::make_unique<gateway_service>(settings));
     if (const auto started = services.start(); !started) {
--- a/programs/chivelockd/main.cpp
+++ b/programs/chivelockd/main.cpp
@@ -10,6 +10,7 @@
 #include "leaf_client.h"
 #include "peer_link.h"
 #include "platform_watch.h"
+#include "process_signals.h"
 #include "settings_file.h"
 
 #include <kernel/kernel.h>
@@ -91,20 +92,6 @@
     return true;
 }
 
-/** Blocks SIGTERM, SIGINT and SIGHUP, so that they are received only through the returned descriptor. Must run before
- *  any thread starts, because threads inherit the signal mask. */
-int openSignalFd()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signalfd(-1, &signals, SFD_CLOEXEC);
-}
-
 /** Waits for SIGTERM or SIGINT. SIGHUP is ignored, because these settings are read only at the start. */
 void waitForStopSignal(int signals)
 {
@@ -123,6 +110,9 @@
 
 int serve(const daemon_settings &settings, int signals)
 {
+    if (isStopPending()) {
+        return exitOk;
+    }
     kernel services;
     // Services stop in reverse order: caller_http stops last, after every answer has been written.
     services.add(std::make_unique<caller_http>(settings));
@@ -157,7 +147,7 @@
     return commandLine.settingsPath.empty() && named != nullptr ? named : commandLine.settingsPath;
 }
 
-int runGateway(const options &commandLine)
+int runGateway(const options &commandLine, int signals)
 {
     const std::string path = gatewaySettingsPath(commandLine);
     const auto settings = loadGatewaySettings(path);
@@ -169,7 +159,6 @@
         std::cout << "settings are valid\n";
         return exitOk;
     }
-    const int signals = openSignalFd();
     startLogging(settings->log);
     return serveGateway(*settings, path, signals);
 }
@@ -178,6 +167,7 @@
 
 int main(int argc, char **argv)
 {
+    const int signals = openSignalFd();
     options commandLine;
     try {
         commandLine = readOptions(argc, argv);
@@ -188,7 +178,7 @@
         return exitBadSettings;
     }
     if (commandLine.gateway) {
-        return runGateway(commandLine);
+        return runGateway(commandLine, signals);
     }
     auto settings = loadSettings(commandLine.settingsPath);
     if (!settings) {
@@ -203,7 +193,6 @@
         std::cerr << "chivelockd: OpenSSL returned no random bytes for the ticket key and the seed; exiting\n";
         return exitFailed;
     }
-    const int signals = openSignalFd();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     startLogging(settings->log);
     const int code = serve(*settings, signals);
