A process that follows an unconfirmed one waits with it

Callers met: requests of theirs at a leaf that had left, from a VM that had just started. It followed another VM that had just started and had read the store alone; a late write had brought the leaf's entry back. Known from the postmortem of unheard removals, by reading; shown now in virtual time.

Cause: a word of a process counted as a word of the fleet, also if that process held only what it had read alone and waited for such a word itself. Two starting processes confirmed each other, in both directions of a link.

Change: requests to follow, heartbeats and states say whether the sender is unconfirmed. Older versions send nothing and count as confirmed, as before.

Evidence: a_starting_follower_waits_with_a_reader_that_hears_nobody failed before (the follower used the late write) and passes, whichever of the two starts first.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -139,6 +139,13 @@
      */
     [[nodiscard]] bool hasResponsivePeer(millis now) const;
 
+    /** Whether this process has only contents that were read without a word of other processes, by itself or above it,
+     *  although others may run: they may lack deletions. */
+    [[nodiscard]] bool isUnconfirmed() const
+    {
+        return m_awaitsConfirmation;
+    }
+
     /** @return the current or last upstream; empty before the first. */
     [[nodiscard]] const std::string &upstreamAddress() const
     {
@@ -173,7 +180,8 @@
         millis receivedAt; ///< last request or heartbeat
         std::vector<fleet_member> members; ///< of its subtree, sorted
         member_list sentMembers; ///< the fleet as last sent to it
-        bool hasContents = false; ///< it knew contents of the store when it asked to follow
+        bool hasContents = false; ///< it has contents of the store that do not only come from this process
+        bool isUnconfirmed = false; ///< as it said last
 
         /** Whether it is shutting down and accepts no followers: a leaving process omits itself from its subtree. */
         [[nodiscard]] bool isLeaving() const
@@ -241,6 +249,7 @@
     void searchForOthers();
     void recordUnanswered(const upstream_candidate &lost, millis now);
     void onJoined(millis now);
+    void onUpstreamConfirmed(millis now);
     void releaseUnconfirmed(millis now);
     [[nodiscard]] std::string_view confirmationOfChanges(millis now) const;
     void recordDeletions(const std::string &prefix, std::span<const store_item> newItems);
--- a/libs/fleet/include/fleet/fleet_messages.h
+++ b/libs/fleet/include/fleet/fleet_messages.h
@@ -41,6 +41,7 @@
     std::uint32_t subtree = 1; ///< number of processes in the sender's subtree, itself included
     std::vector<known_revision> known;
     std::vector<fleet_member> members; ///< of the subtree
+    bool isUnconfirmed = false; ///< the sender holds only what was read alone, see @ref fleet_node::isUnconfirmed
 };
 
 /** Difference between a list of processes and the one that was sent before on the same link. */
@@ -66,6 +67,7 @@
 struct follow_heartbeat {
     std::uint32_t subtree = 1;
     member_changes changes; ///< of the subtree
+    bool isUnconfirmed = false; ///< see @ref follow_request::isUnconfirmed
 };
 
 /** Heartbeat that an upstream sends to its followers, with the state of the store reader and of the path to it. */
@@ -79,6 +81,7 @@
     std::vector<fleet_member> members; ///< of the whole fleet; empty if the message carries only changes
     member_changes changes; ///< of the fleet
     std::optional<millis> currentAsOf; ///< see @ref fleet_node::currentAsOf; encoded as an age, decoded negative
+    bool isUnconfirmed = false; ///< the sender holds only what was read alone, see @ref fleet_node::isUnconfirmed
 };
 
 /** One item as a delta to the value that the receiver holds. */
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -74,7 +74,8 @@
                                              all,
                                              members,
                                              builder.CreateString(message.zone.value),
-                                             message.readsStore)
+                                             message.readsStore,
+                                             message.isUnconfirmed)
                         .Union());
     }
 
@@ -83,7 +84,7 @@
         const auto joined = membersOf(builder, message.changes.joined);
         const auto left = membersOf(builder, message.changes.left);
         return wrap(fleet_wire::Message::Beat,
-                    fleet_wire::CreateBeat(builder, message.subtree, 0, joined, left).Union());
+                    fleet_wire::CreateBeat(builder, message.subtree, 0, joined, left, message.isUnconfirmed).Union());
     }
 
     Offset<fleet_wire::Envelope> operator()(const upstream_state &message) const
@@ -104,7 +105,8 @@
                                             joined,
                                             left,
                                             message.starting,
-                                            message.currentAsOf ? ageOf(*message.currentAsOf) : unknownAge)
+                                            message.currentAsOf ? ageOf(*message.currentAsOf) : unknownAge,
+                                            message.isUnconfirmed)
                         .Union());
     }
 
@@ -230,7 +232,8 @@
                                 from.reads_store(),
                                 from.subtree(),
                                 {},
-                                readMembers(from.members())};
+                                readMembers(from.members()),
+                                from.unconfirmed()};
         if (from.known() != nullptr) {
             for (const auto *known : *from.known()) {
                 message.known.push_back({textOf(known->prefix()), known->revision()});
@@ -241,7 +244,7 @@
 
     follow_heartbeat readHeartbeat(const fleet_wire::Beat &from)
     {
-        return {from.subtree(), {readMembers(from.joined()), readMembers(from.left())}};
+        return {from.subtree(), {readMembers(from.joined()), readMembers(from.left())}, from.unconfirmed()};
     }
 
     std::vector<store_item> readItemList(const flatbuffers::Vector<Offset<fleet_wire::Item>> *from)
@@ -320,7 +323,8 @@
                 textsOf(from.elsewhere()),
                 readMembers(from.members()),
                 {readMembers(from.joined()), readMembers(from.left())},
-                from.current_age() == unknownAge ? std::nullopt : std::optional(millis() - millis(from.current_age()))};
+                from.current_age() == unknownAge ? std::nullopt : std::optional(millis() - millis(from.current_age())),
+                from.unconfirmed()};
     }
 };
 
--- a/libs/fleet/src/fleet_confirmation.cpp
+++ b/libs/fleet/src/fleet_confirmation.cpp
@@ -43,7 +43,7 @@
     m_othersMayKnowMore = m_othersMayKnowMore || (!lost.answered && now - lost.dialledAt > refusedWithin);
 }
 
-/** Another process that has contents is a neighbour now. */
+/** Another process that has confirmed contents is a neighbour now. */
 void fleet_node::onJoined(millis now)
 {
     const bool readAlone = !m_unconfirmed.empty() || m_phase == phase::Reading;
@@ -51,6 +51,13 @@
     m_confirmedAt = std::min(m_confirmedAt, now + deletionsDelay);
 }
 
+/** The process above has heard of the others. What they deleted came before this message. */
+void fleet_node::onUpstreamConfirmed(millis now)
+{
+    onJoined(now);
+    m_confirmedAt = std::min(m_confirmedAt, now);
+}
+
 /** @return why the changes may be passed on, for the log; empty if they may not. */
 std::string_view fleet_node::confirmationOfChanges(millis now) const
 {
@@ -78,6 +85,10 @@
     addLogEvent("contents_confirmed", std::string(why), millis());
     std::ranges::move(m_unconfirmed, std::back_inserter(m_actions));
     m_unconfirmed.clear();
+    sendStateToFollowers(now);
+    if (m_phase == phase::Following) {
+        sendHeartbeat(now);
+    }
 }
 
 } // namespace chivelock
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -23,6 +23,7 @@
     request.readsStore = m_phase == phase::Reading && ownStoreOk();
     request.subtree = subtree();
     request.members = subtreeMembers();
+    request.isUnconfirmed = m_awaitsConfirmation;
     for (const auto &[prefix, view] : m_views) {
         request.known.push_back({prefix, view.known() ? view.revision() : 0});
     }
@@ -100,10 +101,16 @@
     }
     dropCandidateBehind(request.address);
     std::ranges::sort(request.members);
-    const bool hasContents =
-        std::ranges::any_of(request.known, [](const known_revision &one) { return one.revision > 0; });
-    m_followers[link] = {
-        request.address, request.zone, request.subtree, now, std::move(request.members), m_members, hasContents};
+    const bool hasContents = !request.isUnconfirmed
+        && std::ranges::any_of(request.known, [](const known_revision &one) { return one.revision > 0; });
+    m_followers[link] = {request.address,
+                         request.zone,
+                         request.subtree,
+                         now,
+                         std::move(request.members),
+                         m_members,
+                         hasContents,
+                         request.isUnconfirmed};
     m_subtreeChanged = true;
     upstream_state acceptance = ownState(true);
     acceptance.members = *m_members;
@@ -157,6 +164,8 @@
     m_subtreeChanged = m_subtreeChanged || from.subtree != heartbeat.subtree || !heartbeat.changes.empty();
     from.subtree = heartbeat.subtree;
     from.receivedAt = now;
+    const bool wasUnconfirmed = std::exchange(from.isUnconfirmed, heartbeat.isUnconfirmed);
+    from.hasContents = from.hasContents || (wasUnconfirmed && !from.isUnconfirmed);
     if (from.hasContents) {
         onJoined(now); // only now: one that has asked may still prefer another process, and then tells nothing
     }
@@ -168,7 +177,9 @@
     m_subtreeChanged = false;
     if (m_phase == phase::Following) {
         auto members = std::make_shared<const std::vector<fleet_member>>(subtreeMembers());
-        sendMessage(m_upstream, follow_heartbeat {subtree(), memberChangesBetween(*m_membersSentUpstream, *members)});
+        sendMessage(
+            m_upstream,
+            follow_heartbeat {subtree(), memberChangesBetween(*m_membersSentUpstream, *members), m_awaitsConfirmation});
         m_membersSentUpstream = std::move(members);
     } else if (m_phase == phase::Reading) {
         recordFleetSize(subtree(), now);
@@ -231,6 +242,7 @@
     state.storeOk = follows ? m_upstreamState.storeOk : m_phase == phase::Seeking || ownStoreOk();
     state.starting = follows ? m_upstreamState.starting : m_starting;
     state.fleetSize = m_fleetSize;
+    state.isUnconfirmed = m_awaitsConfirmation;
     state.path = follows ? m_upstreamState.path : std::vector<std::string>();
     state.path.push_back(m_settings.address);
     return state;
--- a/libs/fleet/src/fleet_upstream.cpp
+++ b/libs/fleet/src/fleet_upstream.cpp
@@ -188,10 +188,14 @@
 void fleet_node::onUpstreamState(const upstream_state &state, millis now)
 {
     const bool changed = m_upstreamState.storeOk != state.storeOk || m_upstreamState.starting != state.starting;
+    const bool isConfirmedNow = m_upstreamState.isUnconfirmed && !state.isUnconfirmed;
     m_upstreamState = state;
     m_upstreamReceivedAt = now;
     recordFleetSize(state.fleetSize, now);
     updateMembers(state);
+    if (isConfirmedNow) {
+        onUpstreamConfirmed(now);
+    }
     if (!state.accepted) {
         dropUpstream("refused", now);
     } else if (contains(state.path, m_settings.address)) {
@@ -252,7 +256,9 @@
     recordFleetSize(state.fleetSize, now);
     updateMembers(state);
     addLogEvent("follows", m_upstreamAddress, millis());
-    onJoined(now);
+    if (!state.isUnconfirmed) {
+        onJoined(now);
+    }
     m_actions.emplace_back(link_joined_action {link});
     sendRecentDeletions(link);
     sendStateToFollowers(now);
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -293,6 +293,36 @@
     BOOST_TEST(fleet.valuesReceived(1, "leaf").ends_with("deleted,ready"));
 }
 
+// Guards against a VM that follows another one which has not heard the others yet, and takes what that one read alone
+// for what the fleet knows.
+BOOST_AUTO_TEST_CASE(a_starting_follower_waits_with_a_reader_that_hears_nobody)
+{
+    for (const millis readerDelay : {millis(50), millis(400)}) {
+        fleet_world fleet(4);
+        fleet.write("leaf", "ready");
+        fleet.run(millis(4000));
+        fleet.write("leaf", "");
+        fleet.run(millis(500));
+        fleet.write("leaf", "ready");
+        fleet.run(millis(300));
+        fleet.setPaused(2, true);
+        fleet.setPaused(3, true);
+        fleet.kill(0);
+        fleet.kill(1);
+        fleet.start(0, fleet.now() + readerDelay);
+        fleet.start(1, fleet.now() + millis(50));
+        for (int step = 0; step < 60; ++step) {
+            fleet.run(millis(10));
+            BOOST_REQUIRE(fleet.valuesReceived(0, "leaf") != "ready");
+            BOOST_REQUIRE(fleet.valuesReceived(1, "leaf") != "ready");
+        }
+        fleet.setPaused(3, false);
+        fleet.run(millis(900));
+        BOOST_TEST(fleet.valuesReceived(0, "leaf").ends_with("deleted,ready"));
+        BOOST_TEST(fleet.valuesReceived(1, "leaf").ends_with("deleted,ready"));
+    }
+}
+
 // Guards against followers that take a late write for an update, because those that read the store restarted meanwhile.
 BOOST_AUTO_TEST_CASE(followers_learn_of_a_removal_that_no_reader_has_told_them)
 {
