A VM that hears none of the others does not count itself as the fleet

Cause: 5 s after its start a process trusts its own count of processes, also if it has heard nobody, and a count of one is the highest share.

Change: as long as the settings name other processes and none is heard, the fixed part of a retry budget and the requests to cold leafs are divided by the initial estimate of 64. The share of retries in the VM's own requests stays. Connections to leafs are still divided by the known size: a share of 110 connections over 64 would leave one for each leaf, and leafs refuse connections beyond their limit without running anything.

What a size that is too high costs: a VM that really is alone beside stale seeds makes no retries beyond 0.2 of its requests, and cold leafs warm up more slowly.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -101,6 +101,12 @@
     /** Estimated number of processes, too high rather than too low because limits are divided by it. */
     [[nodiscard]] std::size_t fleetSize(millis now) const;
 
+    /**
+     * Number of processes that may run: more than @ref fleetSize while the settings name other processes and none is
+     * heard, since these, and others that reach none of them either, may run all the same.
+     */
+    [[nodiscard]] std::size_t possibleFleetSize(millis now) const;
+
     [[nodiscard]] const store_view &view(std::string_view prefix) const;
 
     /**
@@ -214,6 +220,7 @@
     void drawToRead(millis now);
     void drawToReplaceReader(millis now);
     [[nodiscard]] bool isSeed() const;
+    [[nodiscard]] bool namesOthers() const;
     [[nodiscard]] std::vector<std::string> followableSeeds() const;
     void onState(link_id link, const upstream_state &state, millis now);
     void onUpstreamState(const upstream_state &state, millis now);
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Used until the tree has counted its processes; too high a value only tightens the limits divided by it.
+// Used while nobody has counted the processes; too high a value only tightens the limits divided by it.
 constexpr std::uint32_t initialSizeEstimate = 64;
 constexpr millis sizeEstimateDuration(5000);
 constexpr millis largestSizeRetention(30000); // a part of the fleet that is cut off still uses its share of the limits
@@ -34,8 +34,7 @@
     m_previousTickAt = now;
     m_nextHeartbeat = now + m_settings.heartbeatInterval;
     m_confirmBy = now + m_settings.confirmationTimeout;
-    m_awaitsConfirmation = std::ranges::any_of(
-        m_settings.seeds, [this](const std::string &address) { return address != m_settings.address; });
+    m_awaitsConfirmation = namesOthers();
     startSearch(now);
 }
 
@@ -136,6 +135,19 @@
     return now < m_sizeEstimateUntil ? std::max(seen, initialSizeEstimate) : seen;
 }
 
+std::size_t fleet_node::possibleFleetSize(millis now) const
+{
+    const bool hearsNobody = m_fleetSize <= 1 && namesOthers();
+    return hearsNobody ? std::max<std::size_t>(fleetSize(now), initialSizeEstimate) : fleetSize(now);
+}
+
+/** @return whether the settings name other processes, running or not. */
+bool fleet_node::namesOthers() const
+{
+    return std::ranges::any_of(m_settings.seeds,
+                               [this](const std::string &address) { return address != m_settings.address; });
+}
+
 bool fleet_node::hasResponsivePeer(millis now) const
 {
     const millis late = m_settings.heartbeatInterval * 2;
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -114,6 +114,37 @@
     BOOST_TEST(fleet.countReaders() == 1U);
 }
 
+// Guards against VMs that each take the whole fleet's limits for themselves, because they reach none of the seeds.
+BOOST_AUTO_TEST_CASE(processes_that_hear_none_of_the_others_do_not_count_themselves_as_the_fleet)
+{
+    constexpr std::size_t seeds = 3;
+    constexpr std::size_t nodes = 8;
+    fleet_world fleet(nodes);
+    fleet.write("a", "1");
+    for (std::size_t seed = 0; seed < seeds; ++seed) {
+        fleet.start(seed, millis::never());
+    }
+    fleet.run(millis(40000));
+    for (std::size_t index = seeds; index < nodes; ++index) {
+        BOOST_TEST(fleet.node(index).possibleFleetSize(fleet.now()) >= nodes);
+    }
+    for (std::size_t seed = 0; seed < seeds; ++seed) {
+        fleet.start(seed, fleet.now());
+    }
+    fleet.run(millis(40000)); // the largest size is kept for 30 s
+    for (std::size_t index = 0; index < nodes; ++index) {
+        BOOST_TEST(fleet.node(index).possibleFleetSize(fleet.now()) == nodes);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(process_whose_settings_name_no_other_counts_itself)
+{
+    fleet_node node({.address = "a:1", .zone = {"z"}, .seeds = {"a:1"}, .prefixes = {prefix}}, 1);
+    node.start(millis(1000));
+    constexpr millis afterTheEstimate(7000);
+    BOOST_TEST(node.possibleFleetSize(afterTheEstimate) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(all_processes_know_all_members)
 {
     fleet_world fleet(20, 3);
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -88,10 +88,15 @@
         m_requests.changeSettings(m_settings.quarantine);
     }
 
-    /** Sets the number of VMs among which the fleet's limits are divided. */
-    void setFleetSize(std::size_t size)
+    /**
+     * Sets the number of VMs among which the fleet's limits are divided.
+     * @param possible number that may run, where more may do so than are known; it divides what the fleet must not
+     * exceed even then: the fixed part of retry budgets and the requests to cold leafs.
+     */
+    void setFleetSize(std::size_t size, std::size_t possible = 0)
     {
         m_fleetSize = size;
+        m_possibleFleetSize = std::max(size, possible);
     }
 
     /** Accepts a request. Its answer is emitted as an action, possibly by this call. */
@@ -494,6 +499,7 @@
     drained_zones m_zones;
     region_policy m_regions;
     std::size_t m_fleetSize;
+    std::size_t m_possibleFleetSize; ///< see @ref setFleetSize
     millis m_answersBy = millis::never(); ///< of the planned stop, see @ref beginStop
     std::uint64_t m_seed; ///< differs between VMs
     std::unordered_map<service_name, retry_budget> m_budgets;
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -113,7 +113,7 @@
     if (capacity <= 0) {
         return true;
     }
-    const auto slot = coldAdmissionSlotAt(digestOf(candidate.entry.id), {m_fleetSize, m_seed}, capacity, now);
+    const auto slot = coldAdmissionSlotAt(digestOf(candidate.entry.id), {m_possibleFleetSize, m_seed}, capacity, now);
     return slot.has_value() && slot != candidate.lastColdAdmissionSlot;
 }
 
@@ -122,7 +122,7 @@
     const double capacity = coldCapacity(asked, m_table.get(), now);
     if (capacity > 0) {
         asked.lastColdAdmissionSlot =
-            coldAdmissionSlotAt(digestOf(asked.entry.id), {m_fleetSize, m_seed}, capacity, now);
+            coldAdmissionSlotAt(digestOf(asked.entry.id), {m_possibleFleetSize, m_seed}, capacity, now);
     }
 }
 
--- a/libs/gateway/src/leaf_health.cpp
+++ b/libs/gateway/src/leaf_health.cpp
@@ -71,7 +71,7 @@
 {
     constexpr double safety = 0.75; // of the fixed part: restarted VMs no longer know what they spent
     const double fixedPart =
-        m_settings.retrySlack * safety / static_cast<double>(std::max<std::size_t>(1, m_fleetSize));
+        m_settings.retrySlack * safety / static_cast<double>(std::max<std::size_t>(1, m_possibleFleetSize));
     return budgetOf(service).tryAcquire(fixedPart, reserve, now);
 }
 
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -367,6 +367,27 @@
     BOOST_TEST(extraSends <= 0.2 * lookups + 20.0 / 4);
 }
 
+// Guards against a VM that spends the whole fleet's budget while more VMs may run than it knows.
+BOOST_AUTO_TEST_CASE(extra_sends_stay_within_the_share_of_the_vms_that_may_run)
+{
+    gateway_settings settings;
+    settings.retryRatio = 0.2;
+    settings.retrySlack = 64;
+    gateway_world world(settings);
+    world.engine.setFleetSize(1, 64);
+    world.publish({gateway_world::gatherRoute(shards, 0.5)});
+    world.addShards(shards, 6);
+    for (auto &[id, behaviour] : world.behaviours) {
+        behaviour.refusesRequests = id.starts_with("shard0-");
+    }
+    constexpr std::size_t lookups = 100; // within one retry window
+    submitLookups(world, lookups, millis(20));
+    world.runFor(millis(2000));
+    const auto shardArrivals =
+        std::ranges::count_if(world.arrivals, [](const auto &one) { return one.leafId.starts_with("shard0-"); });
+    BOOST_TEST(static_cast<double>(shardArrivals) <= 1.2 * lookups + 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_lookup_stays_within_max_attempts_per_shard)
 {
     gateway_world world;
--- a/programs/chivelockd/gateway/gateway_store.cpp
+++ b/programs/chivelockd/gateway/gateway_store.cpp
@@ -135,7 +135,7 @@
 
 void gateway_service::onFleetState(const fleet_state &state)
 {
-    m_engine.setFleetSize(state.size);
+    m_engine.setFleetSize(state.size, state.possibleSize);
     m_engine.leafs().noteCurrent(state.currentAsOf);
     if (state.isStoreUnavailable) {
         m_engine.leafs().recordStoreFailure(m_clock.now());
--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -203,7 +203,8 @@
     m_node.report(m_listener.takeLeafReports());
     m_node.tick(now);
     flush();
-    m_listener.onFleetState({m_node.fleetSize(now), m_node.isStoreUnavailable(), m_node.currentAsOf()});
+    m_listener.onFleetState(
+        {m_node.fleetSize(now), m_node.possibleFleetSize(now), m_node.isStoreUnavailable(), m_node.currentAsOf()});
     m_timer.expires_after(std::chrono::milliseconds(tickInterval.ceiled()));
     m_timer.async_wait([this](const boost::system::error_code &timerError) {
         if (!timerError) {
--- a/programs/chivelockd/gateway/store_feed.h
+++ b/programs/chivelockd/gateway/store_feed.h
@@ -23,6 +23,7 @@
 /** What this process knows about the fleet and the state of the store. */
 struct fleet_state {
     std::size_t size = 1; ///< number of processes
+    std::size_t possibleSize = 1; ///< see @ref fleet_node::possibleFleetSize
     bool isStoreUnavailable = false; ///< see @ref fleet_node::isStoreUnavailable
     millis currentAsOf; ///< see @ref fleet_node::currentAsOf
 };
