--- a/programs/chivelockd/gateway/helper_links.cpp
+++ b/programs/chivelockd/gateway/helper_links.cpp
@@ -122,10 +122,10 @@
     weighted.resize(std::min(weighted.size(), own ? maxHelpersInOwnZone : maxHelpersInOtherZone));
     for (const auto &[weight, host] : weighted) {
         const std::string address = host + ":" + std::to_string(m_settings.port);
-        helper &chosen = m_helpers[address];
-        chosen.chosen = true;
-        chosen.zone = zone;
-        chosen.rank = rankOf(host);
+        helper &known = m_helpers[address];
+        known.chosen = true;
+        known.zone = zone;
+        known.rank = rankOf(host);
     }
 }
 
