--- a/libs/query/src/answer.cpp
+++ b/libs/query/src/answer.cpp
@@ -1,6 +1,7 @@
 #include <query/query.h>
 
 #include <nlohmann/json.hpp>
+#include <schema/schema.h>
 
 #include <algorithm>
 
@@ -17,11 +18,10 @@
 constexpr std::uint16_t serviceUnavailableStatus = 503;
 constexpr std::uint16_t gatewayTimeoutStatus = 504;
 
-/** Parses row data that is valid JSON; any other data becomes a JSON string. */
+/** Parses row data that is a JSON document; any other data becomes a JSON string. */
 nlohmann::json parseRowData(const std::string &data)
 {
-    nlohmann::json parsed = nlohmann::json::parse(data, nullptr, false);
-    return parsed.is_discarded() ? nlohmann::json(data) : parsed;
+    return parseDocument(data).value_or(nlohmann::json(data));
 }
 
 } // namespace
--- a/libs/schema/src/schema.cpp
+++ b/libs/schema/src/schema.cpp
@@ -92,6 +92,32 @@
     return error;
 }
 
+/** Counts brackets outside strings, so it needs no valid JSON and no recursion. */
+bool isNestedTooDeeply(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool inString = false;
+    bool isEscaped = false;
+    return std::ranges::any_of(text, [&](char c) {
+        if (inString) {
+            inString = isEscaped || c != '"';
+            isEscaped = !isEscaped && c == '\\';
+            return false;
+        }
+        inString = c == '"';
+        const bool opens = c == '[' || c == '{';
+        const bool closes = c == ']' || c == '}';
+        depth += opens ? 1 : 0;
+        depth -= closes && depth > 0 ? 1 : 0;
+        return depth > maxDocumentDepth;
+    });
+}
+
+tl::unexpected<document_error> wholeDocumentProblem(std::string_view text, std::string message)
+{
+    return tl::unexpected(document_error {{{"/", std::string(text.substr(0, maxShownBytes)), std::move(message)}}});
+}
+
 } // namespace
 
 std::string toString(const document_error &error)
@@ -106,12 +132,25 @@
                            });
 }
 
+tl::expected<nlohmann::json, document_error> parseDocument(std::string_view text)
+{
+    if (isNestedTooDeeply(text)) {
+        return wholeDocumentProblem(text, "nests deeper than " + std::to_string(maxDocumentDepth) + " levels");
+    }
+    try {
+        return nlohmann::json::parse(text);
+    } catch (const nlohmann::json::exception &problem) {
+        return wholeDocumentProblem(text, std::string("is not JSON: ") + problem.what());
+    }
+}
+
 tl::expected<nlohmann::json, document_error> parseAndValidate(std::string_view text, std::string_view schemaText)
 {
-    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    if (document.is_discarded()) {
-        return tl::unexpected(document_error {{{"/", std::string(text.substr(0, maxShownBytes)), "is not JSON"}}});
+    tl::expected<nlohmann::json, document_error> parsed = parseDocument(text);
+    if (!parsed) {
+        return parsed;
     }
+    const nlohmann::json &document = *parsed;
     const nlohmann::json schemaDocument = nlohmann::json::parse(schemaText);
     valijson::Schema schema;
     valijson::SchemaParser parser;
@@ -121,7 +160,7 @@
     if (!validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(document), &results)) {
         return tl::unexpected(problemsOf(document, schemaDocument, results));
     }
-    return document;
+    return parsed;
 }
 
 } // namespace chivelock
--- a/libs/schema/tests/test_schema.cpp
+++ b/libs/schema/tests/test_schema.cpp
@@ -46,3 +46,33 @@
     BOOST_REQUIRE(!document.has_value());
     BOOST_TEST(document.error().problems.front().path == "/names/1");
 }
+
+// Guards against the end of the process by a stack overflow: the JSON library copies nested values by recursion.
+BOOST_AUTO_TEST_CASE(a_document_nested_too_deeply_is_rejected)
+{
+    constexpr std::size_t depths[] = {maxDocumentDepth + 1, 500000};
+    for (const std::size_t depth : depths) {
+        const std::string lists = std::string(depth, '[') + std::string(depth, ']');
+        std::string objects;
+        for (std::size_t level = 0; level < depth; ++level) {
+            objects += "{\"a\":";
+        }
+        BOOST_TEST(!parseDocument(lists).has_value());
+        BOOST_TEST(!parseDocument(objects + "1" + std::string(depth, '}')).has_value());
+        BOOST_TEST(!parseDocument(std::string(depth, '[')).has_value());
+        BOOST_TEST(!parseAndValidate(R"({"limit_ms": 5, "names": )" + lists + "}", schemaText).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(brackets_in_strings_and_of_closed_lists_do_not_count_as_nesting)
+{
+    const std::string brackets(maxDocumentDepth * 2, '[');
+    const std::string deepest = std::string(maxDocumentDepth, '[') + std::string(maxDocumentDepth, ']');
+    BOOST_TEST(parseDocument(deepest).has_value());
+    BOOST_TEST(parseDocument("[\"" + brackets + "\", \"\\\"" + brackets + "\", \"\\\\\", []]").has_value());
+    std::string many = "[0";
+    for (std::size_t count = 0; count < maxDocumentDepth * 2; ++count) {
+        many += ",[],{}";
+    }
+    BOOST_TEST(parseDocument(many + "]").has_value());
+}
--- a/programs/chivelockd/leaf_protocol.cpp
+++ b/programs/chivelockd/leaf_protocol.cpp
@@ -1,6 +1,7 @@
 #include "leaf_protocol.h"
 
 #include <nlohmann/json.hpp>
+#include <schema/schema.h>
 
 #include <algorithm>
 
@@ -87,9 +88,9 @@
     reply.shard = call.shard;
     reply.status = callStatusOf(status);
     try {
-        const json document = json::parse(body, nullptr, false);
-        if (document.is_object()) {
-            readFields(document, reply);
+        const auto document = parseDocument(body);
+        if (document && document->is_object()) {
+            readFields(*document, reply);
         } else if (reply.status == call_status::Ok) {
             reply.status = call_status::Failed;
         }
@@ -105,16 +106,16 @@
     health_report report;
     report.leaf = probe.leaf;
     report.askedAt = probe.askedAt;
-    const json document = json::parse(body, nullptr, false);
-    if (status != okStatus || !document.is_object()) {
+    const auto document = parseDocument(body);
+    if (status != okStatus || !document || !document->is_object()) {
         return report;
     }
-    const json state = document.value("state", json());
+    const json state = document->value("state", json());
     report.reachable = true;
     report.serving = state == "serving";
     report.cold = state == "cold";
     report.leaving = state == "leaving";
-    const json incarnation = document.value("incarnation", json());
+    const json incarnation = document->value("incarnation", json());
     report.incarnation = incarnation.is_number_unsigned() ? incarnation.get<std::uint64_t>() : 0;
     return report;
 }
--- a/programs/chivelockd/platform_watch.cpp
+++ b/programs/chivelockd/platform_watch.cpp
@@ -3,6 +3,7 @@
 #include "decision_service.h"
 
 #include <nlohmann/json.hpp>
+#include <schema/schema.h>
 
 #include <algorithm>
 
@@ -23,10 +24,10 @@
 
 std::uint64_t revisionOf(const std::string &text)
 {
-    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    const bool hasRevision =
-        document.is_object() && document.contains("revision") && document.at("revision").is_number_unsigned();
-    return hasRevision ? document.at("revision").get<std::uint64_t>() : 0;
+    const auto document = parseDocument(text);
+    const bool hasRevision = document && document->is_object() && document->contains("revision")
+        && document->at("revision").is_number_unsigned();
+    return hasRevision ? document->at("revision").get<std::uint64_t>() : 0;
 }
 
 } // namespace
--- a/programs/chivelockd/tests/own_interface.py
+++ b/programs/chivelockd/tests/own_interface.py
@@ -19,6 +19,7 @@
 
 ADDRESS = "127.0.1.1"
 LOOKUPS = 40
+NESTED_LEVELS = 250_000
 
 
 def json_response(document):
@@ -57,6 +58,7 @@
 
     def __init__(self):
         self.second = "never"
+        self.nested_field = None  # of the reply and its row that holds nested lists
 
     async def serve(self, reader, writer):
         previous = b""
@@ -76,6 +78,12 @@
     def reply_to(self, message):
         if not message[0].startswith("POST /v1/search "):
             return json_response({"state": "serving", "incarnation": 1})
+        if self.nested_field is not None:
+            row = {"id": "a", "score": 1.0, "data": None, self.nested_field: "here"}
+            document = {"shard": 0, "snapshot": 1, "map_version": 1, "incarnation": 1, "rows": [row],
+                        self.nested_field: "here"}
+            text = json.dumps(document).replace('"here"', nested(NESTED_LEVELS))
+            return response(200, {"Content-Type": "application/json"}, text.encode())
         search = json.loads(message[2])
         row = {"id": search["query"], "score": 1.0, "data": None}
         return json_response({"shard": search["shard"], "snapshot": search["snapshot"],
@@ -178,7 +186,28 @@
     writer.close()
 
 
-CHECKS = [a_second_reply_is_never_the_reply_to_another_lookup,
+def nested(depth):
+    return "[" * depth + "]" * depth
+
+
+async def deeply_nested_documents_do_not_end_the_process(fixture):
+    """Guards against a stack overflow: the JSON library copies and writes nested values by recursion."""
+    body = f'{{"query":{nested(NESTED_LEVELS)},"time_limit_ms":2000}}'.encode()
+    reader, writer = await fixture.connect()
+    writer.write(f"POST /v1/lookups/k HTTP/1.1\r\nHost: vm\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+    answer = await asyncio.wait_for(read_message(reader), 5)
+    writer.close()
+    assert answer is not None and answer[0].split(" ")[1] in ("400", "413"), answer
+    for field in ("data", "id", "score", "shard", "incarnation", "leaving"):
+        fixture.leaf.nested_field = field
+        await fixture.lookup(f"nested {field}")
+        assert fixture.process.returncode is None, field
+    fixture.leaf.nested_field = None
+    assert await fixture.lookup("behind_nested") == ["behind_nested"]
+
+
+CHECKS = [deeply_nested_documents_do_not_end_the_process,
+          a_second_reply_is_never_the_reply_to_another_lookup,
           a_faster_lookup_does_not_overtake_an_earlier_one_on_its_connection,
           a_connection_serves_one_lookup_after_the_other,
           an_answer_to_head_has_no_body]
