An answer that ends with its connection fails with the write of its request

Cause: the pending write gets the reset, and with that the socket's error is consumed. The read behind it gets an end of stream, which counted as an orderly close; the write's error was ignored once a byte had been sent.

Change: such an answer is delivered once the request is written, and is broken if the write failed. While the write is pending the answer waits, at most until the time of the request ends.

--- a/programs/chivelockd/gateway/leaf_connection.h
+++ b/programs/chivelockd/gateway/leaf_connection.h
@@ -91,7 +91,7 @@
     /** Whether the leaf has not read the request completely, although it may stop working on it. */
     [[nodiscard]] bool isUnread(millis now) const
     {
-        return m_busy && !m_written && !m_confirming && now >= m_writeEnd;
+        return m_busy && m_write != write_state::Complete && !m_confirming && now >= m_writeEnd;
     }
 
     /** Gives up a request that the leaf does not read. It may have read a part, so it counts as sent. */
@@ -119,6 +119,12 @@
     }
 
 private:
+    enum class write_state : std::uint8_t {
+        Pending,
+        Complete,
+        Failed
+    };
+
     static constexpr std::size_t readBytes = 8192; // holds the complete answer of most leafs
     static constexpr std::size_t maxAnswerBodyBytes = 8
         << 20; // far above any answer; bounds the memory a faulty leaf can take
@@ -182,7 +188,8 @@
     void write(millis spent)
     {
         m_busy = true;
-        m_written = false;
+        m_write = write_state::Pending;
+        m_answerAwaitsWrite = false;
         m_strayCount = 0;
         m_answerBytes = 0;
         m_reader.expect(m_message.toHead, maxAnswerBodyBytes);
@@ -194,12 +201,21 @@
         boost::asio::async_write(
             m_socket,
             boost::asio::buffer(m_output),
-            [self = shared_from_this()](const error_code &error, std::size_t count) {
-                self->m_written = !error;
-                if (error && count == 0 && !self->m_confirming) {
-                    self->fail(send_failure::NotSent); // the kernel accepted no byte, so the leaf received none
-                }
-            });
+            [self = shared_from_this()](const error_code &error, std::size_t count) { self->onWritten(error, count); });
+    }
+
+    void onWritten(const error_code &error, std::size_t count)
+    {
+        m_write = error ? write_state::Failed : write_state::Complete;
+        if (m_closed || m_confirming) {
+            return;
+        }
+        if (error && count == 0) {
+            fail(send_failure::NotSent); // the kernel accepted no byte, so the leaf received none
+        } else if (m_answerAwaitsWrite) {
+            m_answerAwaitsWrite = false;
+            finishAtEndOfStream();
+        }
     }
 
     void read()
@@ -271,8 +287,7 @@
         const bool isOrderlyClose = error == boost::asio::error::eof;
         if (isOrderlyClose && m_reader.begun()
             && readAnswer([this] { return m_reader.finish(); }) == read_state::Complete) {
-            m_endOfStream = true;
-            onAnswer();
+            finishAtEndOfStream();
             return;
         }
         if (m_reader.begun() || !m_input.empty()) {
@@ -282,6 +297,24 @@
         confirmLeafEnded();
     }
 
+    /**
+     * Delivers an answer that ends with the connection, once the request is written. The kernel reports a reset only
+     * once: a write that gets it leaves an end of stream to the read, which looks like an orderly close.
+     */
+    void finishAtEndOfStream()
+    {
+        if (m_write == write_state::Pending) {
+            m_answerAwaitsWrite = true;
+            return;
+        }
+        if (m_write == write_state::Failed) {
+            fail(send_failure::Broken);
+            return;
+        }
+        m_endOfStream = true;
+        onAnswer();
+    }
+
     /**
      * Checks whether the leaf has crashed. A connection ends without an answer if the leaf has crashed, but also if the
      * leaf is full, has lost the answer or was unreachable for a moment. Only a crash says something about the request,
@@ -368,8 +401,8 @@
         m_idleLimit = answer.keepAlive.value_or(m_idleLimit);
         // A leaf may answer before it has read the complete request. Reusing the connection then would make the leaf
         // read the rest of this request as the next one.
-        const bool reusable =
-            isNamed && answer.keepsConnection && m_written && m_input.empty() && m_strayCount == 0 && !m_endOfStream;
+        const bool reusable = isNamed && answer.keepsConnection && m_write == write_state::Complete && m_input.empty()
+            && m_strayCount == 0 && !m_endOfStream;
         const auto self = shared_from_this();
         m_pool.m_busy.erase(id);
         if (reusable) {
@@ -453,7 +486,8 @@
     std::uint64_t m_requestCount = 0; ///< on this connection
     bool m_connected = false;
     bool m_busy = false;
-    bool m_written = false;
+    write_state m_write = write_state::Pending; ///< of the current request
+    bool m_answerAwaitsWrite = false; ///< the answer ended with the connection, and the request is not written yet
     bool m_endOfStream = false;
     bool m_confirming = false; ///< the request was not answered; a new connection checks whether the leaf has crashed
     bool m_closed = false;
