Contents larger than a message go from VM to VM in parts

Cause: complete contents, or all changes since a revision, went in one message. Above 4 MiB it closes the link, and the next link is sent the same message.

Change: contents above 1 MiB go to a follower in parts of 256 KiB. The next part follows the heartbeat that confirms the one before, so heartbeats do not wait behind megabytes and ages stay true. Changes above 1 MiB are sent the same way. The receiver uses nothing before the last part: an earlier part taken for the whole would remove leafs and claim a revision that was not reached. It claims no freshness meanwhile, collects changes that arrive between two parts, and requests the contents anew if a part is missing. A request to follow says whether the sender accepts parts: older VMs get one message as before, and an older upstream sends a new VM one message.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -179,6 +179,12 @@
         bool answered = false; ///< it has sent its state
     };
 
+    /** How far the contents of one prefix have been sent in parts. */
+    struct contents_transfer {
+        std::string lastKey; ///< of the parts that were sent
+        std::uint32_t nextPart = 0;
+    };
+
     struct follower {
         std::string address;
         zone_name zone;
@@ -188,6 +194,8 @@
         member_list sentMembers; ///< the fleet as last sent to it
         bool hasContents = false; ///< it has contents of the store that do not only come from this process
         bool isUnconfirmed = false; ///< as it said last
+        bool acceptsParts = false;
+        std::map<std::string, contents_transfer, std::less<>> transfers; ///< by prefix; one is in progress
 
         /** Whether it is shutting down and accepts no followers: a leaving process omits itself from its subtree. */
         [[nodiscard]] bool isLeaving() const
@@ -202,6 +210,14 @@
         follow_request request;
     };
 
+    /** The parts of one prefix's contents that have arrived, and the changes since. */
+    struct collected_parts {
+        std::uint32_t count = 0;
+        std::map<std::pair<std::string, bool>, store_item> items; ///< by key, and whether it is a deletion
+
+        void add(store_item item);
+    };
+
     struct queued_report {
         leaf_report report;
         link_id from = 0; ///< 0 for reports by this process
@@ -242,14 +258,24 @@
     void advanceFreshness(millis asOf, millis now);
     void dropUnresponsiveFollowers(millis now);
     void sendHeartbeat(millis now);
+    void sendHeartbeatUpstream();
 
     void onItems(link_id link, store_items items, millis now);
     [[nodiscard]] bool applyPatches(store_items &items);
     void requestFullContents(const std::string &prefix, std::string_view key);
     void sendMissingItems(link_id link, const follow_request &request);
+    void sendItems(std::vector<link_id> links, store_items items);
     void forwardItems(store_items items, std::vector<store_item> newItems);
     [[nodiscard]] std::vector<item_patch> extractPatches(std::string_view prefix, std::vector<store_item> &items) const;
 
+    [[nodiscard]] static bool needsParts(std::size_t bytes);
+    [[nodiscard]] static std::size_t bytesOf(const store_items &items);
+    [[nodiscard]] bool isSendingParts(std::string_view prefix) const;
+    void startTransfer(link_id link, const std::string &prefix);
+    void sendNextPart(link_id link);
+    [[nodiscard]] bool collectParts(store_items &items);
+    void dropCollectedParts();
+
     void onRecentDeletions(link_id link, const recent_deletions &message);
     void sendRecentDeletions(link_id link);
     void useChanges(store_changes_action changes);
@@ -326,6 +352,7 @@
     millis m_confirmBy = millis::never(); ///< the changes are passed on then in any case
     millis m_confirmedAt = millis::never(); ///< the deletions that the others know have arrived by then
     std::set<std::string> m_fullContentsPending; ///< prefixes whose full contents were requested and have not arrived
+    std::map<std::string, collected_parts, std::less<>> m_collectedParts; ///< by prefix
     std::map<link_id, follower> m_followers;
     std::vector<waiting_follower> m_waiting;
     bool m_subtreeChanged = false; ///< since the upstream was last informed
--- a/libs/fleet/include/fleet/fleet_messages.h
+++ b/libs/fleet/include/fleet/fleet_messages.h
@@ -42,6 +42,7 @@
     std::vector<known_revision> known;
     std::vector<fleet_member> members; ///< of the subtree
     bool isUnconfirmed = false; ///< the sender holds only what was read alone, see @ref fleet_node::isUnconfirmed
+    bool acceptsParts = false; ///< the sender collects contents that come in several messages; older versions do not
 };
 
 /** Difference between a list of processes and the one that was sent before on the same link. */
@@ -101,6 +102,8 @@
     std::uint64_t revision = 0;
     std::vector<store_item> items;
     std::vector<item_patch> patches;
+    std::uint32_t part = 0; ///< position of this message among those of the same complete contents
+    bool isUnfinished = false; ///< the next part follows; the receiver must not use this one before the last
 };
 
 /** Sent in both directions: reports of VMs about leafs. */
--- a/libs/fleet/include/fleet/store_view.h
+++ b/libs/fleet/include/fleet/store_view.h
@@ -2,6 +2,7 @@
 
 /** @file Local copy of the store's contents; a part of fleet.h. */
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -23,6 +24,12 @@
     bool beforeStart = false; ///< deleted before this process knew the contents: at an unknown time
 };
 
+/** Some of the items of a prefix, in the order of their keys. */
+struct contents_part {
+    std::vector<store_item> items;
+    bool isLast = false; ///< no items follow these
+};
+
 /**
  * Local copy of one prefix of the store. Accepts changes in any order and from several sources, and never replaces an
  * item by an older revision.
@@ -82,10 +89,19 @@
 
     [[nodiscard]] std::vector<store_item> contents() const;
 
+    /** @return the size of all keys and values, in bytes. */
+    [[nodiscard]] std::size_t contentBytes() const;
+
+    /** @return the items after @p key, at least one if there are any, then as many as fit in @p maxBytes. */
+    [[nodiscard]] contents_part contentsAfter(std::string_view key, std::size_t maxBytes) const;
+
     /**
-     * @return the contents and the latest deletions. A write that follows a deletion may be a late write of the removed
-     * entry; a new follower can only recognise it as such if it knows of the deletion.
+     * @return the latest deletions. A write that follows a deletion may be a late write of the removed entry; a new
+     * follower can only recognise it as such if it knows of the deletion.
      */
+    [[nodiscard]] std::vector<store_item> latestDeletions() const;
+
+    /** @return the latest deletions and the contents. */
     [[nodiscard]] std::vector<store_item> contentsWithDeletions() const;
 
 private:
--- a/libs/fleet/src/fleet_codec.cpp
+++ b/libs/fleet/src/fleet_codec.cpp
@@ -75,7 +75,8 @@
                                              members,
                                              builder.CreateString(message.zone.value),
                                              message.readsStore,
-                                             message.isUnconfirmed)
+                                             message.isUnconfirmed,
+                                             message.acceptsParts)
                         .Union());
     }
 
@@ -122,8 +123,11 @@
         const auto prefix = builder.CreateString(message.prefix);
         const auto all = itemsOf(message.items);
         const auto patches = patchesOf(message.patches);
-        return wrap(fleet_wire::Message::Items,
-                    fleet_wire::CreateItems(builder, prefix, message.whole, message.revision, all, patches).Union());
+        return wrap(
+            fleet_wire::Message::Items,
+            fleet_wire::CreateItems(
+                builder, prefix, message.whole, message.revision, all, patches, message.part, message.isUnfinished)
+                .Union());
     }
 
     Offset<fleet_wire::Envelope> operator()(const leaf_reports_message &message) const
@@ -233,7 +237,8 @@
                                 from.subtree(),
                                 {},
                                 readMembers(from.members()),
-                                from.unconfirmed()};
+                                from.unconfirmed(),
+                                from.accepts_parts()};
         if (from.known() != nullptr) {
             for (const auto *known : *from.known()) {
                 message.known.push_back({textOf(known->prefix()), known->revision()});
@@ -261,7 +266,13 @@
 
     store_items readItems(const fleet_wire::Items &from)
     {
-        store_items message {textOf(from.prefix()), from.whole(), from.revision(), readItemList(from.items()), {}};
+        store_items message {textOf(from.prefix()),
+                             from.whole(),
+                             from.revision(),
+                             readItemList(from.items()),
+                             {},
+                             from.part(),
+                             from.unfinished()};
         if (from.patches() != nullptr) {
             for (const auto *patch : *from.patches()) {
                 message.patches.push_back({textOf(patch->key()),
--- a/libs/fleet/src/fleet_followers.cpp
+++ b/libs/fleet/src/fleet_followers.cpp
@@ -24,6 +24,7 @@
     request.subtree = subtree();
     request.members = subtreeMembers();
     request.isUnconfirmed = m_awaitsConfirmation;
+    request.acceptsParts = true;
     for (const auto &[prefix, view] : m_views) {
         request.known.push_back({prefix, view.known() ? view.revision() : 0});
     }
@@ -110,7 +111,9 @@
                          std::move(request.members),
                          m_members,
                          hasContents,
-                         request.isUnconfirmed};
+                         request.isUnconfirmed,
+                         request.acceptsParts,
+                         {}};
     m_subtreeChanged = true;
     upstream_state acceptance = ownState(true);
     acceptance.members = *m_members;
@@ -170,17 +173,23 @@
         onJoined(now); // only now: one that has asked may still prefer another process, and then tells nothing
     }
     from.members = applyMemberChanges(from.members, heartbeat.changes);
+    sendNextPart(link);
+}
+
+void fleet_node::sendHeartbeatUpstream()
+{
+    auto members = std::make_shared<const std::vector<fleet_member>>(subtreeMembers());
+    sendMessage(
+        m_upstream,
+        follow_heartbeat {subtree(), memberChangesBetween(*m_membersSentUpstream, *members), m_awaitsConfirmation});
+    m_membersSentUpstream = std::move(members);
 }
 
 void fleet_node::sendHeartbeat(millis now)
 {
     m_subtreeChanged = false;
     if (m_phase == phase::Following) {
-        auto members = std::make_shared<const std::vector<fleet_member>>(subtreeMembers());
-        sendMessage(
-            m_upstream,
-            follow_heartbeat {subtree(), memberChangesBetween(*m_membersSentUpstream, *members), m_awaitsConfirmation});
-        m_membersSentUpstream = std::move(members);
+        sendHeartbeatUpstream();
     } else if (m_phase == phase::Reading) {
         recordFleetSize(subtree(), now);
         if (now >= m_nextMemberUpdate) {
--- a/libs/fleet/src/fleet_items.cpp
+++ b/libs/fleet/src/fleet_items.cpp
@@ -34,9 +34,27 @@
         const std::uint64_t revision = peerRevision == request.known.end() ? 0 : peerRevision->revision;
         auto changes = revision == 0 ? std::nullopt : view.changesSince(revision);
         const bool isFull = !changes.has_value();
+        if (isFull && request.acceptsParts && needsParts(view.contentBytes())) {
+            startTransfer(link, prefix);
+            continue;
+        }
         store_items items {
             prefix, isFull, view.revision(), isFull ? view.contentsWithDeletions() : *std::move(changes), {}};
-        sendMessage(link, std::move(items));
+        sendItems({link}, std::move(items));
+    }
+}
+
+/** Sends the items in one message, or the complete contents in parts to each follower that accepts them. */
+void fleet_node::sendItems(std::vector<link_id> links, store_items items)
+{
+    if (needsParts(bytesOf(items))) {
+        const auto withoutParts =
+            std::ranges::partition(links, [this](link_id link) { return m_followers.at(link).acceptsParts; });
+        std::for_each(links.begin(), withoutParts.begin(), [&](link_id link) { startTransfer(link, items.prefix); });
+        links.erase(links.begin(), withoutParts.begin());
+    }
+    if (!links.empty()) {
+        m_actions.emplace_back(send_message_action {std::move(links), std::move(items)});
     }
 }
 
@@ -46,6 +64,9 @@
         return;
     }
     m_upstreamReceivedAt = now;
+    if (!collectParts(items)) {
+        return;
+    }
     if (items.whole) {
         m_fullContentsPending.erase(items.prefix);
         onStoreContents(items.prefix, std::move(items.items), items.revision);
@@ -123,8 +144,8 @@
 std::vector<item_patch> fleet_node::extractPatches(std::string_view prefix, std::vector<store_item> &items) const
 {
     std::vector<item_patch> patches;
-    if (m_followers.empty()) {
-        return patches;
+    if (m_followers.empty() || isSendingParts(prefix)) {
+        return patches; // a follower that collects parts holds no value to patch
     }
     const store_view &view = m_views.find(prefix)->second;
     std::erase_if(items, [&](const store_item &item) {
@@ -151,9 +172,7 @@
     useChanges({items.prefix, std::move(newItems)});
     std::vector<link_id> links;
     std::ranges::transform(m_followers, std::back_inserter(links), [](const auto &one) { return one.first; });
-    if (!links.empty()) {
-        m_actions.emplace_back(send_message_action {std::move(links), std::move(items)});
-    }
+    sendItems(std::move(links), std::move(items));
 }
 
 } // namespace chivelock
--- a/libs/fleet/src/fleet_upstream.cpp
+++ b/libs/fleet/src/fleet_upstream.cpp
@@ -132,7 +132,7 @@
     m_phase = phase::Reading;
     m_starting = true;
     m_upstream = 0;
-    m_fullContentsPending.clear();
+    dropCollectedParts();
     // The store counts as readable only after it has answered; otherwise followers would wait needlessly.
     std::ranges::for_each(m_prefixReadOk, [](auto &one) { one.second = false; });
     m_nextReaderSearch = now + m_settings.readerSearchInterval * (1 + m_random.uniform());
@@ -252,7 +252,7 @@
     m_upstreamState = state;
     m_upstreamReceivedAt = now;
     m_upstreamStoreLostSince = millis::never();
-    m_fullContentsPending.clear();
+    dropCollectedParts();
     recordFleetSize(state.fleetSize, now);
     updateMembers(state);
     addLogEvent("follows", m_upstreamAddress, millis());
--- a/libs/fleet/src/store_view.cpp
+++ b/libs/fleet/src/store_view.cpp
@@ -1,6 +1,7 @@
 #include <fleet/fleet.h>
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 namespace chivelock {
@@ -107,7 +108,30 @@
     return all;
 }
 
-std::vector<store_item> store_view::contentsWithDeletions() const
+std::size_t store_view::contentBytes() const
+{
+    return std::accumulate(m_items.begin(), m_items.end(), std::size_t {0}, [](std::size_t sum, const auto &one) {
+        return sum + one.first.size() + one.second.value.size();
+    });
+}
+
+contents_part store_view::contentsAfter(std::string_view key, std::size_t maxBytes) const
+{
+    contents_part part;
+    std::size_t bytes = 0;
+    auto at = m_items.upper_bound(key);
+    for (; at != m_items.end(); ++at) {
+        bytes += at->first.size() + at->second.value.size();
+        if (bytes > maxBytes && !part.items.empty()) {
+            break;
+        }
+        part.items.push_back(itemOf(at->first, at->second));
+    }
+    part.isLast = at == m_items.end();
+    return part;
+}
+
+std::vector<store_item> store_view::latestDeletions() const
 {
     std::vector<store_item> all;
     for (const auto &[key, last] : m_deleted) {
@@ -119,6 +143,12 @@
     const auto end = all.begin() + static_cast<std::ptrdiff_t>(sentCount);
     std::ranges::partial_sort(all, end, std::greater(), &store_item::revision);
     all.erase(end, all.end());
+    return all;
+}
+
+std::vector<store_item> store_view::contentsWithDeletions() const
+{
+    std::vector<store_item> all = latestDeletions();
     std::ranges::move(contents(), std::back_inserter(all));
     return all;
 }
--- a/libs/fleet/tests/fleet_world.h
+++ b/libs/fleet/tests/fleet_world.h
@@ -94,6 +94,9 @@
     /** Modifies each store update that is sent, to inject faults. */
     std::function<void(store_items &)> corruptItems = [](store_items &) {};
 
+    /** Links break as soon as store items are sent on them. */
+    bool closesLinksAtItems = false;
+
     [[nodiscard]] std::size_t countReaders() const;
 
     [[nodiscard]] std::size_t countHolders(const std::string &key) const;
@@ -157,11 +160,13 @@
     std::size_t storeCalls = 0;
     std::size_t connectionAttempts = 0; ///< including failed ones
     std::size_t crossZoneBytes = 0; ///< bytes sent between nodes of different zones
+    std::size_t brokenLinks = 0; ///< for what was sent on them
     std::size_t requestEvidenceMessages = 0; ///< messages with request evidence that were received
     std::vector<std::string> logEvents; ///< log events of the tree: name and subject
 
 private:
     static constexpr link_id firstIncomingLink = link_id {1} << 40U;
+    static constexpr std::size_t maxUnsentBytes = 4U << 20U; ///< a link with more breaks, as in the daemon
     static constexpr millis tickInterval {100};
     static constexpr millis connectionRefusedDelay {0.5};
     static constexpr millis storeWatchTimeout {400};
@@ -183,6 +188,7 @@
         std::set<request_fingerprint> missedEvidence; ///< requests with evidence at other nodes but not at this one
                                                       ///< when it received its first full contents
         std::uint64_t readRevision = 0;
+        std::size_t answersOnTheWay = 0; ///< of the store; a watch that brings changes is not idle meanwhile
         millis watchStartedAt; ///< when the watch that the store currently holds was started
         millis startedAt;
         millis contentsKnownAt = millis::never();
@@ -197,6 +203,7 @@
         std::size_t peer = 0;
         link_id peerLink = 0;
         bool open = false;
+        std::size_t unsentBytes = 0; ///< of the messages with store items
     };
 
     using link_key = std::pair<std::size_t, link_id>;
@@ -233,6 +240,8 @@
     void connect(std::size_t index, link_id link, std::size_t to);
     void sendFrame(std::size_t index, link_id link, const std::string &frame);
     void closeLink(std::size_t index, link_id link);
+    [[nodiscard]] bool addUnsent(std::size_t index, link_id link, std::size_t bytes);
+    void breakLink(std::size_t index, link_id link);
 
     // ---- actions of the nodes
 
--- a/libs/fleet/tests/fleet_world_links.cpp
+++ b/libs/fleet/tests/fleet_world_links.cpp
@@ -62,7 +62,43 @@
         corruptItems(*items);
     }
     const std::string frame = encodeFleetFrame(message);
-    std::ranges::for_each(action.links, [&](link_id link) { sendFrame(index, link, frame); });
+    const bool hasItems = std::holds_alternative<store_items>(message);
+    for (const link_id link : action.links) {
+        if (!hasItems) {
+            sendFrame(index, link, frame);
+        } else if (closesLinksAtItems || !addUnsent(index, link, frame.size())) {
+            breakLink(index, link);
+        } else {
+            sendFrame(index, link, frame);
+        }
+    }
+}
+
+/** @return false if the link now holds more than a link may. What it holds leaves it as its bandwidth allows. */
+bool fleet_world::addUnsent(std::size_t index, link_id link, std::size_t bytes)
+{
+    const auto end = m_linkEnds.find({index, link});
+    if (end == m_linkEnds.end()) {
+        return true;
+    }
+    end->second.unsentBytes += bytes;
+    schedule(std::max(m_now, m_processes[index].linkFreeAt), [this, index, link] {
+        if (const auto sent = m_linkEnds.find({index, link}); sent != m_linkEnds.end()) {
+            sent->second.unsentBytes = 0;
+        }
+    });
+    return end->second.unsentBytes <= maxUnsentBytes;
+}
+
+/** Closes a link for what was sent on it, and reports that to both ends. */
+void fleet_world::breakLink(std::size_t index, link_id link)
+{
+    if (!m_linkEnds.contains({index, link})) {
+        return;
+    }
+    brokenLinks += 1;
+    closeLink(index, link);
+    failLinkLater(index, link, millis());
 }
 
 void fleet_world::sendFrame(std::size_t index, link_id link, const std::string &frame)
@@ -82,7 +118,12 @@
         }
         runOnProcessor(receiver.peer, frame.size(), [this, receiver, frame] {
             const std::vector<std::uint8_t> payload(frame.begin() + 4, frame.end());
-            m_processes[receiver.peer].node->onMessage(receiver.peerLink, decodeFleetPayload(payload).value(), m_now);
+            auto message = decodeFleetPayload(payload);
+            if (message) {
+                m_processes[receiver.peer].node->onMessage(receiver.peerLink, *std::move(message), m_now);
+            } else {
+                breakLink(receiver.peer, receiver.peerLink);
+            }
         });
     });
 }
--- a/libs/fleet/tests/fleet_world_store.cpp
+++ b/libs/fleet/tests/fleet_world_store.cpp
@@ -84,8 +84,13 @@
     const millis arrival =
         m_now + m_settings.storeLatency + millis(static_cast<double>(bytes) / m_settings.linkBytesPerMs);
     const std::uint64_t incarnation = process.incarnation;
+    process.answersOnTheWay += 1;
     schedule(arrival, [this, index, incarnation, items, revision, bytes, currentAsOf] {
-        if (isRunning(index, incarnation) && m_processes[index].reading) {
+        if (!isRunning(index, incarnation)) {
+            return;
+        }
+        m_processes[index].answersOnTheWay -= 1;
+        if (m_processes[index].reading) {
             runOnProcessor(index, bytes, [this, index, items, revision, currentAsOf] {
                 handleStoreResponse(index, items, revision);
                 m_processes[index].node->onStoreFreshness(currentAsOf, m_now);
@@ -97,7 +102,7 @@
 void fleet_world::completeIdleWatch(std::size_t index)
 {
     simulated_process &process = m_processes[index];
-    if (process.reading && process.storeAnswered && !process.storeUnavailable
+    if (process.reading && process.storeAnswered && !process.storeUnavailable && process.answersOnTheWay == 0
         && m_now - process.watchStartedAt >= storeWatchTimeout) {
         const millis watchStart = std::exchange(process.watchStartedAt, m_now);
         runOnProcessor(
@@ -125,6 +130,9 @@
         process.node->onStoreChanges(prefix, items, revision);
     }
     process.readRevision = std::max(process.readRevision, revision);
+    if (process.readRevision < m_revision) {
+        scheduleStoreRead(index); // written while the answer was on its way
+    }
 }
 
 void fleet_world::perform(std::size_t index, const read_action &action)
