Upstreams that deliver nothing bring a process nearer to reading the store

Change: the draws on reading the store start anew only after an upstream that has confirmed its contents. One that is lost before counts as two more draws, once an interval, and the draw is made at the loss, without waiting for a tick. A process without contents also draws while it follows a second upstream that has none. A process that reads its first contents after such upstreams does not give up for another one before it has them.

This holds whatever ends the links.

Evidence: a_process_whose_links_all_break_reads_the_store, 20 seeds of 24 processes, each link ends before anything has arrived.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -234,7 +234,13 @@
     void dropUpstream(std::string_view why, millis now);
     void checkUpstream(millis now);
     void drawToRead(millis now);
+    void drawIfDue(millis now);
+    void recordUndelivered(millis now);
+    void drawToLeaveUpstream(millis now);
+    void draw(millis now);
     void drawToReplaceReader(millis now);
+    [[nodiscard]] bool isReadingFirstContents() const;
+    [[nodiscard]] bool knowsAllPrefixes() const;
     [[nodiscard]] bool isSeed() const;
     [[nodiscard]] bool namesOthers() const;
     [[nodiscard]] std::vector<std::string> followableSeeds() const;
@@ -317,7 +323,8 @@
     bool m_leaving = false;
     bool m_starting = false; ///< reading, and no read has succeeded or failed yet
     millis m_nextDraw;
-    unsigned m_drawCount = 0; ///< since the search started
+    unsigned m_drawCount = 0; ///< since the last upstream that delivered was lost
+    unsigned m_undelivered = 0; ///< upstreams in a row whose link ended before they confirmed the contents
     millis m_redialAt;
     millis m_stateExpectedUntil; ///< a starting process has asked to wait for its next state until then
     std::size_t m_nextSeed = 0; ///< index of the next followable seed to dial
--- a/libs/fleet/src/fleet_freshness.cpp
+++ b/libs/fleet/src/fleet_freshness.cpp
@@ -29,16 +29,21 @@
  */
 void fleet_node::onUpstreamFreshness(const upstream_state &state, millis now)
 {
-    if (state.currentAsOf && m_fullContentsPending.empty()) {
+    if (state.currentAsOf && canConfirmFreshness()) {
+        m_undelivered = 0;
         advanceFreshness(m_previousTickAt + *state.currentAsOf, now);
     }
 }
 
+bool fleet_node::knowsAllPrefixes() const
+{
+    return std::ranges::all_of(m_views, [](const auto &one) { return one.second.known(); });
+}
+
 /** A process that waits for the full contents of a prefix has skipped changes in it. */
 bool fleet_node::canConfirmFreshness() const
 {
-    const bool knowsAllPrefixes = std::ranges::all_of(m_views, [](const auto &one) { return one.second.known(); });
-    return knowsAllPrefixes && m_fullContentsPending.empty();
+    return knowsAllPrefixes() && m_fullContentsPending.empty();
 }
 
 void fleet_node::updateStoreAvailability(millis now)
--- a/libs/fleet/src/fleet_node.cpp
+++ b/libs/fleet/src/fleet_node.cpp
@@ -112,7 +112,8 @@
     if (m_phase == phase::Seeking) {
         drawToRead(now);
     }
-    if (m_phase == phase::Reading && now >= m_nextReaderSearch) {
+    drawToLeaveUpstream(now);
+    if (m_phase == phase::Reading && now >= m_nextReaderSearch && !isReadingFirstContents()) {
         searchForReader(now);
     }
     releaseUnconfirmed(now);
--- a/libs/fleet/src/fleet_upstream.cpp
+++ b/libs/fleet/src/fleet_upstream.cpp
@@ -51,8 +51,12 @@
 void fleet_node::startSearch(millis now)
 {
     m_phase = phase::Seeking;
-    m_drawCount = 0;
-    m_nextDraw = now + m_settings.drawInterval;
+    if (m_undelivered > 0) {
+        recordUndelivered(now);
+    } else {
+        m_drawCount = 0;
+        m_nextDraw = now + m_settings.drawInterval;
+    }
     m_redialAt = now + redialInterval;
     m_stateExpectedUntil = millis();
     m_referralCount = 0;
@@ -62,6 +66,12 @@
         becomeReader("nobody_before_it", now);
         return;
     }
+    if (m_undelivered > 0) {
+        drawIfDue(now); // the next upstream may be found and lost within milliseconds, without a tick in between
+    }
+    if (m_phase != phase::Seeking) {
+        return;
+    }
     m_nextSeed = m_random.below(known.size());
     dialNextSeed();
 }
@@ -214,7 +224,7 @@
     const bool inPath = contains(state.path, m_settings.address);
     // A starting candidate gets the store's first answer within some milliseconds, or reports that reading failed.
     const bool usable = state.accepted && (state.storeOk || (state.starting && m_phase == phase::Seeking)) && !inPath;
-    const bool better = m_phase != phase::Following || !m_upstreamState.storeOk;
+    const bool better = (m_phase != phase::Following || !m_upstreamState.storeOk) && !isReadingFirstContents();
     if (usable && better) {
         followCandidate(link, state, now);
         return;
@@ -247,6 +257,7 @@
         m_actions.emplace_back(close_link_action {m_upstream});
     }
     m_phase = phase::Following;
+    m_undelivered += 1;
     m_starting = false;
     m_upstream = link;
     m_upstreamState = state;
@@ -279,16 +290,61 @@
     if (now < m_stateExpectedUntil) {
         m_nextDraw = now + m_settings.drawInterval;
     }
-    for (; m_phase == phase::Seeking && now >= m_nextDraw; m_nextDraw = m_nextDraw + m_settings.drawInterval) {
-        const double readProbability =
-            (isSeed() ? initialSeedReadProbability : initialReadProbability) * std::exp2(m_drawCount);
-        m_drawCount += 1;
-        if (m_random.uniform() < readProbability) {
-            becomeReader("none_found", now);
-        }
+    drawIfDue(now);
+}
+
+void fleet_node::draw(millis now)
+{
+    const double readProbability =
+        (isSeed() ? initialSeedReadProbability : initialReadProbability) * std::exp2(m_drawCount);
+    m_drawCount += 1;
+    if (m_random.uniform() < readProbability) {
+        becomeReader(m_undelivered > 0 ? "none_delivers" : "none_found", now);
+    }
+}
+
+/** The draws that are due. Those of the time before the last loss are left out: many processes may have lost the same
+ *  upstream, and not all of them should read the store. */
+void fleet_node::drawIfDue(millis now)
+{
+    const phase before = m_phase;
+    for (; m_phase == before && now >= m_nextDraw; m_nextDraw = m_nextDraw + m_settings.drawInterval) {
+        draw(now);
+    }
+}
+
+/** An upstream that is lost before it has delivered says more than the time that passes while none is found. */
+void fleet_node::recordUndelivered(millis now)
+{
+    constexpr unsigned drawsPerLoss = 2;
+    if (now >= m_nextDraw) {
+        m_drawCount += drawsPerLoss;
+        m_nextDraw = now;
     }
 }
 
+/** Draws while a process without contents follows one that has delivered nothing either, after others that did not. All
+ *  of them may wait for each other, and none may have the contents. */
+void fleet_node::drawToLeaveUpstream(millis now)
+{
+    if (m_phase != phase::Following || m_undelivered <= 1 || knowsAllPrefixes()) {
+        return;
+    }
+    const link_id waitedFor = m_upstream;
+    drawIfDue(now);
+    if (m_phase == phase::Reading) {
+        m_actions.emplace_back(close_link_action {waitedFor});
+    }
+}
+
+/** After upstreams that delivered nothing: whether this process reads the contents from the store, and does not give
+ *  that up for another upstream before it has them. */
+bool fleet_node::isReadingFirstContents() const
+{
+    const bool isAnswered = m_starting || ownStoreOk();
+    return m_phase == phase::Reading && m_undelivered > 0 && isAnswered && !knowsAllPrefixes();
+}
+
 void fleet_node::checkUpstream(millis now)
 {
     if (now - m_upstreamReceivedAt > m_settings.upstreamTimeout) {
--- a/libs/fleet/tests/test_fleet_parts.cpp
+++ b/libs/fleet/tests/test_fleet_parts.cpp
@@ -93,6 +93,29 @@
     }
 }
 
+// Guards against a follower without an end: its link ends before anything arrives, whatever the reason, again and
+// again.
+BOOST_AUTO_TEST_CASE(a_process_whose_links_all_break_reads_the_store)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fleet_world_settings settings = smallFleetSettings();
+        settings.nodeCount = 24;
+        settings.seed = seed;
+        fleet_world world(settings);
+        world.closesLinksAtItems = true;
+        world.write("leaf", "ready");
+        world.run(millis(3000));
+        BOOST_TEST(world.countHolders("leaf") == 24U);
+        world.write("leaf", "draining");
+        world.run(millis(3000));
+        BOOST_TEST(world.countHolders("leaf") == 24U);
+        BOOST_TEST(world.countFalselyCurrent() == 0U);
+        world.closesLinksAtItems = false;
+        world.run(millis(15000));
+        BOOST_TEST(world.countReaders() == 1U);
+    }
+}
+
 namespace {
 
 /** One process that follows another by hand. */
