--- a/programs/chivelockd/gateway/store_feed.cpp
+++ b/programs/chivelockd/gateway/store_feed.cpp
@@ -21,20 +21,6 @@
 constexpr double upstreamGraceShare = 0.15;
 constexpr double drawIntervalShare = 0.02;
 
-/** Drops the values of operators' keys other than the configuration. These values are never read, but they may be
- *  megabytes long, and all VMs would store and forward them. */
-void clearUnreadValues(std::string_view prefix, std::vector<store_item> &items)
-{
-    if (prefix != platform::configPrefix) {
-        return;
-    }
-    for (store_item &item : items) {
-        if (item.key != platform::configKey) {
-            item.value.clear();
-        }
-    }
-}
-
 std::string textOf(const listen_address &address)
 {
     return address.address + ":" + std::to_string(address.port);
@@ -168,14 +154,12 @@
 
 void store_feed::onStoreContents(std::string_view prefix, std::vector<store_item> items, std::uint64_t revision)
 {
-    clearUnreadValues(prefix, items);
     m_node.onStoreContents(prefix, std::move(items), revision);
     flush();
 }
 
 void store_feed::onStoreChanges(std::string_view prefix, std::vector<store_item> changes, std::uint64_t revision)
 {
-    clearUnreadValues(prefix, changes);
     m_node.onStoreChanges(prefix, std::move(changes), revision);
     flush();
 }
--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -22,6 +22,8 @@
 // Limit for a complete answer that keeps arriving: a megabyte over the busy link of a small VM. With the silence limit
 // as the limit for the complete answer, a full document was cut off on a busy link and requested again and again.
 constexpr millis completeAnswerLimit(5000);
+// A watch whose answer fails after so many bytes is not repeated: the same answer would fail again. Pages are smaller.
+constexpr std::uint64_t maxRepeatedWatchBytes = 1 << 20;
 constexpr millis firstWatchWait(50);
 constexpr millis firstRetryDelay(400);
 constexpr millis maxRetryDelay(1000); // a store that recovers is read again within about this time
@@ -190,9 +192,7 @@
         logEvent(log_level::Info,
                  "store_history_gone",
                  {{"prefix", m_settings.prefix}, {"after_revision", m_revision}, {"outcome", "read_anew"}});
-        m_watching = false;
-        m_lastPageKey.clear();
-        m_pagedItems.clear();
+        readContentsNext();
         issueCall();
         return;
     }
@@ -211,6 +211,13 @@
     }
 }
 
+void store_reader::readContentsNext()
+{
+    m_watching = false;
+    m_lastPageKey.clear();
+    m_pagedItems.clear();
+}
+
 void store_reader::onRange()
 {
     auto page = *std::exchange(m_page, {});
@@ -259,6 +266,12 @@
     closeSocket();
     m_timeout.cancel();
     m_callGeneration += 1;
+    if (m_watching && m_answerBytes > maxRepeatedWatchBytes) {
+        logEvent(log_level::Warning,
+                 "store_watch_too_long",
+                 {{"prefix", m_settings.prefix}, {"bytes", m_answerBytes}, {"outcome", "read_anew"}});
+        readContentsNext();
+    }
     if (m_failures == 0) {
         logEvent(log_level::Warning,
                  "store_lost",
--- a/programs/chivelockd/gateway/store_reader.h
+++ b/programs/chivelockd/gateway/store_reader.h
@@ -96,6 +96,7 @@
     void read(std::uint64_t generation);
     [[nodiscard]] read_state readAnswer(std::size_t count);
     void onAnswer();
+    void readContentsNext();
     void onRange();
     void onWatch();
     void onCallFailed(std::string_view cause);
