Answers with a status above 599, and 204 with a body, are not handed on

Cause: the status of an answer had no upper bound, and a head that announces a body which its own status cannot have was taken.

--- a/libs/http1/src/response_reader.cpp
+++ b/libs/http1/src/response_reader.cpp
@@ -32,12 +32,23 @@
 {
     constexpr unsigned firstInterimStatus = 100;
     constexpr unsigned switchingProtocols = 101;
-    return status >= firstInterimStatus && status != switchingProtocols;
+    constexpr unsigned lastStatus = 599;
+    return status >= firstInterimStatus && status <= lastStatus && status != switchingProtocols;
+}
+
+/** Whether the head announces a body that a response with its status cannot have: the body would be dropped, and the
+ *  digest beside it belongs to the whole. */
+bool contradictsItself(const http::response<http::string_body> &message)
+{
+    const auto length = message.find(http::field::content_length);
+    const bool hasLength = length != message.end() && length->value().find_first_not_of('0') != std::string_view::npos;
+    const bool hasCoding = message.count(http::field::transfer_encoding) > 0;
+    return message.result() == http::status::no_content && (hasLength || hasCoding);
 }
 
 bool isSound(const http::response<http::string_body> &message)
 {
-    return isExpectedStatus(message.result_int()) && hasUnambiguousFraming(message);
+    return isExpectedStatus(message.result_int()) && hasUnambiguousFraming(message) && !contradictsItself(message);
 }
 
 constexpr std::string_view protocolName = "HTTP/1.";
--- a/libs/http1/tests/test_http1.cpp
+++ b/libs/http1/tests/test_http1.cpp
@@ -280,10 +280,24 @@
         std::string responses = "HTTP/1.1 ";
         return responses.append(status).append(" X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
     };
-    for (const std::string_view status : {"000", "099", "101"}) {
+    for (const std::string_view status : {"000", "099", "101", "600", "999"}) {
         BOOST_CHECK(readResponse(beforeFinal(status)) == read_state::BadMessage);
     }
     for (const std::string_view status : {"100", "102", "103", "199"}) {
         BOOST_CHECK(readResponse(beforeFinal(status)) == read_state::Complete);
     }
 }
+
+// Guards against a success with the digest of a body that was dropped: a response without content announces one.
+BOOST_AUTO_TEST_CASE(a_response_without_content_that_announces_a_body_is_rejected)
+{
+    const std::string start = "HTTP/1.1 204 X\r\n";
+    for (const std::string head :
+         {"Content-Length: 16\r\n", "Content-Length: 016\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        BOOST_CHECK(readResponse(start + head + "\r\n") == read_state::BadMessage);
+    }
+    for (const std::string head : {"", "Content-Length: 0\r\n"}) {
+        BOOST_CHECK(readResponse(start + head + "\r\n") == read_state::Complete);
+    }
+    BOOST_CHECK(readResponse("HTTP/1.1 304 X\r\nContent-Length: 16\r\n\r\n") == read_state::Complete);
+}
--- a/programs/chivelockd/tests/own_interface.py
+++ b/programs/chivelockd/tests/own_interface.py
@@ -58,6 +58,7 @@
 
     def __init__(self):
         self.second = "never"
+        self.status = 200  # of replies to searches
         self.nested_field = None  # of the reply and its row that holds nested lists
 
     async def serve(self, reader, writer):
@@ -86,8 +87,9 @@
             return response(200, {"Content-Type": "application/json"}, text.encode())
         search = json.loads(message[2])
         row = {"id": search["query"], "score": 1.0, "data": None}
-        return json_response({"shard": search["shard"], "snapshot": search["snapshot"],
-                              "map_version": search["map_version"], "incarnation": 1, "rows": [row]})
+        document = {"shard": search["shard"], "snapshot": search["snapshot"], "map_version": search["map_version"],
+                    "incarnation": 1, "rows": [row]}
+        return response(self.status, {"Content-Type": "application/json"}, json.dumps(document).encode())
 
 
 class Fixture:
@@ -140,6 +142,19 @@
     return None if answer is None else [row["id"] for row in json.loads(answer[2]).get("rows", [])]
 
 
+async def a_reply_with_an_odd_status_is_never_a_success(fixture):
+    """Guards against rows of a leaf whose status says nothing: the library that reads it is lenient."""
+    for fixture.leaf.status in ("000", "099", "20", "2000", "204", "600", "999", "two", ""):
+        rows = await fixture.lookup(f"odd-{fixture.leaf.status}")
+        assert not rows, (fixture.leaf.status, rows)
+    fixture.leaf.status = 200
+    for _ in range(50):
+        if await fixture.lookup("behind_odd") == ["behind_odd"]:
+            return
+        await asyncio.sleep(0.1)
+    raise AssertionError("not served again")
+
+
 async def a_second_reply_is_never_the_reply_to_another_lookup(fixture):
     """Guards against rows of another lookup: a reply does not name its request, so only its connection does."""
     for fixture.leaf.second in ("with_the_first", "while_idle", "before_the_next"):
@@ -206,7 +221,8 @@
     assert await fixture.lookup("behind_nested") == ["behind_nested"]
 
 
-CHECKS = [deeply_nested_documents_do_not_end_the_process,
+CHECKS = [a_reply_with_an_odd_status_is_never_a_success,
+          deeply_nested_documents_do_not_end_the_process,
           a_second_reply_is_never_the_reply_to_another_lookup,
           a_faster_lookup_does_not_overtake_an_earlier_one_on_its_connection,
           a_connection_serves_one_lookup_after_the_other,
