All incomplete answers of leafs together are bounded by the memory of the VM

Reported from other systems: leafs that send bodies without an end took the memory of the machine that called them, and the requests of other clients ended with it.

Change: all answers that have not arrived completely may hold an eighth of the memory. Beyond it the connection with the largest one is closed, not the one that crosses the bound: a small answer beside it is not at fault.

--- a/libs/backpressure/include/backpressure/backpressure.h
+++ b/libs/backpressure/include/backpressure/backpressure.h
@@ -38,6 +38,7 @@
     std::size_t callerConnections = 0;
     byte_limits callers; ///< for each connection, and for all of them
     byte_limits leafs; ///< request bytes under way to each leaf, and to all of them
+    std::size_t incompleteAnswers = 0; ///< bytes of all leafs' answers that have not arrived completely
 };
 
 /**
@@ -147,6 +148,58 @@
     std::size_t m_total = 0;
 };
 
+/**
+ * Counts the bytes of answers that have not arrived completely. Beyond the limit of all, the largest one must be given
+ * up: a small one that arrives beside it is not at fault.
+ */
+template<ledger_key key_type>
+class incomplete_answers
+{
+public:
+    /** @param bytes limit of all answers together; 0 means no limit. */
+    void setLimit(std::size_t bytes)
+    {
+        m_limit = bytes;
+    }
+
+    /** @param bytes received of the answer so far; 0 once it is complete or given up. */
+    void update(const key_type &answer, std::size_t bytes)
+    {
+        const std::size_t before = bytesOf(answer);
+        m_total = m_total - before + bytes;
+        if (bytes == 0) {
+            m_bytes.erase(answer);
+        } else {
+            m_bytes[answer] = bytes;
+        }
+    }
+
+    [[nodiscard]] std::size_t bytesOf(const key_type &answer) const
+    {
+        const auto found = m_bytes.find(answer);
+        return found == m_bytes.end() ? 0 : found->second;
+    }
+
+    [[nodiscard]] std::size_t total() const
+    {
+        return m_total;
+    }
+
+    /** @return the answer to give up now, if the limit is exceeded. */
+    [[nodiscard]] std::optional<key_type> firstToGiveUp() const
+    {
+        if (m_limit == 0 || m_total <= m_limit) {
+            return std::nullopt;
+        }
+        return std::ranges::max_element(m_bytes, {}, [](const auto &one) { return one.second; })->first;
+    }
+
+private:
+    std::size_t m_limit = 0;
+    std::size_t m_total = 0;
+    std::unordered_map<key_type, std::size_t> m_bytes;
+};
+
 /** Usual size of the answers of each route, in bytes, so that memory can be set aside before an answer is fetched. */
 class answer_sizes
 {
--- a/libs/backpressure/tests/test_backpressure.cpp
+++ b/libs/backpressure/tests/test_backpressure.cpp
@@ -400,3 +400,30 @@
     table.update(2, connection_use::Answering, kilobyte, false, afterPause);
     BOOST_TEST(table.admit("10.0.0.1", afterPause).closeFirst.value().id == 2U);
 }
+
+// Guards against a process that ends for lack of memory, and against small answers that pay for large ones beside them.
+BOOST_AUTO_TEST_CASE(the_largest_incomplete_answer_is_given_up_first)
+{
+    incomplete_answers<int> answers;
+    answers.setLimit(1000);
+    answers.update(1, 700);
+    answers.update(2, 250);
+    BOOST_TEST(!answers.firstToGiveUp().has_value());
+    answers.update(3, 60);
+    BOOST_TEST(answers.firstToGiveUp().value() == 1);
+    answers.update(1, 0);
+    BOOST_TEST(!answers.firstToGiveUp().has_value());
+    BOOST_TEST(answers.total() == 310U);
+    answers.update(2, 0);
+    answers.update(3, 100);
+    BOOST_TEST(answers.total() == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(incomplete_answers_have_no_limit_if_the_memory_is_not_known)
+{
+    incomplete_answers<int> answers;
+    answers.setLimit(limitsFor({}, 1000, 0).incompleteAnswers);
+    answers.update(1, std::size_t {1} << 40);
+    BOOST_TEST(!answers.firstToGiveUp().has_value());
+    BOOST_TEST(limitsFor({256, 0}, 1000, 0).incompleteAnswers == std::size_t {32} << 20);
+}
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -388,7 +388,7 @@
     pressure_limits limits = limitsFor(vm, fixedConnections, m_pool->connections());
     limits.callerConnections = std::min(limits.callerConnections, m_settings.maxConnections.value_or(SIZE_MAX));
     m_callers->setPressureLimits(limits.callerConnections, limits.callers);
-    m_pool->setLimits(limits.leafs);
+    m_pool->setLimits(limits);
 }
 
 void gateway_service::handleProcessPause(millis now)
--- a/programs/chivelockd/gateway/leaf_connection.h
+++ b/programs/chivelockd/gateway/leaf_connection.h
@@ -107,6 +107,13 @@
         fail(send_failure::Broken);
     }
 
+    /** Gives up an answer because all incomplete ones together are too large. */
+    void giveUpAnswer()
+    {
+        m_pool.m_input.countCutOff("answers_too_large", peer().entry.id, m_answerBytes);
+        fail(send_failure::Broken);
+    }
+
     [[nodiscard]] bool hasCarried(std::string_view requestId) const
     {
         return m_carried.contains(requestId);
@@ -152,9 +159,16 @@
         m_pool.m_underWay.add(&peer(), m_heldBytes);
     }
 
-    /** Ends the accounting of the current request. */
+    void setAnswerBytes(std::size_t bytes)
+    {
+        m_answerBytes = bytes;
+        m_pool.m_incomplete.update(this, bytes);
+    }
+
+    /** Ends the accounting of the current request and its answer. */
     void release()
     {
+        setAnswerBytes(0);
         if (const std::size_t held = std::exchange(m_heldBytes, 0); held > 0) {
             m_pool.m_underWay.remove(&peer(), held);
         }
@@ -191,7 +205,7 @@
         m_write = write_state::Pending;
         m_answerAwaitsWrite = false;
         m_strayCount = 0;
-        m_answerBytes = 0;
+        setAnswerBytes(0);
         m_reader.expect(m_message.toHead, maxAnswerBodyBytes);
         m_writeEnd = boot_clock().now() + m_message.remaining - spent;
         m_output = platform::completeLeafRequest(*m_message.text, m_message.remaining - spent, m_message.to->entry.id);
@@ -238,7 +252,11 @@
             removeIdle(); // unsolicited input belongs to no request
             return;
         }
-        m_answerBytes += count;
+        setAnswerBytes(m_answerBytes + count);
+        m_pool.giveUpLargestAnswers();
+        if (m_closed) {
+            return;
+        }
         onInput(readAnswer([this, count] {
             m_input.append(m_readBuffer.data(), count);
             return m_reader.feed(m_input);
@@ -426,7 +444,7 @@
             return;
         }
         m_reader.expect(m_message.toHead, maxAnswerBodyBytes);
-        m_answerBytes = m_input.size();
+        setAnswerBytes(m_input.size());
         onInput(readAnswer([this] { return m_reader.feed(m_input); }));
     }
 
@@ -474,7 +492,7 @@
     sent_requests m_carried;
     std::array<char, readBytes> m_readBuffer {};
     std::string m_input;
-    std::uint64_t m_answerBytes = 0; ///< received of the answer and of the interim answers ahead of it
+    std::size_t m_answerBytes = 0; ///< received of the answer and of the interim answers ahead of it
     platform::leaf_answer m_answer; ///< the last one read
     std::string m_output;
     std::size_t m_heldBytes = 0; ///< of the current request, accounted to the leaf
--- a/programs/chivelockd/gateway/leaf_pool.cpp
+++ b/programs/chivelockd/gateway/leaf_pool.cpp
@@ -58,6 +58,13 @@
     std::ranges::for_each(unread, [](const auto &one) { one->giveUpUnread(); });
 }
 
+void leaf_pool::giveUpLargestAnswers()
+{
+    for (auto largest = m_incomplete.firstToGiveUp(); largest; largest = m_incomplete.firstToGiveUp()) {
+        (*largest)->giveUpAnswer();
+    }
+}
+
 std::shared_ptr<leaf_pool::connection> leaf_pool::takeIdle(const leaf_message &message)
 {
     const auto idle = m_idle.find(message.to.get());
--- a/programs/chivelockd/gateway/leaf_pool.h
+++ b/programs/chivelockd/gateway/leaf_pool.h
@@ -86,10 +86,11 @@
     leaf_pool &operator=(const leaf_pool &) = delete;
     ~leaf_pool();
 
-    /** Limits on the request bytes under way to each leaf, and to all of them. */
-    void setLimits(const byte_limits &limits)
+    /** Sets the limits on request bytes under way to leafs, and on the bytes of their incomplete answers. */
+    void setLimits(const pressure_limits &limits)
     {
-        m_underWay.setLimits(limits);
+        m_underWay.setLimits(limits.leafs);
+        m_incomplete.setLimit(limits.incompleteAnswers);
     }
 
     void send(leaf_message message);
@@ -132,6 +133,7 @@
     [[nodiscard]] std::shared_ptr<connection> takeIdle(const leaf_message &message);
     [[nodiscard]] std::shared_ptr<connection> takeWithoutRequest(connection_list &idle, const leaf_message &message);
     void closeIdleOf(const leaf &target);
+    void giveUpLargestAnswers();
     void holdBack(const leaf_message &message);
 
     boost::asio::io_context &m_reactor;
@@ -139,6 +141,7 @@
     leaf_pool_counts m_counts;
     input_guard m_input {"leaf"};
     byte_ledger<const leaf *> m_underWay; ///< request bytes of sends without an outcome
+    incomplete_answers<connection *> m_incomplete;
     std::size_t m_open = 0;
     /** Idle connections, the most recently used one last. The key is the leaf object, not the leaf's id: a leaf that
      *  restarts under the same id serves new connections only, and requests on connections to its previous process
