Changed weights of a split hold from the next request on

Cause: the credits of the round-robin were kept in units of the weights and by place. Weights written as 0.5 and 0.5 instead of 50 and 50 left credits that only many requests would have evened out; a part with weight 0 still got requests; a new part took over the credit of the one at its place.

Change: credits are kept by service and in requests.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -508,7 +508,7 @@
     std::vector<std::shared_ptr<leaf>> m_pausedLeafs; ///< some may answer again already
     quantile_tracker m_pauseLength {0.8, millis(80)}; ///< time of a pause after it was noticed
     quantile_tracker m_helperHop {0.5, millis(3)}; ///< time of the messages to a helper and back
-    std::unordered_map<std::string, std::vector<double>> m_shareCredits; ///< by route, for smooth weighted round-robin
+    std::map<std::string, std::map<std::string, double>> m_shareCredits; ///< by route and service, in requests
     std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<send_id, send> m_sends;
     overload_control m_overload;
--- a/libs/gateway/src/leaf_choice.cpp
+++ b/libs/gateway/src/leaf_choice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
+#include <span>
 
 namespace chivelock {
 
@@ -33,6 +35,22 @@
     return now < candidate.coldUntil && table != nullptr ? table->maxColdRequestsPerSecond(candidate.entry.service) : 0;
 }
 
+double sumOfWeights(std::span<const weighted_service> split)
+{
+    return std::accumulate(split.begin(), split.end(), 0.0, [](double sum, const weighted_service &one) {
+        return sum + std::max(one.weight, 0.0);
+    });
+}
+
+/** Drops the credits of services that a new configuration gives no requests, so that they return without any. */
+void dropUnserved(std::map<std::string, double> &credits, std::span<const weighted_service> split)
+{
+    std::erase_if(credits, [&](const auto &credit) {
+        return std::ranges::none_of(
+            split, [&](const weighted_service &one) { return one.weight > 0 && one.service.value == credit.first; });
+    });
+}
+
 } // namespace
 
 double leafQueuePerSlot(const leaf &candidate, const route_latency &latency, millis now)
@@ -203,20 +221,26 @@
 
 const service_name &gateway_engine::pickSplitService(const gateway_route &route)
 {
-    if (route.split.size() == 1) {
+    const double sum = sumOfWeights(route.split);
+    if (route.split.size() == 1 || sum <= 0) {
         return route.split.front().service;
     }
-    // Smooth weighted round-robin: each share gains its weight, and the chosen one, with the most credit, pays the sum.
-    std::vector<double> &credits = m_shareCredits[route.name];
-    credits.resize(route.split.size(), 0.0);
-    double sum = 0;
-    for (std::size_t at = 0; at < credits.size(); ++at) {
-        credits[at] += route.split[at].weight;
-        sum += route.split[at].weight;
-    }
-    const auto highest = std::ranges::max_element(credits);
-    *highest -= sum;
-    return route.split[static_cast<std::size_t>(highest - credits.begin())].service;
+    // Smooth weighted round-robin: each service gains its share of a request, and the chosen one pays one request.
+    // Credits are kept in requests, because a new configuration may count weights in another unit.
+    auto &credits = m_shareCredits[route.name];
+    dropUnserved(credits, route.split);
+    const weighted_service *chosen = nullptr;
+    for (const weighted_service &one : route.split) {
+        if (one.weight <= 0) {
+            continue;
+        }
+        credits[one.service.value] += one.weight / sum;
+        if (!chosen || credits[one.service.value] > credits[chosen->service.value]) {
+            chosen = &one;
+        }
+    }
+    credits[chosen->service.value] -= 1;
+    return chosen->service;
 }
 
 } // namespace chivelock
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -3,6 +3,8 @@
 
 #include "gateway_world.h"
 
+#include <tuple>
+
 using namespace chivelock;
 using namespace chivelock::testing;
 
@@ -491,6 +493,37 @@
     BOOST_TEST(world.runsAt("b") == 100U);
 }
 
+// Guards against a part that gets all requests, or none, after a configuration has changed the weights or their unit.
+BOOST_AUTO_TEST_CASE(changed_weights_hold_from_the_next_request_on)
+{
+    for (const auto &[weightOfA, weightOfB, expectedAtA] : {std::tuple(0.5, 0.5, 10U),
+                                                            std::tuple(5e6, 5e6, 10U),
+                                                            std::tuple(15.0, 5.0, 15U),
+                                                            std::tuple(1.0, 0.0, 20U)}) {
+        gateway_world world;
+        gateway_route route = gateway_world::singleRoute(true);
+        route.split = {{{"a"}, 50}, {{"b"}, 50}};
+        world.publish({route});
+        world.addLeaf("a");
+        world.addLeaf("b");
+        const auto ask = [&](int requests) {
+            for (int at = 0; at < requests; ++at) {
+                world.submit("/one/x");
+                world.runFor(millis(20));
+            }
+        };
+        ask(21);
+        const std::size_t before = world.runsAt("a");
+        route.split = {{{"a"}, weightOfA}, {{"b"}, weightOfB}};
+        world.publish({route});
+        ask(20);
+        const std::size_t atA = world.runsAt("a") - before;
+        BOOST_TEST(atA + 1 >= expectedAtA);
+        BOOST_TEST(atA <= expectedAtA + 1);
+        BOOST_TEST((weightOfB > 0 || atA == 20U));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_final_answer_is_sent_at_the_route_timeout)
 {
     gateway_world world;
