--- a/libs/fleet/src/fleet_items.cpp
+++ b/libs/fleet/src/fleet_items.cpp
@@ -48,10 +48,10 @@
 void fleet_node::sendItems(std::vector<link_id> links, store_items items)
 {
     if (needsParts(bytesOf(items))) {
-        const auto withoutParts =
-            std::ranges::partition(links, [this](link_id link) { return m_followers.at(link).acceptsParts; });
-        std::for_each(links.begin(), withoutParts.begin(), [&](link_id link) { startTransfer(link, items.prefix); });
-        links.erase(links.begin(), withoutParts.begin());
+        const auto withoutParts = std::partition(
+            links.begin(), links.end(), [this](link_id link) { return m_followers.at(link).acceptsParts; });
+        std::for_each(links.begin(), withoutParts, [&](link_id link) { startTransfer(link, items.prefix); });
+        links.erase(links.begin(), withoutParts);
     }
     if (!links.empty()) {
         m_actions.emplace_back(send_message_action {std::move(links), std::move(items)});
--- a/libs/fleet/tests/fleet_world_links.cpp
+++ b/libs/fleet/tests/fleet_world_links.cpp
@@ -64,9 +64,7 @@
     const std::string frame = encodeFleetFrame(message);
     const bool hasItems = std::holds_alternative<store_items>(message);
     for (const link_id link : action.links) {
-        if (!hasItems) {
-            sendFrame(index, link, frame);
-        } else if (closesLinksAtItems || !addUnsent(index, link, frame.size())) {
+        if (hasItems && (closesLinksAtItems || !addUnsent(index, link, frame.size()))) {
             breakLink(index, link);
         } else {
             sendFrame(index, link, frame);
--- a/libs/schema/include/schema/schema.h
+++ b/libs/schema/include/schema/schema.h
@@ -2,8 +2,8 @@
 
 /**
  * @file
- * Parses JSON documents from outside within a bound on their nesting, validates them against a JSON Schema (draft 7) and
- * reports each problem with its path, its value and what is allowed.
+ * Parses JSON documents from outside within a bound on their nesting, validates them against a JSON Schema (draft 7)
+ * and reports each problem with its path, its value and what is allowed.
  */
 
 #include <nlohmann/json.hpp>
