A soak beside entries of other writers and odd answers of leafs

Cause: each fault of the review was found between inputs of which the tests had one at a time; the soak had neither foreign entries nor leafs that answer with a status outside the protocol or without end.

--- a/build.sh
+++ b/build.sh
@@ -23,7 +23,7 @@
   capacity  measure the slopes and derive the table of docs/CAPACITY.md from them
   faults    real processes under load: kills, pauses, platform outage (depends on the machine's speed; not in CI)
   sanitize  the tests under address, undefined and thread sanitizers
-  soak      real gateways, simulated leafs and store, random faults: ./build.sh soak [FIRST-LAST] [SECONDS] [--zones|--stutter],
+  soak      real gateways, simulated leafs and store, random faults: ./build.sh soak [FIRST-LAST] [SECONDS] [--zones|--foreign],
             50 seeds by default
   deploy    run the deploy file's build command in a clean copy without tests, at most five minutes; then check that its
             packages install all files that the build used
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -556,15 +556,19 @@
         if len(parts) < MIN_COVERAGE * (len(parts) + missing):
             self.broken("coverage", f"{request_id}: {len(parts)} of {len(parts) + missing}")
 
-    async def run(self):
-        await self.prepare()
-        callers = [asyncio.create_task(self.caller(n)) for n in range(8)]
+    def extra_faults(self):
+        """Faults that run beside those of `faults`. Subclasses override it."""
         extra_faults = [self.zone_faults()] if self.with_zones else []
         extra_faults += [self.leaving_faults()] if self.with_leaving else []
         extra_faults += [self.short_freezes()] if self.with_stutter else []
         extra_faults += [self.slow_leafs()] if self.with_slow else []
+        return extra_faults
+
+    async def run(self):
+        await self.prepare()
+        callers = [asyncio.create_task(self.caller(n)) for n in range(8)]
         callers += [asyncio.create_task(self.slow_caller(n)) for n in range(SLOW_CALLERS if self.with_slow else 0)]
-        await asyncio.gather(self.faults(), *extra_faults)
+        await asyncio.gather(self.faults(), *self.extra_faults())
         await asyncio.sleep(1.0)
         self.running = False
         await asyncio.gather(*callers)
@@ -602,6 +606,9 @@
     if options.stopping:
         from stopping import StoppingSoak  # it extends this module
         return StoppingSoak(options.program, seed, options.seconds, folder)
+    if options.foreign:
+        from foreign import ForeignSoak  # it extends this module
+        return ForeignSoak(options.program, seed, options.seconds, folder)
     return Soak(options.program, seed, options.seconds, folder, options.zones, options.leaving, options.stutter,
                 options.slow)
 
@@ -616,6 +623,7 @@
     parser.add_argument("--stutter", action="store_true", help="leafs answer twice and refuse often, VMs freeze briefly")
     parser.add_argument("--slow", action="store_true", help="some callers and leafs read slowly or not at all, VMs are small")
     parser.add_argument("--stopping", action="store_true", help="instead stop VMs while callers use idle connections again")
+    parser.add_argument("--foreign", action="store_true", help="instead others write odd entries, and leafs answer oddly")
     options = parser.parse_args()
     failed = 0
     for seed in seeds_from(options.seeds):
