A watch of the store that crosses a bound is given up for reading by pages

Every reader of the store was stuck.

Cause: an answer above the bound of 16 MiB is cut off at its head, which announces its length. Only what was read counted for "failed after a megabyte", here 65,536 bytes (input_cut_off source=store cause=body_too_large, once a second until the end), so the same watch was repeated.

Change: each cut off watch is given up; the contents are read by pages, which the store bounds. Which bound it was doesn't matter: the store would give the same answer again.

--- a/programs/chivelockd/gateway/store_reader.cpp
+++ b/programs/chivelockd/gateway/store_reader.cpp
@@ -154,8 +154,7 @@
             } else if (state == read_state::Complete) {
                 onAnswer();
             } else if (isCutOff(state)) {
-                m_guard.countCutOff(toString(state), m_settings.address, m_answerBytes);
-                onCallFailed(toString(state));
+                onCutOff(state);
             } else {
                 onCallFailed("bad_answer");
             }
@@ -261,16 +260,32 @@
     }
 }
 
+/** A watch whose answer crosses a bound gets the same answer again: its announced length alone may be too much. */
+void store_reader::onCutOff(read_state state)
+{
+    m_guard.countCutOff(toString(state), m_settings.address, m_answerBytes);
+    if (m_watching) {
+        giveUpWatch();
+    }
+    onCallFailed(toString(state));
+}
+
+/** Reads the contents by pages instead of repeating the watch. */
+void store_reader::giveUpWatch()
+{
+    logEvent(log_level::Warning,
+             "store_watch_too_long",
+             {{"prefix", m_settings.prefix}, {"bytes", m_answerBytes}, {"outcome", "read_anew"}});
+    readContentsNext();
+}
+
 void store_reader::onCallFailed(std::string_view cause)
 {
     closeSocket();
     m_timeout.cancel();
     m_callGeneration += 1;
     if (m_watching && m_answerBytes > maxRepeatedWatchBytes) {
-        logEvent(log_level::Warning,
-                 "store_watch_too_long",
-                 {{"prefix", m_settings.prefix}, {"bytes", m_answerBytes}, {"outcome", "read_anew"}});
-        readContentsNext();
+        giveUpWatch();
     }
     if (m_failures == 0) {
         logEvent(log_level::Warning,
--- a/programs/chivelockd/gateway/store_reader.h
+++ b/programs/chivelockd/gateway/store_reader.h
@@ -99,6 +99,8 @@
     void readContentsNext();
     void onRange();
     void onWatch();
+    void onCutOff(read_state state);
+    void giveUpWatch();
     void onCallFailed(std::string_view cause);
     void armTimeout(millis limit);
     void scheduleCall(millis delay);
