An idle connection with a request in the kernel is not closed

Callers saw the connection closed instead of an answer after a VM had stood still, although their requests had arrived within the idle time.

After a pause of the process it is due at once, and the reactor has taken in at most 128 of the requests that wait by then.

--- a/programs/chivelockd/gateway/caller_session.h
+++ b/programs/chivelockd/gateway/caller_session.h
@@ -188,7 +188,8 @@
             refuse("connections_full");
         } else if (receiving && age > limits.headTimeout) {
             rejectInput(read_state::NeedMore);
-        } else if ((idle && age > limits.idleTimeout) || (m_phase == phase::Lingering && age > lingerLimit)
+        } else if ((idle && age > limits.idleTimeout && !hasInputInKernel())
+                   || (m_phase == phase::Lingering && age > lingerLimit)
                    || (m_phase == phase::Writing && writeAge > writeLimit)) {
             closeAndRemove();
         }
