Of a part only the records that the merge can take are held

Reported from other systems: the machine that had called faulty leafs kept all that they sent and ran out of memory.

Change: a part is cut to its greatest records, as many as the merge can take, as it arrives. The greatest records of all parts are among the greatest of each, so the merged answer is the same; the digest is that of the leaf's whole answer. Of an answer's other fields nothing is held.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -540,4 +540,8 @@
 /** @return the greatest @p count records of all parts in descending bytewise order; duplicates are kept. */
 [[nodiscard]] std::string mergeRecords(std::span<const std::string_view> parts, std::size_t count);
 
+/** @return all that a merge for @p count records can take from the part: a leaf may send megabytes, and the part waits
+ *  for those of slower shards. */
+[[nodiscard]] std::string greatestRecords(std::string part, std::size_t count);
+
 } // namespace chivelock
--- a/libs/gateway/src/accepted_work.cpp
+++ b/libs/gateway/src/accepted_work.cpp
@@ -150,7 +150,7 @@
 
 void gateway_engine::reportSinglePart(const exchange &work, std::uint32_t shard)
 {
-    const gateway_reply &part = work.calls[shard].part;
+    const shard_part &part = work.calls[shard].part;
     delegated_progress report;
     report.parts.push_back({shard, part.stamp});
     const std::vector<std::string_view> parts = {part.body};
--- a/libs/gateway/src/engine.cpp
+++ b/libs/gateway/src/engine.cpp
@@ -391,7 +391,8 @@
     }
     shard_call &call = work.calls[at];
     call.done = true;
-    call.part = std::move(reply);
+    call.part.stamp = std::move(reply.stamp);
+    call.part.body = greatestRecords(std::move(reply.body), work.route->topRecords);
     work.done += 1;
     finishGatherIfDone(work, now);
 }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -70,6 +70,12 @@
     return typical + std::max(candidate.averageServiceTime, typical) * queue;
 }
 
+/** What is kept of a shard's answer until the merge. */
+struct shard_part {
+    std::string stamp; ///< the leaf's digest of its whole answer
+    std::string body; ///< its greatest records, as many as the merge can take
+};
+
 /** One shard of a gather, or the only call of a request to one leaf. */
 struct gateway_engine::shard_call {
     service_name service;
@@ -92,7 +98,7 @@
     bool pendingReported = false; ///< reported as pending; the delegating VM may ask a second leaf
     bool mergedWithOthers = false; ///< a helper merged its records with those of other shards
     bool reported = false; ///< its result was reported to the delegating VM
-    gateway_reply part;
+    shard_part part;
 
     /** @return true if the call was neither sent nor delegated and has no result. */
     [[nodiscard]] bool isUnassigned() const
--- a/libs/gateway/src/record_merge.cpp
+++ b/libs/gateway/src/record_merge.cpp
@@ -23,4 +23,13 @@
     return merged;
 }
 
+std::string greatestRecords(std::string part, std::size_t count)
+{
+    if (part.size() <= count * recordBytes) {
+        return part;
+    }
+    const std::string_view whole = part;
+    return mergeRecords({&whole, 1}, count);
+}
+
 } // namespace chivelock
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -47,6 +47,17 @@
     BOOST_TEST(mergeRecords(unsignedOrder, 1) == high);
 }
 
+// Guards against megabytes of a part that are held until the other shards have answered.
+BOOST_AUTO_TEST_CASE(only_records_that_a_merge_can_take_are_kept_of_a_part)
+{
+    const std::string low = "0000000000000001";
+    const std::string high = "0000000000000003";
+    BOOST_TEST(greatestRecords(low + high, 2) == low + high);
+    BOOST_TEST(greatestRecords(low + high + low, 2) == high + low);
+    BOOST_TEST(greatestRecords(high + "short", 1) == high);
+    BOOST_TEST(greatestRecords("", 2).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_lookup_without_faults_asks_each_shard_once)
 {
     shard_world world(0.9);
