A request whose caller has left is not begun

Cause: the request and the end of its connection wait in the kernel together and are read in two steps of the reactor. A request was begun between the two: at once where routes have no priorities, and with priorities if the connections had not been accepted before the pause, since they are accepted one a step.

Change: before a request is begun, the gateway looks whether the kernel holds the end of its connection, and drops the request as queued then.

--- a/programs/chivelockd/gateway/caller_server.cpp
+++ b/programs/chivelockd/gateway/caller_server.cpp
@@ -80,6 +80,16 @@
     return found != m_sessions.end() && found->second->requests() == 1;
 }
 
+bool caller_server::closeIfCallerLeft(session_id id)
+{
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end()) {
+        return true;
+    }
+    const std::shared_ptr<session> one = found->second;
+    return one->closeIfCallerLeft();
+}
+
 std::string caller_server::addressOf(session_id id) const
 {
     const auto found = m_sessions.find(id);
--- a/programs/chivelockd/gateway/caller_server.h
+++ b/programs/chivelockd/gateway/caller_server.h
@@ -97,6 +97,10 @@
     /** Whether the current request is the first one of the session. */
     [[nodiscard]] bool isFirstRequest(session_id session) const;
 
+    /** Closes the connection if its caller has, as far as the kernel knows now: the event of it may not be handled yet.
+     *  @return whether the connection is closed. */
+    [[nodiscard]] bool closeIfCallerLeft(session_id session);
+
     /** @return the IP address of the session's caller; empty if the connection is closed. */
     [[nodiscard]] std::string addressOf(session_id session) const;
 
--- a/programs/chivelockd/gateway/caller_session.h
+++ b/programs/chivelockd/gateway/caller_session.h
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include <linux/sockios.h>
@@ -170,6 +171,18 @@
         }
     }
 
+    /** @return whether the caller has closed the connection; it is closed here, too, then. */
+    [[nodiscard]] bool closeIfCallerLeft()
+    {
+        const ssize_t count = peekAtKernel();
+        const bool isNothingYet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        const bool hasLeft = count <= 0 && !isNothingYet;
+        if (hasLeft) {
+            closeAndRemove();
+        }
+        return hasLeft;
+    }
+
     void refuseIfIncomplete(std::string_view cause)
     {
         if (m_phase == phase::Waiting && hasPartialRequest()) {
@@ -230,10 +243,16 @@
         answer.resize(answer.find(headEnd) + headEnd.size());
     }
 
-    [[nodiscard]] bool hasInputInKernel()
+    /** @return 1 if the kernel holds input, 0 at the end of the stream, -1 with `errno` otherwise. */
+    [[nodiscard]] ssize_t peekAtKernel()
     {
         char byte = 0;
-        return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+        return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    }
+
+    [[nodiscard]] bool hasInputInKernel()
+    {
+        return peekAtKernel() > 0;
     }
 
     [[nodiscard]] bool hasPartialRequest() const
--- a/programs/chivelockd/gateway/gateway_queue.cpp
+++ b/programs/chivelockd/gateway/gateway_queue.cpp
@@ -77,6 +77,10 @@
 
 void gateway_service::begin(queued_request queued, millis waited)
 {
+    if (m_callers->closeIfCallerLeft(queued.session)) {
+        countCallerLeftInQueue(queued.marks.requestId);
+        return;
+    }
     const http_request &request = queued.request;
     caller_request engineRequest;
     engineRequest.id = queued.marks.requestId;
@@ -131,10 +135,17 @@
     if (m_runQueue.removeIf(isOfSession) == 0) {
         return false;
     }
-    logEvent(log_level::Info, "caller_left", {{"id", requestId}, {"cause", std::string("queued")}});
+    countCallerLeftInQueue(requestId);
     return true;
 }
 
+/** Nothing was sent for the request yet. */
+void gateway_service::countCallerLeftInQueue(const std::string &requestId)
+{
+    m_counts.disconnectedCallers += 1;
+    logEvent(log_level::Info, "caller_left", {{"id", requestId}, {"cause", std::string("queued")}});
+}
+
 bool gateway_service::dropQueued(const delegation_key &delegator)
 {
     return m_runQueue.removeIf([&](const queued_work &one) {
--- a/programs/chivelockd/gateway/gateway_service.cpp
+++ b/programs/chivelockd/gateway/gateway_service.cpp
@@ -140,7 +140,6 @@
 void gateway_service::onCallerLeft(session_id session)
 {
     if (dropQueued(session)) {
-        m_counts.disconnectedCallers += 1;
         return;
     }
     const auto found = m_exchangeBySession.find(session);
--- a/programs/chivelockd/gateway/gateway_service.h
+++ b/programs/chivelockd/gateway/gateway_service.h
@@ -89,6 +89,7 @@
     [[nodiscard]] queue_terms termsOf(std::uint32_t rank, millis objective) const;
     [[nodiscard]] bool dropQueued(session_id session);
     [[nodiscard]] bool dropQueued(const delegation_key &delegator);
+    void countCallerLeftInQueue(const std::string &requestId);
     [[nodiscard]] bool isQueued(const delegation_key &delegator) const;
 
     [[nodiscard]] tl::expected<void, kernel_error> open();
