A leaf's record keeps all statuses of a request, not the last one

Trace: each of the six digests listed is that of a leaf of its shard for this request (recomputed). The stand-in recorded one status for a request, so 500 replaced 200.

Change: it records all. The check is as strict: a part counts only if its leaf answered this request with 200.

Measured: the trace above.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -533,14 +533,14 @@
             self.check_merged(request_id, answer, runs)
         elif answer[0] == 200:
             good = [platform.digest_of(leaf.id, request_id, leaf.records(request_id)) for leaf, _ in runs
-                    if leaf.answered.get(request_id) == 200 and answer[2] == leaf.records(request_id)]
+                    if 200 in leaf.answered.get(request_id, ()) and answer[2] == leaf.records(request_id)]
             if answer[1].get("response-stamp") not in good:
                 self.broken("own answer", f"{request_id} got an answer that no leaf which ran it has sent")
 
     def check_merged(self, request_id, answer, runs):
         digests, missing = platform.merged_answer(answer)
         known = {platform.digest_of(leaf.id, request_id, leaf.records(request_id)): leaf for leaf, _ in runs
-                 if leaf.answered.get(request_id) == 200}
+                 if 200 in leaf.answered.get(request_id, ())}
         if len(set(digests)) != len(digests) or not set(digests) <= set(known):
             self.broken("parts", f"the answer to {request_id} lists parts that no leaf has sent: {digests}")
             return
