--- a/soak/foreign.py
+++ b/soak/foreign.py
@@ -11,7 +11,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "platform" / "tests"))
-from foreign_entries import KINDS, MEMORY_MB, peak_memory_mb  # noqa: E402
+from foreign_entries import ALL_KINDS, KINDS, MEMORY_MB, peak_memory_mb  # noqa: E402
 from soak import Soak  # noqa: E402
 
 FOLDERS = ("servers/", "op/notes/")
@@ -21,8 +21,9 @@
 class ForeignSoak(Soak):
     vm_settings = {"memory_mb": 260}
 
-    def __init__(self, program, seed, seconds, folder):
+    def __init__(self, program, seed, seconds, folder, masses=False):
         super().__init__(program, seed, seconds, folder)
+        self.kinds = ALL_KINDS if masses else KINDS
         self.foreign_random = random.Random(f"{seed}/foreign")
 
     def extra_faults(self):
@@ -38,11 +39,11 @@
         await asyncio.gather(*tasks)
 
     async def write_entries(self):
-        kind, folder = self.foreign_random.choice(list(KINDS)), self.foreign_random.choice(FOLDERS)
-        for key, value in KINDS[kind]:
+        kind, folder = self.foreign_random.choice(list(self.kinds)), self.foreign_random.choice(FOLDERS)
+        for key, value in self.kinds[kind]:
             self.store.write_bytes(f"{folder}{kind}-{key}", value)
         await asyncio.sleep(self.foreign_random.uniform(0.5, 4.0))
-        for key, _ in KINDS[kind]:
+        for key, _ in self.kinds[kind]:
             self.store.write_bytes(f"{folder}{kind}-{key}", None)
 
     async def answer_oddly(self):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -608,7 +608,7 @@
         return StoppingSoak(options.program, seed, options.seconds, folder)
     if options.foreign:
         from foreign import ForeignSoak  # it extends this module
-        return ForeignSoak(options.program, seed, options.seconds, folder)
+        return ForeignSoak(options.program, seed, options.seconds, folder, options.masses)
     return Soak(options.program, seed, options.seconds, folder, options.zones, options.leaving, options.stutter,
                 options.slow)
 
@@ -624,6 +624,7 @@
     parser.add_argument("--slow", action="store_true", help="some callers and leafs read slowly or not at all, VMs are small")
     parser.add_argument("--stopping", action="store_true", help="instead stop VMs while callers use idle connections again")
     parser.add_argument("--foreign", action="store_true", help="instead others write odd entries, and leafs answer oddly")
+    parser.add_argument("--masses", action="store_true", help="with --foreign: also thousands of entries at once")
     options = parser.parse_args()
     failed = 0
     for seed in seeds_from(options.seeds):
